The whole path, thin: contract, entry hosts, keepers, stand-ins

A structure was needed in which requests, fleet and jobs can grow side by side. Change: a workspace of a root module (types and interfaces; decisions below it) and one module each for entry, keeper, indigo, stand and bench. Contracts are accepted by one conditional transaction and fetched by a change head; hosts have one ownership row; attempts use their own connections, because http.Transport resends by itself. Checking a broken contract first gave two problems for one wrong value (the test found it); a value that could not be read now gets one problem only.

--- /dev/null
+++ b/bench/main.go
@@ -0,0 +1,25 @@
+// Command bench measures the decisions and drives running programs with load.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"indigoglade/bench/internal/load"
+)
+
+type commands struct {
+	Measure measureCommand `cmd:"" default:"withargs" help:"Run every measure that has a bound and print one row each."`
+	Load    load.Command   `cmd:"" help:"Send work to running entry hosts and check each outcome against the endpoints' ledger."`
+}
+
+func main() {
+	var c commands
+	parsed := kong.Parse(&c, kong.Name("bench"), kong.Description("Measures and load for indigoglade."))
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "bench:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/bench/measure.go
@@ -0,0 +1,97 @@
+package main
+
+import (
+	_ "embed"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"indigoglade/bench/internal/calls"
+	"indigoglade/bench/internal/gauge"
+	"indigoglade/bench/internal/hosts"
+	"indigoglade/bench/internal/jobs"
+	"indigoglade/bench/internal/peers"
+	"indigoglade/bench/internal/scale"
+	"indigoglade/config"
+)
+
+//go:embed bounds.json
+var boundsSource []byte
+
+// measureCommand runs the measures.
+type measureCommand struct {
+	Seed uint64 `default:"1" help:"Seed of every random choice."`
+	Only string `help:"Run only measures whose name contains this text."`
+	Red  string `default:"KNOWN-RED.txt" help:"File of known failures."`
+}
+
+// Run prints one row for each measure.
+func (m measureCommand) Run() error {
+	bounds, err := config.Finish(gauge.ReadBounds("bench/bounds.json", boundsSource), os.Stderr)
+	if err != nil {
+		return err
+	}
+	known, err := readKnown(m.Red)
+	if err != nil {
+		return err
+	}
+	return gauge.Run(gauge.Config{
+		Measures: m.pick(measures()),
+		Bounds:   m.pickBounds(bounds),
+		Known:    known,
+		Seed:     m.Seed,
+		Output:   os.Stdout,
+	})
+}
+
+func measures() []gauge.Measure {
+	var all []gauge.Measure
+	all = append(all, calls.Measures()...)
+	all = append(all, peers.Measures()...)
+	all = append(all, hosts.Measures()...)
+	all = append(all, jobs.Measures()...)
+	return append(all, scale.Measures()...)
+}
+
+func (m measureCommand) pick(all []gauge.Measure) []gauge.Measure {
+	var picked []gauge.Measure
+	for _, measure := range all {
+		if strings.Contains(measure.Name, m.Only) {
+			picked = append(picked, measure)
+		}
+	}
+	return picked
+}
+
+func (m measureCommand) pickBounds(all gauge.BoundsSpec) gauge.BoundsSpec {
+	var picked gauge.BoundsSpec
+	for _, bound := range all.Bounds {
+		if strings.Contains(bound.Name, m.Only) {
+			picked.Bounds = append(picked.Bounds, bound)
+		}
+	}
+	return picked
+}
+
+// knownMark starts the line of KNOWN-RED.txt that names a measure.
+const knownMark = "measure: "
+
+// readKnown returns the measures that KNOWN-RED.txt lists. A missing file lists
+// none.
+func readKnown(name string) (map[string]bool, error) {
+	source, err := os.ReadFile(name)
+	if os.IsNotExist(err) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "read known failures")
+	}
+	known := make(map[string]bool)
+	for line := range strings.Lines(string(source)) {
+		if measure, ok := strings.CutPrefix(line, knownMark); ok {
+			known[strings.TrimSpace(measure)] = true
+		}
+	}
+	return known, nil
+}
--- /dev/null
+++ b/clock.go
@@ -0,0 +1,15 @@
+package glade
+
+import (
+	"context"
+	"time"
+)
+
+// Clock tells the time. Only programs read it; decisions take the time as an
+// argument.
+type Clock interface {
+	// Now returns the current time.
+	Now() time.Time
+	// Sleep waits for d or until ctx ends, and returns the error of ctx.
+	Sleep(ctx context.Context, d time.Duration) error
+}
--- /dev/null
+++ b/clock/clock.go
@@ -0,0 +1,72 @@
+// Package clock provides the system clock and a fake one for tests.
+package clock
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// System is the clock of the machine.
+type System struct{}
+
+// Now returns the current time.
+func (System) Now() time.Time { return time.Now() }
+
+// Sleep waits for d or until ctx ends.
+func (System) Sleep(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
+
+// Fake is a clock that moves only when told to.
+type Fake struct {
+	mu    sync.Mutex
+	now   time.Time
+	moved chan struct{}
+}
+
+// NewFake returns a fake clock that shows start.
+func NewFake(start time.Time) *Fake {
+	return &Fake{now: start, moved: make(chan struct{})}
+}
+
+// Now returns the time that the fake shows.
+func (f *Fake) Now() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+// Advance moves the clock by d and wakes sleepers whose time has come.
+func (f *Fake) Advance(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = f.now.Add(d)
+	close(f.moved)
+	f.moved = make(chan struct{})
+}
+
+// Sleep waits until the clock was advanced by d or ctx ends.
+func (f *Fake) Sleep(ctx context.Context, d time.Duration) error {
+	until := f.Now().Add(d)
+	for {
+		f.mu.Lock()
+		now, moved := f.now, f.moved
+		f.mu.Unlock()
+		if !now.Before(until) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-moved:
+		}
+	}
+}
--- /dev/null
+++ b/config/contract.go
@@ -0,0 +1,154 @@
+package config
+
+import (
+	"fmt"
+
+	glade "indigoglade"
+)
+
+// Largest values that a contract file may hold.
+const (
+	maxPercent    = 100.0
+	maxHosts      = 100000
+	maxSlots      = 1024
+	maxLinks      = 65536
+	maxQueueDepth = 100000
+)
+
+// ReadContract reads and checks a contract file.
+func ReadContract(name string, source []byte) *File[glade.ContractSpec] {
+	f := Read[glade.ContractSpec](name, source)
+	if !f.Parsed() {
+		return f
+	}
+	spec := f.Value()
+	f.CheckName("/customer", string(spec.Customer))
+	checkPools(f, spec.Pools)
+	checkAnswer(f, spec)
+	checkBudget(f, spec)
+	checkWave(f, spec.Wave)
+	checkTeams(f, spec.Teams)
+	return f
+}
+
+func checkPools(f *File[glade.ContractSpec], pools []glade.PoolSpec) {
+	if len(pools) == 0 {
+		f.Add("/pools", "expected at least one pool, found none")
+	}
+	names := make(map[glade.Pool]bool)
+	serves := make(map[glade.Service]bool)
+	for i, p := range pools {
+		at := fmt.Sprintf("/pools/%d", i)
+		f.CheckName(at+"/name", string(p.Name))
+		f.CheckName(at+"/serve", string(p.Serve))
+		if names[p.Name] {
+			f.Add(at+"/name", "pool %q is named twice", p.Name)
+		}
+		if serves[p.Serve] {
+			f.Add(at+"/serve", "service %q is run by two pools", p.Serve)
+		}
+		names[p.Name] = true
+		serves[p.Serve] = true
+		checkPoolSize(f, at, p)
+	}
+}
+
+func checkPoolSize(f *File[glade.ContractSpec], at string, p glade.PoolSpec) {
+	f.checkRange(at+"/slots", "requests", p.Slots, 1, maxSlots)
+	f.checkRange(at+"/links", "connections", p.Links, p.Slots, maxLinks)
+	f.checkRange(at+"/hosts", "hosts", p.Hosts, 0, maxHosts)
+	if f.isBad(at + "/hosts") {
+		return
+	}
+	f.checkRange(at+"/floor", "hosts", p.Floor, 0, p.Hosts)
+	f.checkRange(at+"/ceiling", "hosts", p.Ceiling, p.Hosts, maxHosts)
+}
+
+func checkAnswer(f *File[glade.ContractSpec], spec glade.ContractSpec) {
+	a := spec.Answer
+	if a.Deadline <= 0 {
+		f.Add("/answer/deadline", `expected a length of time over 0, such as "3s"`)
+	}
+	if a.Window < a.Deadline {
+		f.Add("/answer/window", "expected at least the deadline of %s, found %s", a.Deadline, a.Window)
+	}
+	if a.Target <= 0 || a.Target >= maxPercent {
+		f.Add("/answer/target", "expected a percentage between 0 and 100, found %g", a.Target)
+	}
+	if a.Retry < 0 || a.Retry > maxPercent {
+		f.Add("/answer/retry", "expected a percentage from 0 to 100, found %g", a.Retry)
+	}
+	if a.Rate <= 0 {
+		f.Add("/answer/rate", "expected a rate over 0 in requests per second, found %g", a.Rate)
+	}
+	f.checkRange("/answer/flight", "requests in flight", a.Flight, 1, heldSlots(spec.Pools))
+	f.checkRange("/answer/queue", "requests", a.Queue, 1, maxQueueDepth)
+}
+
+// heldSlots returns the number of requests that the pools can work on at once
+// at their greatest size.
+func heldSlots(pools []glade.PoolSpec) int {
+	slots := 0
+	for _, p := range pools {
+		slots += p.Ceiling * p.Slots
+	}
+	return slots
+}
+
+func checkBudget(f *File[glade.ContractSpec], spec glade.ContractSpec) {
+	b := spec.Budget
+	if b.Down < 1 {
+		f.Add("/budget/down", "expected at least 1 host, found %d; with none, no host can ever be maintained", b.Down)
+	}
+	for _, p := range spec.Pools {
+		if b.Down > p.Hosts && p.Hosts > 0 {
+			f.Add("/budget/down", "expected at most the %d hosts of pool %q, found %d: a budget over 100 %%", p.Hosts, p.Name, b.Down)
+		}
+	}
+	if b.Window <= 0 {
+		f.Add("/budget/window", `expected a length of time over 0, such as "24h"`)
+	}
+	if b.Minutes < 1 {
+		f.Add("/budget/minutes", "expected at least 1 host minute, found %d", b.Minutes)
+	}
+	switch b.Domain {
+	case "host", "rack", "zone":
+	default:
+		f.Add("/budget/domain", `expected "host", "rack" or "zone", found %q`, b.Domain)
+	}
+}
+
+func checkWave(f *File[glade.ContractSpec], w glade.WaveSpec) {
+	if w.Name == "" && w.State == "" {
+		return
+	}
+	f.CheckName("/wave/name", w.Name)
+	switch w.State {
+	case "run", "pause", "cancel":
+	default:
+		f.Add("/wave/state", `expected "run", "pause" or "cancel", found %q`, w.State)
+	}
+	if w.Drain <= 0 {
+		f.Add("/wave/drain", `expected a length of time over 0, such as "30s"`)
+	}
+}
+
+func checkTeams(f *File[glade.ContractSpec], teams []glade.TeamSpec) {
+	names := make(map[string]bool)
+	for i, t := range teams {
+		at := fmt.Sprintf("/teams/%d", i)
+		f.CheckName(at+"/name", t.Name)
+		if names[t.Name] {
+			f.Add(at+"/name", "team %q is named twice", t.Name)
+		}
+		names[t.Name] = true
+		f.checkRange(at+"/cores", "cores", t.Cores, 0, maxHosts)
+		f.checkRange(at+"/accels", "accelerators", t.Accels, 0, maxHosts)
+	}
+}
+
+func (f *File[T]) checkRange(path, unit string, value, low, high int) {
+	if value < low || value > high {
+		f.Add(path, "expected %d to %d %s, found %d", low, high, unit, value)
+	}
+}
--- /dev/null
+++ b/config/load.go
@@ -0,0 +1,32 @@
+package config
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/pkg/errors"
+)
+
+// LoadNode reads the settings of an entry or keeper process from a file and
+// writes every problem to output.
+func LoadNode(name string, output io.Writer) (NodeSpec, error) {
+	source, err := os.ReadFile(name)
+	if err != nil {
+		return NodeSpec{}, errors.Wrap(err, "read settings")
+	}
+	return Finish(ReadNode(name, source), output)
+}
+
+// Finish writes every problem of a file to output and returns its value only
+// when there is none.
+func Finish[T any](f *File[T], output io.Writer) (T, error) {
+	for _, p := range f.Problems() {
+		fmt.Fprintln(output, p)
+	}
+	if n := len(f.Problems()); n > 0 {
+		var none T
+		return none, errors.Errorf("%s: %d problems; nothing was started or changed", f.name, n)
+	}
+	return f.Value(), nil
+}
--- /dev/null
+++ b/entry/internal/duty/duty.go
@@ -0,0 +1,125 @@
+// Package duty holds the recurring duties of an entry host beside requests:
+// taking up contracts, endpoints and the news of peers.
+package duty
+
+import (
+	"context"
+	"expvar"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/labstack/echo/v4"
+
+	glade "indigoglade"
+	"indigoglade/adopt"
+	"indigoglade/burn"
+	"indigoglade/entry/internal/desk"
+	"indigoglade/link"
+	"indigoglade/remote"
+)
+
+// Periods of the duties.
+const (
+	contractPeriod = 500 * time.Millisecond
+	endpointPeriod = 500 * time.Millisecond
+)
+
+// Config configures the Duties.
+type Config struct {
+	Node     glade.Node
+	Book     *adopt.Book
+	Desk     *desk.Desk
+	Meter    *burn.Meter
+	Platform *remote.Client
+	Clock    glade.Clock
+	Log      logr.Logger
+}
+
+// Duties runs the recurring duties.
+type Duties struct {
+	config   Config
+	counters *expvar.Map
+}
+
+// New returns the duties, which count in the expvar map "duties".
+func New(config Config) *Duties {
+	return &Duties{config: config, counters: expvar.NewMap("duties")}
+}
+
+// Contracts takes up contract changes until ctx ends.
+func (d *Duties) Contracts(ctx context.Context) error {
+	healthy := true
+	for {
+		adopted, err := adopt.Fetch(ctx, d.config.Platform, d.config.Book, d.config.Clock.Now())
+		d.counters.Add("contract.adopted", int64(adopted))
+		if (err == nil) != healthy {
+			healthy = err == nil
+			d.config.Log.Info("table service", "reachable", healthy)
+		}
+		if d.config.Clock.Sleep(ctx, contractPeriod) != nil {
+			return nil
+		}
+	}
+}
+
+// Endpoints takes up the host list until ctx ends.
+func (d *Duties) Endpoints(ctx context.Context) error {
+	for {
+		list, err := d.config.Platform.List(ctx)
+		if err == nil {
+			d.config.Desk.Update(list)
+		} else {
+			d.counters.Add("list.failed", 1)
+		}
+		if d.config.Clock.Sleep(ctx, endpointPeriod) != nil {
+			return nil
+		}
+	}
+}
+
+// Version is the version of one customer's contract.
+type Version struct {
+	Customer glade.Customer `json:"customer"`
+	Version  uint64         `json:"version"`
+}
+
+// Report is what an entry host says of itself.
+type Report struct {
+	Node     glade.Node `json:"node"`
+	Change   uint64     `json:"change"`
+	Age      int64      `json:"age"` // milliseconds; -1 when never confirmed
+	Versions []Version  `json:"versions"`
+	Burn     []burn.Row `json:"burn"`
+}
+
+// Status answers operators' queries.
+func (d *Duties) Status(c echo.Context) error {
+	return c.JSON(http.StatusOK, d.report())
+}
+
+func (d *Duties) report() Report {
+	r := Report{Node: d.config.Node, Change: d.config.Book.Change(), Age: -1, Burn: d.config.Meter.Rows()}
+	if age, confirmed := d.config.Book.Age(d.config.Clock.Now()); confirmed {
+		r.Age = age.Milliseconds()
+	}
+	for _, contract := range d.config.Book.All() {
+		r.Versions = append(r.Versions, Version{Customer: contract.Customer(), Version: contract.Version()})
+	}
+	return r
+}
+
+// Register adds the methods that peers call.
+func (d *Duties) Register(mux *link.Mux) {
+	link.Handle(mux, "leave", d.leave)
+}
+
+// Leave is the news that an endpoint incarnation is leaving.
+type Leave struct {
+	Endpoint glade.Endpoint `json:"endpoint"`
+}
+
+func (d *Duties) leave(_ context.Context, in Leave) (bool, error) {
+	d.config.Desk.Leave(in.Endpoint)
+	return true, nil
+}
--- /dev/null
+++ b/entry/main.go
@@ -0,0 +1,91 @@
+// Command entry answers callers on an entry host: it admits, routes and
+// answers requests under the contracts in force.
+package main
+
+import (
+	"fmt"
+	"net"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"indigoglade/adopt"
+	"indigoglade/burn"
+	"indigoglade/clock"
+	"indigoglade/config"
+	"indigoglade/daemon"
+	"indigoglade/entry/internal/desk"
+	"indigoglade/entry/internal/duty"
+	"indigoglade/entry/internal/serve"
+	"indigoglade/link"
+	"indigoglade/remote"
+	"indigoglade/send"
+)
+
+type flags struct {
+	Config string `arg:"" type:"existingfile" help:"Settings file, JSON with comments."`
+}
+
+// Bounds of the program.
+const (
+	grace      = 10 * time.Second
+	idleLinks  = 64
+	maxReply   = 4 << 20
+	dialBound  = 500 * time.Millisecond
+	ringLength = 4096
+)
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("entry"), kong.Description("Answers callers on an entry host."))
+	if err := runEntry(f); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func runEntry(f flags) error {
+	spec, err := config.LoadNode(f.Config, os.Stderr)
+	if err != nil {
+		return err
+	}
+	group := daemon.New(daemon.Config{Name: "entry." + string(spec.Node), Output: os.Stderr, Grace: grace, Status: spec.Status})
+	system := clock.System{}
+	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
+	book := adopt.New()
+	meter := burn.New()
+	front := desk.New(desk.Config{Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
+	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
+	server := serve.New(serve.Config{Book: book, Desk: front, Sender: sender, Meter: meter, Clock: system})
+	duties := duty.New(duty.Config{
+		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Clock: system, Log: group.Log(),
+	})
+	if err := group.Serve(spec.Listen, server.Handler(), server.Stop); err != nil {
+		return err
+	}
+	peers, err := net.Listen("tcp", spec.Link)
+	if err != nil {
+		return errors.Wrap(err, "listen for peers")
+	}
+	mux := link.NewMux()
+	duties.Register(mux)
+	group.Status().GET("/status", duties.Status)
+	group.Add(link.NewServer(peers, mux).Run)
+	group.Add(front.Run)
+	group.Add(duties.Contracts)
+	group.Add(duties.Endpoints)
+	return group.Run()
+}
+
+// zoneNodes counts the entry hosts of the own availability zone.
+func zoneNodes(spec config.NodeSpec) int {
+	nodes := 1
+	for _, peer := range spec.Peers {
+		if peer.Zone == spec.Zone {
+			nodes++
+		}
+	}
+	return nodes
+}
--- /dev/null
+++ b/indigo/internal/cmds/main.go
@@ -0,0 +1,119 @@
+// Package cmds holds the commands of the operators' command line. Queries
+// (check, show, burn) change nothing; the one command that changes anything is
+// apply.
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/pkg/errors"
+
+	"indigoglade/config"
+	"indigoglade/remote"
+)
+
+// Exit codes.
+const (
+	exitDone     = 0
+	exitFailed   = 1
+	exitUsage    = 2
+	exitInvalid  = 3
+	exitConflict = 4
+)
+
+// errInvalid marks a file with problems; they were printed already.
+var errInvalid = errors.New("the file has problems; nothing was applied")
+
+// errConflict marks a contract that another operator changed first.
+var errConflict = errors.New("the contract has changed since the version that you saw")
+
+type commands struct {
+	Site   string `default:"site.json" env:"INDIGO_SITE" type:"path" help:"Site file: addresses of the platform and the entry hosts."`
+	Output string `short:"o" enum:"text,json" default:"text" help:"Form of the output: ${enum}."`
+
+	Check   checkCommand   `cmd:"" help:"Check contract files without touching anything."`
+	Apply   applyCommand   `cmd:"" help:"Put contracts in force."`
+	Show    showCommand    `cmd:"" help:"Show versions, pools or hosts."`
+	Burn    burnCommand    `cmd:"" help:"Report service-level burn from every reachable entry host."`
+	Version versionCommand `cmd:"" help:"Print the version of this program."`
+
+	fleetCommands
+	jobCommands
+}
+
+// env is what commands work with.
+type env struct {
+	out    io.Writer
+	errOut io.Writer
+	json   bool
+	site   config.SiteSpec
+}
+
+// Main runs one command and returns the exit code.
+func Main(args []string, out, errOut io.Writer) int {
+	var c commands
+	parser, err := kong.New(&c, kong.Name("indigo"), kong.Writers(out, errOut),
+		kong.Description("Operates indigoglade: contracts, pools, hosts and service-level burn."))
+	if err != nil {
+		panic(err)
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errOut, "indigo:", err)
+		return exitUsage
+	}
+	if err := parsed.Run(&c, &env{out: out, errOut: errOut, json: c.Output == "json"}); err != nil {
+		fmt.Fprintln(errOut, "indigo:", err)
+		return exitOf(err)
+	}
+	return exitDone
+}
+
+func exitOf(err error) int {
+	switch {
+	case errors.Is(err, errInvalid):
+		return exitInvalid
+	case errors.Is(err, errConflict):
+		return exitConflict
+	}
+	return exitFailed
+}
+
+// load reads the site file and returns a client of the platform.
+func (c *commands) load(e *env) (*remote.Client, error) {
+	source, err := os.ReadFile(c.Site)
+	if err != nil {
+		return nil, errors.Wrap(err, "read the site file; name it with --site")
+	}
+	site, err := config.Finish(config.ReadSite(c.Site, source), e.errOut)
+	if err != nil {
+		return nil, errInvalid
+	}
+	e.site = site
+	return remote.New(remote.Config{Address: site.Platform, Zone: "operator"}), nil
+}
+
+// print writes value as JSON, or calls text.
+func (e *env) print(value any, text func(w io.Writer)) error {
+	if !e.json {
+		text(e.out)
+		return nil
+	}
+	encoder := json.NewEncoder(e.out)
+	encoder.SetIndent("", "  ")
+	return errors.Wrap(encoder.Encode(value), "write output")
+}
+
+// version is the version of the program.
+const version = "0.1.0"
+
+type versionCommand struct{}
+
+// Run prints the version.
+func (versionCommand) Run(e *env) error {
+	return e.print(map[string]string{"version": version}, func(w io.Writer) { fmt.Fprintln(w, "indigo", version) })
+}
--- /dev/null
+++ b/indigo/internal/cmds/report.go
@@ -0,0 +1,204 @@
+package cmds
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"time"
+
+	"github.com/pkg/errors"
+
+	glade "indigoglade"
+	"indigoglade/burn"
+	"indigoglade/table"
+)
+
+// nodeReport is what an entry host says of itself.
+type nodeReport struct {
+	Node     glade.Node `json:"node"`
+	Change   uint64     `json:"change"`
+	Age      int64      `json:"age"`
+	Versions []struct {
+		Customer glade.Customer `json:"customer"`
+		Version  uint64         `json:"version"`
+	} `json:"versions"`
+	Burn []burn.Row `json:"burn"`
+}
+
+const queryTimeout = time.Second
+
+func fetchReport(ctx context.Context, address string) (nodeReport, error) {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	var report nodeReport
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	if err != nil {
+		return report, errors.Wrap(err, "build query")
+	}
+	reply, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return report, errors.Wrap(err, "query entry host")
+	}
+	defer reply.Body.Close()
+	return report, errors.Wrap(json.NewDecoder(reply.Body).Decode(&report), "decode answer")
+}
+
+type showCommand struct {
+	Contracts showContracts `cmd:"" help:"Show the accepted contracts and where they are in force."`
+	Pools     showPools     `cmd:"" help:"Show the pools with their hosts by phase."`
+	Hosts     showHosts     `cmd:"" help:"Show the hosts with their pools and phases."`
+
+	fleetShows
+	jobShows
+}
+
+type showContracts struct{}
+
+// Run shows the contracts.
+func (showContracts) Run(c *commands, e *env) error {
+	platform, err := c.load(e)
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	records, err := table.LoadAll[glade.ContractRow](ctx, platform, glade.PrefixContract)
+	if err != nil {
+		return err
+	}
+	rows := make([]glade.ContractRow, 0, len(records))
+	for _, record := range records {
+		rows = append(rows, record.Data())
+	}
+	return e.print(rows, func(w io.Writer) {
+		for _, row := range rows {
+			fmt.Fprintf(w, "%-12s version %d, change %d\n", row.Spec.Customer, row.Version, row.Change)
+		}
+	})
+}
+
+// poolLine sums up one pool.
+type poolLine struct {
+	Customer glade.Customer          `json:"customer"`
+	Pool     glade.Pool              `json:"pool"`
+	Hosts    int                     `json:"hosts"`
+	Phases   map[glade.HostPhase]int `json:"phases"`
+}
+
+type showPools struct{}
+
+// Run shows the pools.
+func (showPools) Run(c *commands, e *env) error {
+	hosts, err := loadHosts(c, e)
+	if err != nil {
+		return err
+	}
+	byPool := make(map[glade.Pool]*poolLine)
+	var lines []*poolLine
+	for _, row := range hosts {
+		line, ok := byPool[row.Pool]
+		if !ok {
+			line = &poolLine{Customer: row.Customer, Pool: row.Pool, Phases: make(map[glade.HostPhase]int)}
+			byPool[row.Pool] = line
+			lines = append(lines, line)
+		}
+		line.Hosts++
+		line.Phases[row.Phase]++
+	}
+	sort.Slice(lines, func(i, j int) bool { return lines[i].Pool < lines[j].Pool })
+	return e.print(lines, func(w io.Writer) {
+		for _, line := range lines {
+			fmt.Fprintf(w, "%-12s %-12s %3d hosts %v\n", line.Customer, line.Pool, line.Hosts, line.Phases)
+		}
+	})
+}
+
+type showHosts struct{}
+
+// Run shows the hosts.
+func (showHosts) Run(c *commands, e *env) error {
+	hosts, err := loadHosts(c, e)
+	if err != nil {
+		return err
+	}
+	return e.print(hosts, func(w io.Writer) {
+		for _, row := range hosts {
+			fmt.Fprintf(w, "%-6s %-10s %-5s %-12s %-9s epoch %d wave %s\n", row.Host, row.Zone, row.Rack, row.Pool, row.Phase, row.Epoch, row.Wave)
+		}
+	})
+}
+
+func loadHosts(c *commands, e *env) ([]glade.HostRow, error) {
+	platform, err := c.load(e)
+	if err != nil {
+		return nil, err
+	}
+	records, err := table.LoadAll[glade.HostRow](context.Background(), platform, glade.PrefixHost)
+	if err != nil {
+		return nil, err
+	}
+	rows := make([]glade.HostRow, 0, len(records))
+	for _, record := range records {
+		rows = append(rows, record.Data())
+	}
+	return rows, nil
+}
+
+type burnCommand struct{}
+
+// burnLine is the burn of one customer.
+type burnLine struct {
+	Customer glade.Customer `json:"customer"`
+	Target   float64        `json:"target"`
+	Counts   burn.Counts    `json:"counts"`
+	Rate     float64        `json:"rate"`
+}
+
+// burnReport is the burn of every customer, and which entry hosts it lacks.
+type burnReport struct {
+	Lines   []burnLine   `json:"lines"`
+	Missing []glade.Node `json:"missing"`
+}
+
+// Run gathers the counts of every entry host.
+func (burnCommand) Run(c *commands, e *env) error {
+	platform, err := c.load(e)
+	if err != nil {
+		return err
+	}
+	ctx := context.Background()
+	counts := make(map[glade.Customer]burn.Counts)
+	report := burnReport{}
+	for _, entry := range e.site.Entries {
+		node, err := fetchReport(ctx, entry.Status)
+		if err != nil {
+			report.Missing = append(report.Missing, entry.Node)
+			continue
+		}
+		for _, row := range node.Burn {
+			counts[row.Customer] = counts[row.Customer].Add(row.Counts)
+		}
+	}
+	records, err := table.LoadAll[glade.ContractRow](ctx, platform, glade.PrefixContract)
+	if err != nil {
+		return err
+	}
+	for _, record := range records {
+		spec := record.Data().Spec
+		n := counts[spec.Customer]
+		report.Lines = append(report.Lines, burnLine{Customer: spec.Customer, Target: spec.Answer.Target, Counts: n, Rate: n.Rate(spec.Answer.Target)})
+	}
+	return e.print(report, report.text)
+}
+
+func (r burnReport) text(w io.Writer) {
+	for _, line := range r.Lines {
+		fmt.Fprintf(w, "%-12s target %g %%  requests %d  kept %d  burn rate %.2f\n",
+			line.Customer, line.Target, line.Counts.Total(), line.Counts.Good(), line.Rate)
+	}
+	if len(r.Missing) > 0 {
+		fmt.Fprintln(w, "not reached, not counted:", r.Missing)
+	}
+}
--- /dev/null
+++ b/memory/object.go
@@ -0,0 +1,38 @@
+package memory
+
+import (
+	"context"
+	"sync"
+
+	glade "indigoglade"
+)
+
+// Objects is an in-memory object store.
+type Objects struct {
+	mu      sync.Mutex
+	objects map[string][]byte
+}
+
+// NewObjects returns an empty object store.
+func NewObjects() *Objects {
+	return &Objects{objects: make(map[string][]byte)}
+}
+
+// Get returns the object's bytes.
+func (o *Objects) Get(_ context.Context, key string) ([]byte, bool, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	value, ok := o.objects[key]
+	return value, ok, nil
+}
+
+// Create writes an object that does not exist yet.
+func (o *Objects) Create(_ context.Context, key string, value []byte) glade.Commit {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if _, taken := o.objects[key]; taken {
+		return glade.Conflicted
+	}
+	o.objects[key] = append([]byte(nil), value...)
+	return glade.Committed
+}
--- /dev/null
+++ b/names.go
@@ -0,0 +1,30 @@
+package glade
+
+// Zone names an availability zone.
+type Zone string
+
+// Rack names a rack inside an availability zone.
+type Rack string
+
+// Customer names a customer, the party to one contract.
+type Customer string
+
+// Pool names a pool of hosts.
+type Pool string
+
+// Service names a service that the endpoints of a pool run.
+type Service string
+
+// Host names a worker host of the platform.
+type Host string
+
+// Node names an entry host of the system itself.
+type Node string
+
+// Endpoint identifies one incarnation of a runner on a host. A host that
+// reboots comes back as an endpoint with a higher incarnation, so news about
+// an old incarnation never touches the new one.
+type Endpoint struct {
+	Host        Host   `json:"host"`
+	Incarnation uint64 `json:"inc"`
+}
--- /dev/null
+++ b/remote/table.go
@@ -0,0 +1,84 @@
+package remote
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+
+	glade "indigoglade"
+)
+
+// GetCall asks for a row or an object.
+type GetCall struct {
+	Key string `json:"key"`
+}
+
+// ScanCall asks for rows in order.
+type ScanCall struct {
+	Prefix string `json:"prefix"`
+	After  string `json:"after"`
+	Limit  int    `json:"limit"`
+}
+
+// CommitReply is the result of a transaction.
+type CommitReply struct {
+	Result glade.Commit `json:"result"`
+}
+
+// Get reads a row.
+func (c *Client) Get(ctx context.Context, key string) (glade.Row, error) {
+	return call[GetCall, glade.Row](ctx, c, "/table/get", GetCall{Key: key})
+}
+
+// Scan reads rows in the order of their keys.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]glade.Row, error) {
+	return call[ScanCall, []glade.Row](ctx, c, "/table/scan", ScanCall{Prefix: prefix, After: after, Limit: limit})
+}
+
+// Commit runs a transaction. A lost answer is Uncertain.
+func (c *Client) Commit(ctx context.Context, txn glade.Txn) glade.Commit {
+	reply, err := call[glade.Txn, CommitReply](ctx, c, "/table/commit", txn)
+	return commitOf(reply, err)
+}
+
+func commitOf(reply CommitReply, err error) glade.Commit {
+	switch {
+	case errors.Is(err, errRefused):
+		return glade.Unavailable
+	case err != nil:
+		return glade.Uncertain
+	}
+	return reply.Result
+}
+
+// Objects is the platform's object store as reached through a client.
+type Objects struct {
+	client *Client
+}
+
+// NewObjects returns the object store behind client.
+func NewObjects(client *Client) *Objects { return &Objects{client: client} }
+
+// ObjectCall creates an object.
+type ObjectCall struct {
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// ObjectReply is an object read.
+type ObjectReply struct {
+	Value []byte `json:"value"`
+	Found bool   `json:"found"`
+}
+
+// Get reads an object.
+func (o *Objects) Get(ctx context.Context, key string) ([]byte, bool, error) {
+	reply, err := call[GetCall, ObjectReply](ctx, o.client, "/object/get", GetCall{Key: key})
+	return reply.Value, reply.Found, err
+}
+
+// Create writes an object that does not exist yet.
+func (o *Objects) Create(ctx context.Context, key string, value []byte) glade.Commit {
+	reply, err := call[ObjectCall, CommitReply](ctx, o.client, "/object/create", ObjectCall{Key: key, Value: value})
+	return commitOf(reply, err)
+}
--- /dev/null
+++ b/rows.go
@@ -0,0 +1,115 @@
+package glade
+
+// Keys of the table service. Every row value is an Entry, so that the
+// operation that wrote it can be recognised when an answer was lost.
+const (
+	// KeyHead is the row that counts contract changes.
+	KeyHead = "contracthead"
+	// PrefixContract is followed by the customer.
+	PrefixContract = "contract/"
+	// PrefixChange is followed by the change's number, in twenty digits.
+	PrefixChange = "change/"
+	// PrefixHost is followed by the host.
+	PrefixHost = "host/"
+	// PrefixAccount is followed by the pool: the availability account.
+	PrefixAccount = "account/"
+	// PrefixJob is followed by the job's ticket.
+	PrefixJob = "job/"
+)
+
+// RecentOps is the number of operation ids that a row remembers.
+const RecentOps = 8
+
+// Entry is the envelope of every row: the ids of the operations that wrote it
+// last, newest first, and the value.
+type Entry[T any] struct {
+	Ops  []string `json:"ops"`
+	Data T        `json:"data"`
+}
+
+// Next returns an entry with new data, written by operation op.
+func (e Entry[T]) Next(op string, data T) Entry[T] {
+	ops := append([]string{op}, e.Ops...)
+	if len(ops) > RecentOps {
+		ops = ops[:RecentOps]
+	}
+	return Entry[T]{Ops: ops, Data: data}
+}
+
+// HasOp tells whether operation op is among the row's last writers.
+func (e Entry[T]) HasOp(op string) bool {
+	for _, o := range e.Ops {
+		if o == op {
+			return true
+		}
+	}
+	return false
+}
+
+// HeadRow counts contract changes over all customers.
+type HeadRow struct {
+	Count uint64 `json:"count"`
+}
+
+// ContractRow is the newest accepted contract of a customer.
+type ContractRow struct {
+	Version uint64       `json:"version"`
+	Change  uint64       `json:"change"`
+	Spec    ContractSpec `json:"spec"`
+}
+
+// ChangeRow names the customer and version of one contract change.
+type ChangeRow struct {
+	Customer Customer `json:"customer"`
+	Version  uint64   `json:"version"`
+}
+
+// HostPhase is the phase of a host in its ownership row.
+type HostPhase string
+
+// Phases of a host.
+const (
+	HostServing  HostPhase = "serving"
+	HostDraining HostPhase = "draining"
+	HostReboot   HostPhase = "reboot"
+	HostVerify   HostPhase = "verify"
+	HostFailed   HostPhase = "failed"
+)
+
+// HostRow is the ownership row of a host: the one pool it belongs to.
+type HostRow struct {
+	Host     Host      `json:"host"`
+	Zone     Zone      `json:"zone"`
+	Rack     Rack      `json:"rack"`
+	Customer Customer  `json:"customer"`
+	Pool     Pool      `json:"pool"`
+	Service  Service   `json:"service"`
+	Epoch    uint64    `json:"epoch"`
+	Phase    HostPhase `json:"phase"`
+	// Since is when the phase began, in milliseconds since 1970.
+	Since int64 `json:"since"`
+	// Wave is the last wave that maintained this host.
+	Wave string `json:"wave"`
+	// Target is the pool that a draining host moves to; empty for maintenance.
+	Target Pool `json:"target,omitempty"`
+	// Incarnation is the one that served before a reboot was asked for.
+	Incarnation uint64 `json:"inc"`
+}
+
+// AccountRow is the availability account of a pool: the hosts that are down,
+// by planned steps and by failures.
+type AccountRow struct {
+	Pool Pool `json:"pool"`
+	// Down maps each host that is down to the time it went down, in
+	// milliseconds since 1970.
+	Down map[Host]int64 `json:"down"`
+	// Spent lists ended down times, oldest first.
+	Spent []DownSpan `json:"spent"`
+}
+
+// DownSpan is one ended down time, in milliseconds since 1970.
+type DownSpan struct {
+	Host Host  `json:"host"`
+	From int64 `json:"from"`
+	To   int64 `json:"to"`
+}
--- /dev/null
+++ b/send/send_test.go
@@ -0,0 +1,96 @@
+package send_test
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	glade "indigoglade"
+	"indigoglade/send"
+)
+
+// endpoint answers every request on a connection with the same bytes, then
+// closes the connection when shut is set.
+type endpoint struct {
+	listener net.Listener
+	reply    string
+	shut     bool
+	requests chan string
+}
+
+func newEndpoint(t *testing.T, reply string, shut bool) *endpoint {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	e := &endpoint{listener: listener, reply: reply, shut: shut, requests: make(chan string, 16)}
+	t.Cleanup(func() { listener.Close() })
+	go e.run()
+	return e
+}
+
+func (e *endpoint) run() {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.serve(conn)
+	}
+}
+
+func (e *endpoint) serve(conn net.Conn) {
+	defer conn.Close()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		e.requests <- request.Header.Get(send.RequestHeader)
+		conn.Write([]byte(e.reply))
+		if e.shut {
+			return
+		}
+	}
+}
+
+// expectResult makes one attempt and checks its outcome and reason.
+func expectResult(t *testing.T, reply string, outcome glade.Outcome, reason glade.Reason) {
+	t.Helper()
+	t.Run(outcome.String()+" "+string(reason), func(t *testing.T) {
+		e := newEndpoint(t, reply, true)
+		sender := send.New(send.Config{Links: 1, MaxReply: 8, Connect: time.Second})
+		r := sender.Do(context.Background(), send.Call{
+			ID: "a", Service: "quotes", Address: e.listener.Addr().String(), Deadline: time.Now().Add(5 * time.Second),
+		})
+		qt.Check(t, r.Outcome(), qt.Equals, outcome)
+		qt.Check(t, r.Reason(), qt.Equals, reason)
+		qt.Check(t, len(e.requests), qt.Equals, 1)
+	})
+}
+
+func TestDo(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\nRequest-Id: a\r\n"
+	expectResult(t, head+"Content-Length: 2\r\n\r\nok", glade.Answered, glade.ReasonNone)
+	expectResult(t, head+"Content-Length: 9\r\n\r\nok", glade.Unknown, glade.ReasonCut)
+	expectResult(t, head+"Content-Length: 9\r\n\r\n123456789", glade.Unknown, glade.ReasonOversize)
+	expectResult(t, head+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", glade.Unknown, glade.ReasonCut)
+	expectResult(t, "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 0\r\n\r\n", glade.Unknown, glade.ReasonMismatch)
+	expectResult(t, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", glade.Failed, glade.ReasonEndpoint)
+	expectResult(t, "garbage\r\n\r\n", glade.Unknown, glade.ReasonCut)
+	expectResult(t, "", glade.Unknown, glade.ReasonCut)
+}
+
+func TestDoRefusesWithoutAConnection(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	address := listener.Addr().String()
+	listener.Close()
+	sender := send.New(send.Config{Links: 1, MaxReply: 8, Connect: time.Second})
+	r := sender.Do(context.Background(), send.Call{ID: "a", Address: address, Deadline: time.Now().Add(5 * time.Second)})
+	qt.Check(t, r.Outcome(), qt.Equals, glade.Refused)
+}
