--- a/entry/internal/serve/serve.go
+++ b/entry/internal/serve/serve.go
@@ -47,6 +47,8 @@
 	Sender *send.Sender
 	Meter  *burn.Meter
 	Clock  glade.Clock
+	// Routes add further routes for callers.
+	Routes []func(e *echo.Echo)
 }
 
 // Server answers callers.
@@ -66,6 +68,9 @@
 	e := daemon.NewEcho()
 	e.GET("/ready", s.ready)
 	e.POST("/v1/:customer/:service", s.request)
+	for _, add := range s.config.Routes {
+		add(e)
+	}
 	return e
 }
 
--- a/keeper/internal/fleet/fleet.go
+++ b/keeper/internal/fleet/fleet.go
@@ -23,6 +23,7 @@
 	Hosts   glade.HostList
 	Workers glade.Workers
 	Book    *adopt.Book
+	Roster  glade.Roster
 	Clock   glade.Clock
 	Log     logr.Logger
 }
--- a/keeper/main.go
+++ b/keeper/main.go
@@ -9,6 +9,7 @@
 
 	"github.com/alecthomas/kong"
 
+	glade "indigoglade"
 	"indigoglade/adopt"
 	"indigoglade/clock"
 	"indigoglade/config"
@@ -41,7 +42,7 @@
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	duties := fleet.New(fleet.Config{
 		Table: platform, Hosts: platform, Workers: platform,
-		Book: adopt.New(), Clock: clock.System{}, Log: group.Log(),
+		Book: adopt.New(), Roster: glade.NewStaticRoster(spec.Node, []glade.Node{spec.Node}), Clock: clock.System{}, Log: group.Log(),
 	})
 	group.Add(duties.Run)
 	return group.Run()
