Membership and contracts spread between peers, wired into entry and keeper

Cause: entry hosts and keepers ran on static lists, each read the contract head twice a second, and a version known to one process only could die with it. Change: package member (probes, suspicion, incarnations, leaving), package peer (one message for members, contract head with deltas, and leaving endpoints), adopt.Book with known before in force; both programs run it and have a live roster.

--- a/adopt/book.go
+++ b/adopt/book.go
@@ -14,16 +14,37 @@
 )
 
 // Book holds the newest known contract of each customer.
+//
+// A contract is first known and then in force. In between the process tells a
+// peer of it: a version that was in force at a process that died is then known
+// to another one, and its zone does not go back to an older version even while
+// the table service is down.
 type Book struct {
 	mu        sync.RWMutex
+	known     map[glade.Customer]glade.ContractRow
 	contracts map[glade.Customer]glade.Contract
 	change    uint64
 	confirmed time.Time
 }
 
+// Head tells how new a book is.
+type Head struct {
+	// Change is the number of the newest known change.
+	Change uint64 `json:"change"`
+	// Age is the time since the table service confirmed it, in milliseconds;
+	// -1 when it never did.
+	Age int64 `json:"age"`
+}
+
+// IsConfirmed tells whether the table service ever confirmed the book.
+func (h Head) IsConfirmed() bool { return h.Age >= 0 }
+
 // New returns an empty book.
 func New() *Book {
-	return &Book{contracts: make(map[glade.Customer]glade.Contract)}
+	return &Book{
+		known:     make(map[glade.Customer]glade.ContractRow),
+		contracts: make(map[glade.Customer]glade.Contract),
+	}
 }
 
 // Adopt puts a contract in force if it is later than the known one, and tells
@@ -31,22 +52,107 @@
 func (b *Book) Adopt(contract glade.Contract) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	known, ok := b.contracts[contract.Customer()]
-	if ok && known.Version() >= contract.Version() {
+	b.learn(glade.ContractRow{Version: contract.Version(), Spec: contract.Spec()})
+	return b.adopt(contract)
+}
+
+func (b *Book) adopt(contract glade.Contract) bool {
+	current, ok := b.contracts[contract.Customer()]
+	if ok && current.Version() >= contract.Version() {
 		return false
 	}
 	b.contracts[contract.Customer()] = contract
 	return true
 }
 
-// Confirm records that the table service showed change as its newest at now.
-func (b *Book) Confirm(change uint64, now time.Time) {
+// Learn takes up rows, of which later ones are not in force yet, and the number
+// of the change up to which they are whole.
+func (b *Book) Learn(rows []glade.ContractRow, change uint64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	for _, row := range rows {
+		b.learn(row)
+	}
 	b.change = max(b.change, change)
-	if now.After(b.confirmed) {
-		b.confirmed = now
+}
+
+func (b *Book) learn(row glade.ContractRow) {
+	if row.Version > b.known[row.Spec.Customer].Version {
+		b.known[row.Spec.Customer] = row
+	}
+}
+
+// Enforce puts everything known in force and returns how many contracts
+// changed.
+func (b *Book) Enforce() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	adopted := 0
+	for _, row := range b.known {
+		if b.adopt(glade.NewContract(row.Spec, row.Version)) {
+			adopted++
+		}
+	}
+	return adopted
+}
+
+// IsPending tells whether a known contract is not in force yet.
+func (b *Book) IsPending() bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for customer, row := range b.known {
+		if b.contracts[customer].Version() < row.Version {
+			return true
+		}
+	}
+	return false
+}
+
+// After returns at most limit known rows that changed after a change, oldest
+// first, and the change up to which the rows are whole.
+func (b *Book) After(change uint64, limit int) ([]glade.ContractRow, uint64) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var rows []glade.ContractRow
+	for _, row := range b.known {
+		if row.Change > change && row.Change <= b.change {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Change < rows[j].Change })
+	if len(rows) > limit {
+		rows = rows[:limit]
+		return rows, rows[limit-1].Change
+	}
+	return rows, b.change
+}
+
+// Confirm records that the table service showed change as its newest at a
+// time.
+func (b *Book) Confirm(change uint64, at time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.change = max(b.change, change)
+	if at.After(b.confirmed) {
+		b.confirmed = at
+	}
+}
+
+// IsConfirmed tells whether the table service ever confirmed the book.
+func (b *Book) IsConfirmed() bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return !b.confirmed.IsZero()
+}
+
+// Head returns how new the book is.
+func (b *Book) Head(now time.Time) Head {
+	head := Head{Change: b.Change(), Age: -1}
+	if age, confirmed := b.Age(now); confirmed {
+		// A clock that jumped back shows no negative age.
+		head.Age = max(age.Milliseconds(), 0)
 	}
+	return head
 }
 
 // Find returns the contract in force for a customer.
@@ -69,7 +175,7 @@
 	return all
 }
 
-// Change returns the number of the newest change that was confirmed.
+// Change returns the number of the newest change that is known.
 func (b *Book) Change() uint64 {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
--- a/adopt/fetch.go
+++ b/adopt/fetch.go
@@ -4,36 +4,42 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	glade "indigoglade"
 	"indigoglade/table"
 )
 
-// Fetch brings the book up to date from the table service and returns the
-// number of contracts that came in force. A book that is up to date costs one
-// read.
+// Fetch learns what is new in the table service, puts it in force and returns
+// the number of contracts that came in force.
 func Fetch(ctx context.Context, t glade.Table, book *Book, now time.Time) (int, error) {
+	if err := Read(ctx, t, book, now); err != nil {
+		return 0, err
+	}
+	return book.Enforce(), nil
+}
+
+// Read learns what is new in the table service without putting it in force. A
+// book that is up to date costs one read.
+func Read(ctx context.Context, t glade.Table, book *Book, now time.Time) error {
 	head, err := table.Load[glade.HeadRow](ctx, t, glade.KeyHead)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	count := head.Data().Count
 	seen := book.Change()
-	if count <= seen {
-		book.Confirm(count, now)
-		return 0, nil
+	if count < seen {
+		return errors.Errorf("the table service is at change %d, before change %d that is known", count, seen)
 	}
-	rows, err := fetchRows(ctx, t, seen)
-	if err != nil {
-		return 0, err
-	}
-	adopted := 0
-	for _, row := range rows {
-		if book.Adopt(glade.NewContract(row.Spec, row.Version)) {
-			adopted++
+	if count > seen {
+		rows, err := fetchRows(ctx, t, seen)
+		if err != nil {
+			return err
 		}
+		book.Learn(rows, count)
 	}
 	book.Confirm(count, now)
-	return adopted, nil
+	return nil
 }
 
 // fetchRows reads the contracts that changed after the change seen, or all of
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -1,5 +1,5 @@
 // Package duty holds the recurring duties of an entry host beside requests:
-// taking up contracts, endpoints and the news of peers.
+// taking up endpoints and answering operators.
 package duty
 
 import (
@@ -8,22 +8,17 @@
 	"net/http"
 	"time"
 
-	"github.com/go-logr/logr"
 	"github.com/labstack/echo/v4"
 
 	glade "indigoglade"
 	"indigoglade/adopt"
 	"indigoglade/burn"
 	"indigoglade/entry/internal/desk"
-	"indigoglade/link"
 	"indigoglade/remote"
 )
 
-// Periods of the duties.
-const (
-	contractPeriod = 500 * time.Millisecond
-	endpointPeriod = 500 * time.Millisecond
-)
+// endpointPeriod is the time between two readings of the host list.
+const endpointPeriod = 500 * time.Millisecond
 
 // Config configures the Duties.
 type Config struct {
@@ -32,8 +27,8 @@
 	Desk     *desk.Desk
 	Meter    *burn.Meter
 	Platform *remote.Client
+	Roster   glade.Roster
 	Clock    glade.Clock
-	Log      logr.Logger
 }
 
 // Duties runs the recurring duties.
@@ -47,22 +42,6 @@
 	return &Duties{config: config, counters: expvar.NewMap("duties")}
 }
 
-// Contracts takes up contract changes until ctx ends.
-func (d *Duties) Contracts(ctx context.Context) error {
-	healthy := true
-	for {
-		adopted, err := adopt.Fetch(ctx, d.config.Platform, d.config.Book, d.config.Clock.Now())
-		d.counters.Add("contract.adopted", int64(adopted))
-		if (err == nil) != healthy {
-			healthy = err == nil
-			d.config.Log.Info("table service", "reachable", healthy)
-		}
-		if d.config.Clock.Sleep(ctx, contractPeriod) != nil {
-			return nil
-		}
-	}
-}
-
 // Endpoints takes up the host list until ctx ends.
 func (d *Duties) Endpoints(ctx context.Context) error {
 	for {
@@ -86,11 +65,12 @@
 
 // Report is what an entry host says of itself.
 type Report struct {
-	Node     glade.Node `json:"node"`
-	Change   uint64     `json:"change"`
-	Age      int64      `json:"age"` // milliseconds; -1 when never confirmed
-	Versions []Version  `json:"versions"`
-	Burn     []burn.Row `json:"burn"`
+	Node     glade.Node   `json:"node"`
+	Change   uint64       `json:"change"`
+	Age      int64        `json:"age"` // milliseconds; -1 when never confirmed
+	Versions []Version    `json:"versions"`
+	Live     []glade.Node `json:"live"` // entry hosts believed to be up
+	Burn     []burn.Row   `json:"burn"`
 }
 
 // Status answers operators' queries.
@@ -100,6 +80,7 @@
 
 func (d *Duties) report() Report {
 	r := Report{Node: d.config.Node, Change: d.config.Book.Change(), Age: -1, Burn: d.config.Meter.Rows()}
+	r.Live = d.config.Roster.Live()
 	if age, confirmed := d.config.Book.Age(d.config.Clock.Now()); confirmed {
 		r.Age = age.Milliseconds()
 	}
@@ -108,18 +89,3 @@
 	}
 	return r
 }
-
-// Register adds the methods that peers call.
-func (d *Duties) Register(mux *link.Mux) {
-	link.Handle(mux, "leave", d.leave)
-}
-
-// Leave is the news that an endpoint incarnation is leaving.
-type Leave struct {
-	Endpoint glade.Endpoint `json:"endpoint"`
-}
-
-func (d *Duties) leave(_ context.Context, in Leave) (bool, error) {
-	d.config.Desk.Leave(in.Endpoint)
-	return true, nil
-}
--- a/entry/internal/serve/serve.go
+++ b/entry/internal/serve/serve.go
@@ -47,6 +47,8 @@
 	Sender *send.Sender
 	Meter  *burn.Meter
 	Clock  glade.Clock
+	// End is told of endpoint incarnations that said they are leaving.
+	End func(endpoint glade.Endpoint)
 	// Routes add further routes for callers.
 	Routes []func(e *echo.Echo)
 }
@@ -78,6 +80,9 @@
 	if s.stopping.Load() {
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
 	}
+	if !s.config.Book.IsConfirmed() {
+		return c.String(http.StatusServiceUnavailable, "cold\n")
+	}
 	return c.String(http.StatusOK, "ready\n")
 }
 
@@ -192,6 +197,9 @@
 			ID: w.id, Service: w.pool.Serve, Address: grant.Address(), Body: w.body, Deadline: w.deadline,
 		})
 		s.config.Desk.Release(grant, w.pool.Serve, r.IsLeaving())
+		if r.IsLeaving() {
+			s.config.End(grant.Endpoint())
+		}
 		if r.Outcome() != glade.Refused {
 			return result{outcome: r.Outcome(), reason: r.Reason(), body: r.Body()}
 		}
--- a/entry/main.go
+++ b/entry/main.go
@@ -3,13 +3,12 @@
 package main
 
 import (
+	"context"
 	"fmt"
-	"net"
 	"os"
 	"time"
 
 	"github.com/alecthomas/kong"
-	"github.com/pkg/errors"
 
 	"indigoglade/adopt"
 	"indigoglade/burn"
@@ -19,7 +18,7 @@
 	"indigoglade/entry/internal/desk"
 	"indigoglade/entry/internal/duty"
 	"indigoglade/entry/internal/serve"
-	"indigoglade/link"
+	"indigoglade/peer"
 	"indigoglade/remote"
 	"indigoglade/send"
 )
@@ -58,23 +57,25 @@
 	meter := burn.New()
 	front := desk.New(desk.Config{Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
-	server := serve.New(serve.Config{Book: book, Desk: front, Sender: sender, Meter: meter, Clock: system})
+	peers := peer.New(peer.Config{
+		Spec: spec, Book: book, Table: platform, Clock: system, Log: group.Log(), End: front.Leave,
+	})
+	server := serve.New(serve.Config{Book: book, Desk: front, Sender: sender, Meter: meter, Clock: system, End: peers.End})
 	duties := duty.New(duty.Config{
-		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Clock: system, Log: group.Log(),
+		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Roster: peers, Clock: system,
 	})
-	if err := group.Serve(spec.Listen, server.Handler(), server.Stop); err != nil {
+	stop := func(ctx context.Context) {
+		peers.Leave(ctx)
+		server.Stop(ctx)
+	}
+	if err := group.Serve(spec.Listen, server.Handler(), stop); err != nil {
 		return err
 	}
-	peers, err := net.Listen("tcp", spec.Link)
-	if err != nil {
-		return errors.Wrap(err, "listen for peers")
+	if err := peers.Join(group); err != nil {
+		return err
 	}
-	mux := link.NewMux()
-	duties.Register(mux)
 	group.Status().GET("/status", duties.Status)
-	group.Add(link.NewServer(peers, mux).Run)
 	group.Add(front.Run)
-	group.Add(duties.Contracts)
 	group.Add(duties.Endpoints)
 	return group.Run()
 }
--- a/keeper/main.go
+++ b/keeper/main.go
@@ -9,12 +9,12 @@
 
 	"github.com/alecthomas/kong"
 
-	glade "indigoglade"
 	"indigoglade/adopt"
 	"indigoglade/clock"
 	"indigoglade/config"
 	"indigoglade/daemon"
 	"indigoglade/keeper/internal/fleet"
+	"indigoglade/peer"
 	"indigoglade/remote"
 )
 
@@ -40,9 +40,15 @@
 	}
 	group := daemon.New(daemon.Config{Name: "keeper." + string(spec.Node), Output: os.Stderr, Grace: grace, Status: spec.Status})
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
+	system := clock.System{}
+	book := adopt.New()
+	peers := peer.New(peer.Config{Spec: spec, Book: book, Table: platform, Clock: system, Log: group.Log()})
+	if err := peers.Join(group); err != nil {
+		return err
+	}
 	duties := fleet.New(fleet.Config{
 		Table: platform, Hosts: platform, Workers: platform,
-		Book: adopt.New(), Roster: glade.NewStaticRoster(spec.Node, []glade.Node{spec.Node}), Clock: clock.System{}, Log: group.Log(),
+		Book: book, Roster: peers, Clock: system, Log: group.Log(),
 	})
 	group.Add(duties.Run)
 	return group.Run()
