--- a/adopt/book.go
+++ b/adopt/book.go
@@ -23,6 +23,8 @@
 	mu        sync.RWMutex
 	known     map[glade.Customer]glade.ContractRow
 	contracts map[glade.Customer]glade.Contract
+	// pending holds the customers whose known contract is not in force yet.
+	pending   map[glade.Customer]bool
 	change    uint64
 	confirmed time.Time
 }
@@ -44,6 +46,7 @@
 	return &Book{
 		known:     make(map[glade.Customer]glade.ContractRow),
 		contracts: make(map[glade.Customer]glade.Contract),
+		pending:   make(map[glade.Customer]bool),
 	}
 }
 
@@ -62,6 +65,9 @@
 		return false
 	}
 	b.contracts[contract.Customer()] = contract
+	if contract.Version() >= b.known[contract.Customer()].Version {
+		delete(b.pending, contract.Customer())
+	}
 	return true
 }
 
@@ -79,6 +85,7 @@
 func (b *Book) learn(row glade.ContractRow) {
 	if row.Version > b.known[row.Spec.Customer].Version {
 		b.known[row.Spec.Customer] = row
+		b.pending[row.Spec.Customer] = true
 	}
 }
 
@@ -88,7 +95,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	adopted := 0
-	for _, row := range b.known {
+	for customer := range b.pending {
+		row := b.known[customer]
 		if b.adopt(glade.NewContract(row.Spec, row.Version)) {
 			adopted++
 		}
@@ -100,12 +108,7 @@
 func (b *Book) IsPending() bool {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
-	for customer, row := range b.known {
-		if b.contracts[customer].Version() < row.Version {
-			return true
-		}
-	}
-	return false
+	return len(b.pending) > 0
 }
 
 // After returns at most limit known rows that changed after a change, oldest
--- a/member/list.go
+++ b/member/list.go
@@ -16,7 +16,7 @@
 const (
 	// maxMisses is the number of unanswered probes in a row that make a peer
 	// suspect.
-	maxMisses = 3
+	maxMisses = 5
 	// suspectTime is how long a suspect may take to answer back.
 	suspectTime = 3 * time.Second
 	// maxFacts is the number of facts in one message.
@@ -28,9 +28,6 @@
 	// deadPeriods is the number of periods between probes of a peer that is
 	// believed to be gone.
 	deadPeriods = 4
-	// spreadFactor times the logarithm of the number of peers is how often a
-	// process passes a fact on.
-	spreadFactor = 3
 )
 
 // Peer is a node that may exist.
@@ -230,9 +227,10 @@
 // IsLeaving tells whether Leave was called.
 func (l *List) IsLeaving() bool { return l.self.State == Left }
 
-// spread makes the fact about a node news again.
+// spread makes the fact about a node news again. A process passes it on as
+// often as the binary logarithm of the number of peers, rounded up.
 func (l *List) spread(node glade.Node) {
-	l.news[node] = spreadFactor * bits.Len(uint(len(l.peers)))
+	l.news[node] = bits.Len(uint(len(l.peers)))
 }
 
 // Facts returns what a message to a peer says: the own fact, the fact about
--- a/peer/news.go
+++ b/peer/news.go
@@ -70,13 +70,14 @@
 	return &ends{last: make(map[glade.Host]uint64), news: make(map[glade.Host]int)}
 }
 
-// learn tells whether an endpoint was not known to be leaving.
-func (e *ends) learn(endpoint glade.Endpoint) bool {
+// learn tells whether an endpoint was not known to be leaving. It is passed on
+// to urgent peers at once and endSends times after that.
+func (e *ends) learn(endpoint glade.Endpoint, urgent int) bool {
 	if e.last[endpoint.Host] >= endpoint.Incarnation {
 		return false
 	}
 	e.last[endpoint.Host] = endpoint.Incarnation
-	e.news[endpoint.Host] = endSends
+	e.news[endpoint.Host] = endSends + urgent
 	e.order = append(e.order, endpoint)
 	if len(e.order) > recentEnds {
 		e.order = append([]glade.Endpoint(nil), e.order[1:]...)
--- a/peer/node.go
+++ b/peer/node.go
@@ -30,6 +30,8 @@
 	// relays are two nodes of each other zone, which pass urgent news on.
 	relays []glade.Node
 	zones  map[glade.Node]glade.Zone
+	// heads are the newest changes that peers are known to know.
+	heads map[glade.Node]uint64
 	// pending is since when a contract is known and not in force.
 	pending time.Time
 	polled  time.Time
@@ -53,6 +55,7 @@
 		book:  config.Book,
 		ends:  newEnds(),
 		zones: make(map[glade.Node]glade.Zone),
+		heads: make(map[glade.Node]uint64),
 	}
 	perZone := make(map[glade.Zone]int)
 	for _, p := range config.Peers {
@@ -137,12 +140,12 @@
 	return Act{Send: n.list.Zone()}
 }
 
-// holdTime is how long a contract waits to be known to a second node before it
-// comes in force.
+// holdTime is how long a contract waits to be known to every live node of the
+// zone before it comes in force.
 const holdTime = time.Second
 
-// settle puts what is known in force when it has waited for a second node long
-// enough, or there is none to wait for.
+// settle puts what is known in force when it has waited for the zone long
+// enough, or there is no other node to wait for.
 func (n *Node) settle(now time.Time) int {
 	if !n.book.IsPending() || !n.isWarm() {
 		n.pending = time.Time{}
@@ -223,22 +226,33 @@
 	n.list.Heard(from)
 	n.list.Merge(now, news.Facts)
 	act := Act{Adopted: n.witness(from, news.Head)}
+	var urgent []glade.Node
+	if n.zones[from] != n.config.Self.Zone {
+		urgent = n.list.Zone()
+	}
 	for _, endpoint := range news.Ends {
-		if n.ends.learn(endpoint) {
+		if n.ends.learn(endpoint, len(urgent)) {
 			act.Ends = append(act.Ends, endpoint)
 		}
 	}
-	if len(act.Ends) > 0 && n.zones[from] != n.config.Self.Zone && news.Head.IsConfirmed() {
-		act.Send = append(act.Send, n.list.Zone()...)
+	if len(act.Ends) > 0 {
+		act.Send = append(act.Send, urgent...)
 	}
 	return act
 }
 
-// witness puts what is known in force when a peer of the circle knows it too.
+// witness puts what is known in force when every live node of the own zone
+// knows it. A process that starts later finds it at any of them.
 func (n *Node) witness(from glade.Node, head adopt.Head) int {
-	if !n.isWarm() || head.Change < n.book.Change() || !n.start.inCircle(from) {
+	n.heads[from] = max(n.heads[from], head.Change)
+	if !n.isWarm() || !n.book.IsPending() || !n.start.inCircle(from) {
 		return 0
 	}
+	for _, node := range n.list.LiveZone() {
+		if node != n.list.Self() && n.heads[node] < n.book.Change() {
+			return 0
+		}
+	}
 	return n.enforce()
 }
 
@@ -251,10 +265,11 @@
 // End takes up the sign that an endpoint incarnation is leaving, and returns
 // whom to tell.
 func (n *Node) End(endpoint glade.Endpoint) Act {
-	if !n.ends.learn(endpoint) {
+	urgent := n.urgent()
+	if !n.ends.learn(endpoint, len(urgent)) {
 		return Act{}
 	}
-	return Act{Ends: []glade.Endpoint{endpoint}, Send: n.urgent()}
+	return Act{Ends: []glade.Endpoint{endpoint}, Send: urgent}
 }
 
 // Leave tells the peers that this node is stopping.
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -55,7 +55,7 @@
 
 // New returns peers that count in the expvar map "peers".
 func New(c Config) *Peers {
-	now := uint64(c.Clock.Now().UnixNano())
+	now := uint64(c.Clock.Now().UnixMilli())
 	p := &Peers{
 		config:   c,
 		clients:  make(map[glade.Node]*link.Client),
