Keep budgets on the pool's account: members, failures, head-room

A planned step looked only at what was down at once. Failures were not counted, hosts came back without having run anything, every keeper did everything, and each round read every host row.

Change: the account row holds the members of the pool with their rack, wave and cause of being down. Every step is one transaction over host row and account; a planned step is conditional on the contract row too. Package budget holds the rule: hosts down at once, minutes reserved in the window, head-room for the largest failure domain. A failure is recorded whatever the budget says. A host serves again after it answered probe requests. A pool that lost a host is refilled from a spare pool by drain and one transaction over both accounts. The epoch rises with each phase, so a late command of an earlier one is refused. Pools are divided over the keepers by rendezvous hashing.

Conclusion: the budget holds whoever acts, because it is a condition of the transaction. One thing is left to time: a keeper paused between decision and transaction, for which the rule reserves one more allowance of minutes.

--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,172 @@
+// Package fleet carries out the fleet decisions of a keeper: it watches the
+// hosts of the pools that are its duty and takes the next steps.
+package fleet
+
+import (
+	"context"
+	"expvar"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	glade "indigoglade"
+	"indigoglade/adopt"
+	"indigoglade/owner"
+	"indigoglade/shard"
+)
+
+// Periods of the duties.
+const (
+	roundPeriod  = 500 * time.Millisecond
+	listPeriod   = time.Second
+	assignPeriod = time.Second
+)
+
+// Config configures the Fleet.
+type Config struct {
+	Table   glade.Table
+	Hosts   glade.HostList
+	Workers glade.Workers
+	Prober  glade.Prober
+	Book    *adopt.Book
+	Roster  glade.Roster
+	Clock   glade.Clock
+	Log     logr.Logger
+}
+
+// Fleet observes the hosts and takes the next steps.
+type Fleet struct {
+	config   Config
+	counters *expvar.Map
+
+	listed     map[glade.Host]glade.Listed
+	listedAt   time.Time
+	assignedAt time.Time
+	// suspects maps each host that looks down to when it first did.
+	suspects map[glade.Host]time.Time
+	// retries maps each host whose worker did not answer to when it is asked
+	// again.
+	retries map[glade.Host]time.Time
+}
+
+// New returns the fleet duty.
+func New(config Config) *Fleet {
+	return &Fleet{
+		config:   config,
+		counters: new(expvar.Map),
+		suspects: make(map[glade.Host]time.Time),
+		retries:  make(map[glade.Host]time.Time),
+	}
+}
+
+// Counters returns the counters of steps and commands.
+func (f *Fleet) Counters() *expvar.Map { return f.counters }
+
+// Run takes steps until ctx ends.
+func (f *Fleet) Run(ctx context.Context) error {
+	healthy := true
+	for {
+		err := f.Round(ctx)
+		if (err == nil) != healthy {
+			healthy = err == nil
+			f.config.Log.Info("platform", "reachable", healthy, "cause", errorText(err))
+		}
+		if f.config.Clock.Sleep(ctx, roundPeriod) != nil {
+			return nil
+		}
+	}
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// Round takes the next step in every pool that is this keeper's duty. An error
+// means that the platform can't be reached; nothing new is decided then.
+func (f *Fleet) Round(ctx context.Context) error {
+	now := f.config.Clock.Now()
+	if _, err := adopt.Fetch(ctx, f.config.Table, f.config.Book, now); err != nil {
+		return err
+	}
+	if err := f.list(ctx, now); err != nil {
+		return err
+	}
+	if err := f.assign(ctx, now); err != nil {
+		return err
+	}
+	for _, contract := range f.config.Book.All() {
+		for _, pool := range contract.Spec().Pools {
+			if err := f.poolRound(ctx, now, contract, pool); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) list(ctx context.Context, now time.Time) error {
+	if f.listed != nil && now.Sub(f.listedAt) < listPeriod {
+		return nil
+	}
+	list, err := f.config.Hosts.List(ctx)
+	if err != nil {
+		return err
+	}
+	f.listedAt = now
+	f.listed = make(map[glade.Host]glade.Listed, len(list))
+	for _, listed := range list {
+		f.listed[listed.Host] = listed
+	}
+	return nil
+}
+
+// poolView is what one round decides on in one pool. It is read-only.
+type poolView struct {
+	now      time.Time
+	contract glade.Contract
+	pool     glade.PoolSpec
+	account  owner.Account
+}
+
+func (f *Fleet) poolRound(ctx context.Context, now time.Time, contract glade.Contract, pool glade.PoolSpec) error {
+	if !shard.IsMine(owner.AccountKey(contract.Customer(), pool.Name), f.config.Roster) {
+		return nil
+	}
+	account, err := owner.LoadAccount(ctx, f.config.Table, contract.Customer(), pool.Name)
+	if err != nil {
+		return err
+	}
+	v := poolView{now: now, contract: contract, pool: pool, account: account}
+	for _, host := range v.hosts() {
+		if err := f.follow(ctx, v, host); err != nil {
+			return err
+		}
+	}
+	if err := f.wave(ctx, v); err != nil {
+		return err
+	}
+	return f.refill(ctx, v)
+}
+
+// count counts the result of a step. A conflict means that another keeper was
+// first, and needs nothing done.
+func (f *Fleet) count(name string) func(owner.Result, error) error {
+	return func(result owner.Result, err error) error {
+		f.counters.Add(name+"."+result.String(), 1)
+		return err
+	}
+}
+
+// command counts a command to a worker. A worker that can't be reached is met
+// again in a later round.
+func (f *Fleet) command(name string, err error) error {
+	if err != nil {
+		f.counters.Add(name+".failed", 1)
+		return nil
+	}
+	f.counters.Add(name+".sent", 1)
+	return nil
+}
--- /dev/null
+++ b/fleet/moves.go
@@ -0,0 +1,152 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	glade "indigoglade"
+	"indigoglade/budget"
+	"indigoglade/owner"
+)
+
+// refillTime is how long a host may be failed before another takes its place.
+// A pool that weighs moves more waits longer, because most hosts come back.
+func refillTime(weights glade.WeightSpec) time.Duration {
+	if weights.Moves > weights.Rollout {
+		return 10 * time.Minute
+	}
+	return time.Minute
+}
+
+// refill brings in hosts that the pool lacks from a spare pool, and lets go of
+// failed hosts whose place was taken.
+func (f *Fleet) refill(ctx context.Context, v poolView) error {
+	account := v.account.Data()
+	want := wanted(v.contract.Spec(), v.pool, account)
+	lack := budget.Lacks(account, want, v.now)
+	if lack == 0 {
+		return f.release(ctx, v)
+	}
+	if v.pool.Spare || !f.mayRefill(v) {
+		return nil
+	}
+	return f.borrow(ctx, v, want)
+}
+
+// mayRefill tells whether the pool may ask for a host now: it has no failed
+// member, or one has been failed for long.
+func (f *Fleet) mayRefill(v poolView) bool {
+	oldest := v.now.UnixMilli()
+	failed := false
+	for _, member := range v.account.Data().Members {
+		if member.Cause == glade.CauseFail {
+			failed = true
+			oldest = min(oldest, member.Since)
+		}
+	}
+	bound := refillTime(v.contract.Spec().Weights).Milliseconds()
+	return !failed || v.now.UnixMilli()-oldest >= bound
+}
+
+// release takes one failed host out of a pool that has its size without it.
+func (f *Fleet) release(ctx context.Context, v poolView) error {
+	for _, host := range v.hosts() {
+		if v.account.Data().Members[host].Cause != glade.CauseFail {
+			continue
+		}
+		record, err := owner.LoadHost(ctx, f.config.Table, host)
+		if err != nil {
+			return err
+		}
+		if record.Data().Phase != glade.HostFailed {
+			continue
+		}
+		return f.count("release")(f.withAccount(ctx, v, record, owner.Release))
+	}
+	return nil
+}
+
+// borrow begins to move one host from a spare pool.
+func (f *Fleet) borrow(ctx context.Context, v poolView, want int) error {
+	for _, contract := range f.config.Book.All() {
+		for _, pool := range contract.Spec().Pools {
+			if !pool.Spare {
+				continue
+			}
+			done, err := f.take(ctx, v, contract.Customer(), pool, want)
+			if err != nil || done {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// take begins to move one host of a pool to v's pool, and tells whether it did.
+func (f *Fleet) take(ctx context.Context, v poolView, customer glade.Customer, pool glade.PoolSpec, want int) (bool, error) {
+	contract, err := owner.LoadContract(ctx, f.config.Table, customer)
+	if err != nil {
+		return false, err
+	}
+	from, err := owner.LoadAccount(ctx, f.config.Table, customer, pool.Name)
+	if err != nil {
+		return false, err
+	}
+	to, err := owner.LoadAccount(ctx, f.config.Table, v.contract.Customer(), v.pool.Name)
+	if err != nil {
+		return false, err
+	}
+	host, ok := pick(budget.NewRule(contract.Data().Spec, pool), from.Data(), to.Data())
+	if !ok {
+		return false, nil
+	}
+	record, err := owner.LoadHost(ctx, f.config.Table, host)
+	if err != nil {
+		return false, err
+	}
+	move := owner.Move{Customer: v.contract.Customer(), Pool: v.pool, Want: want}
+	result, err := owner.BeginMove(ctx, f.config.Table, contract, record, from, to, move, v.now)
+	f.counters.Add("move."+result.String(), 1)
+	return result.IsDone(), err
+}
+
+// pick returns the host that may leave and stands in the rack where the target
+// has the fewest.
+func pick(rule budget.Rule, from, to glade.AccountRow) (glade.Host, bool) {
+	hosts := make([]glade.Host, 0, len(from.Members))
+	for host := range from.Members {
+		hosts = append(hosts, host)
+	}
+	slices.Sort(hosts)
+	best, fewest, found := glade.Host(""), 0, false
+	for _, host := range hosts {
+		member := from.Members[host]
+		near := countRack(to, glade.Listed{Zone: member.Zone, Rack: member.Rack})
+		if rule.Leave(from, host) != budget.WaitNone || (found && near >= fewest) {
+			continue
+		}
+		best, fewest, found = host, near, true
+	}
+	return best, found
+}
+
+// transfer ends the move of a drained host. A target that is no longer in force
+// ends the move: the host stays in its pool and is rebooted for it.
+func (f *Fleet) transfer(ctx context.Context, v poolView, record owner.Host, state glade.WorkerState) error {
+	row := record.Data()
+	contract, known := f.config.Book.Find(row.TargetCustomer)
+	pool, ok := contract.Pool(row.Target)
+	if !known || !ok {
+		return f.count("fail")(f.withAccount(ctx, v, record, owner.Fail))
+	}
+	from, err := owner.LoadAccount(ctx, f.config.Table, row.Customer, row.Pool)
+	if err != nil {
+		return err
+	}
+	to, err := owner.LoadAccount(ctx, f.config.Table, row.TargetCustomer, row.Target)
+	if err != nil {
+		return err
+	}
+	return f.count("transfer")(owner.Transfer(ctx, f.config.Table, record, from, to, pool, state.Incarnation, v.now))
+}
--- /dev/null
+++ b/fleet/steps.go
@@ -0,0 +1,155 @@
+package fleet
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	glade "indigoglade"
+	"indigoglade/budget"
+	"indigoglade/owner"
+	"indigoglade/shard"
+	"indigoglade/table"
+	"indigoglade/wave"
+)
+
+// wave starts planned stops, one after the other, until the wave has to wait.
+func (f *Fleet) wave(ctx context.Context, v poolView) error {
+	for range v.contract.Spec().Budget.Down {
+		account, err := owner.LoadAccount(ctx, f.config.Table, v.contract.Customer(), v.pool.Name)
+		if err != nil {
+			return err
+		}
+		host, ok := wave.Next(v.contract.Spec(), v.pool, account.Data(), v.now).Host()
+		if !ok {
+			return nil
+		}
+		result, err := f.plan(ctx, v, host, account)
+		f.counters.Add("plan."+result.String(), 1)
+		if err != nil || !result.IsDone() {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) plan(ctx context.Context, v poolView, host glade.Host, account owner.Account) (owner.Result, error) {
+	contract, err := owner.LoadContract(ctx, f.config.Table, v.contract.Customer())
+	if err != nil {
+		return owner.Result{}, err
+	}
+	record, err := owner.LoadHost(ctx, f.config.Table, host)
+	if err != nil {
+		return owner.Result{}, err
+	}
+	if f.config.Clock.Now().Sub(v.now) > budget.NewRule(v.contract.Spec(), v.pool).Allowance() {
+		// The round was paused for so long that its time is no longer true.
+		return owner.Result{}, nil
+	}
+	return owner.Plan(ctx, f.config.Table, contract, record, account, v.now)
+}
+
+// assignDuty is the duty of giving hosts without a pool to one.
+const assignDuty = "assign"
+
+// assign gives listed hosts that are in no account to the pools that lack them.
+func (f *Fleet) assign(ctx context.Context, now time.Time) error {
+	if !shard.IsMine(assignDuty, f.config.Roster) || now.Sub(f.assignedAt) < assignPeriod {
+		return nil
+	}
+	f.assignedAt = now
+	records, err := table.LoadAll[glade.AccountRow](ctx, f.config.Table, glade.PrefixAccount)
+	if err != nil {
+		return err
+	}
+	accounts := make(map[string]owner.Account, len(records))
+	owned := make(map[glade.Host]bool)
+	for _, record := range records {
+		accounts[record.Key()] = record
+		for host := range record.Data().Members {
+			owned[host] = true
+		}
+	}
+	for _, host := range f.free(owned) {
+		if err := f.assignHost(ctx, now, host, accounts); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// free returns the listed hosts that are not owned, in the order of their names.
+func (f *Fleet) free(owned map[glade.Host]bool) []glade.Host {
+	var free []glade.Host
+	for host, listed := range f.listed {
+		if !owned[host] && !listed.Leaving {
+			free = append(free, host)
+		}
+	}
+	slices.Sort(free)
+	return free
+}
+
+func (f *Fleet) assignHost(ctx context.Context, now time.Time, host glade.Host, accounts map[string]owner.Account) error {
+	listed := f.listed[host]
+	a, ok := f.neediest(now, listed, accounts)
+	if !ok {
+		return nil
+	}
+	record, err := owner.LoadHost(ctx, f.config.Table, host)
+	if err != nil {
+		return err
+	}
+	account, err := owner.LoadAccount(ctx, f.config.Table, a.Customer, a.Pool.Name)
+	if err != nil {
+		return err
+	}
+	result, err := owner.Assign(ctx, f.config.Table, record, account, a, now)
+	f.counters.Add("assign."+result.String(), 1)
+	if err != nil || !result.IsDone() {
+		return err
+	}
+	accounts[account.Key()], err = owner.LoadAccount(ctx, f.config.Table, a.Customer, a.Pool.Name)
+	return err
+}
+
+// neediest returns the pool that a free host should join: of the pools that
+// lack hosts, the one with the fewest in the host's rack, so that pools spread
+// over failure domains; then the one that lacks most.
+func (f *Fleet) neediest(now time.Time, listed glade.Listed, accounts map[string]owner.Account) (owner.Assignment, bool) {
+	var best owner.Assignment
+	var bestLack, bestNear int
+	for _, contract := range f.config.Book.All() {
+		for _, pool := range contract.Spec().Pools {
+			account := accounts[owner.AccountKey(contract.Customer(), pool.Name)].Data()
+			want := wanted(contract.Spec(), pool, account)
+			lack := budget.Lacks(account, want, now)
+			near := countRack(account, listed)
+			if lack == 0 || (bestLack > 0 && (near > bestNear || (near == bestNear && lack <= bestLack))) {
+				continue
+			}
+			bestLack, bestNear = lack, near
+			best = owner.Assignment{Listed: listed, Customer: contract.Customer(), Pool: pool, Want: want}
+		}
+	}
+	return best, bestLack > 0
+}
+
+// wanted returns the number of hosts that a pool should have. A spare pool
+// takes free hosts up to its promise.
+func wanted(spec glade.ContractSpec, pool glade.PoolSpec, account glade.AccountRow) int {
+	if pool.Spare {
+		return pool.Hosts
+	}
+	return budget.NewRule(spec, pool).Size(account)
+}
+
+func countRack(account glade.AccountRow, listed glade.Listed) int {
+	n := 0
+	for _, member := range account.Members {
+		if member.Zone == listed.Zone && member.Rack == listed.Rack {
+			n++
+		}
+	}
+	return n
+}
--- a/keeper/main.go
+++ b/keeper/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"expvar"
 	"fmt"
 	"os"
 	"time"
@@ -14,15 +15,21 @@
 	"indigoglade/clock"
 	"indigoglade/config"
 	"indigoglade/daemon"
-	"indigoglade/keeper/internal/fleet"
+	"indigoglade/fleet"
 	"indigoglade/remote"
+	"indigoglade/send"
 )
 
 type flags struct {
 	Config string `arg:"" type:"existingfile" help:"Settings file, JSON with comments."`
 }
 
-const grace = 5 * time.Second
+// Bounds of the program.
+const (
+	grace         = 5 * time.Second
+	dialBound     = 500 * time.Millisecond
+	maxProbeReply = 4 << 20
+)
 
 func main() {
 	var f flags
@@ -40,10 +47,22 @@
 	}
 	group := daemon.New(daemon.Config{Name: "keeper." + string(spec.Node), Output: os.Stderr, Grace: grace, Status: spec.Status})
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
+	system := clock.System{}
+	sender := send.New(send.Config{Links: 1, MaxReply: maxProbeReply, Connect: dialBound})
 	duties := fleet.New(fleet.Config{
-		Table: platform, Hosts: platform, Workers: platform,
-		Book: adopt.New(), Roster: glade.NewStaticRoster(spec.Node, []glade.Node{spec.Node}), Clock: clock.System{}, Log: group.Log(),
+		Table: platform, Hosts: platform, Workers: platform, Prober: fleet.NewProber(sender, system),
+		Book: adopt.New(), Roster: glade.NewStaticRoster(spec.Node, nodesOf(spec)), Clock: system, Log: group.Log(),
 	})
+	expvar.Publish("fleet", duties.Counters())
 	group.Add(duties.Run)
 	return group.Run()
 }
+
+// nodesOf returns every keeper of the settings.
+func nodesOf(spec config.NodeSpec) []glade.Node {
+	nodes := []glade.Node{spec.Node}
+	for _, peer := range spec.Peers {
+		nodes = append(nodes, peer.Node)
+	}
+	return nodes
+}
--- a/owner/owner_test.go
+++ b/owner/owner_test.go
@@ -8,6 +8,8 @@
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/adopt"
+	"indigoglade/budget"
 	"indigoglade/memory"
 	"indigoglade/owner"
 )
@@ -17,55 +19,129 @@
 	ctx   = context.Background()
 )
 
-func load(t *testing.T, table glade.Table) (owner.Host, owner.Account) {
+// fixture is a pool "quotes" of three serving hosts h1, h2 and h3.
+type fixture struct {
+	table *memory.Table
+	spec  glade.ContractSpec
+}
+
+func newFixture(t *testing.T, mode memory.Mode) *fixture {
+	t.Helper()
+	f := &fixture{table: memory.NewTable()}
+	f.spec = glade.ContractSpec{
+		Customer: "dealers",
+		Pools:    []glade.PoolSpec{{Name: "quotes", Serve: "quotes", Hosts: 3, Floor: 1, Ceiling: 6}},
+		Budget:   glade.BudgetSpec{Down: 2, Minutes: 60, Window: glade.Span(24 * time.Hour), Domain: "host"},
+		Wave:     glade.WaveSpec{Name: "w", State: "run", Drain: glade.Span(10 * time.Second)},
+	}
+	f.accept(t, 0)
+	f.table.SetMode(mode)
+	for _, host := range []glade.Host{"h1", "h2", "h3"} {
+		record, account := f.load(t, host)
+		result, err := owner.Assign(ctx, f.table, record, account, f.assignment(host), start)
+		expectDone(t, result, err)
+		record, _ = f.load(t, host)
+		result, err = owner.Advance(ctx, f.table, record, glade.HostVerify, 2, start)
+		expectDone(t, result, err)
+		record, account = f.load(t, host)
+		result, err = owner.Return(ctx, f.table, record, account, start)
+		expectDone(t, result, err)
+	}
+	return f
+}
+
+func (f *fixture) accept(t *testing.T, seen uint64) {
+	t.Helper()
+	accepted, err := adopt.Accept(ctx, f.table, f.spec, seen)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, accepted.Result(), qt.Equals, glade.Committed)
+}
+
+func (f *fixture) assignment(host glade.Host) owner.Assignment {
+	return owner.Assignment{Listed: glade.Listed{Host: host}, Customer: "dealers", Pool: f.spec.Pools[0], Want: 3}
+}
+
+func (f *fixture) load(t *testing.T, name glade.Host) (owner.Host, owner.Account) {
 	t.Helper()
-	host, err := owner.LoadHost(ctx, table, "h1")
+	host, err := owner.LoadHost(ctx, f.table, name)
 	qt.Assert(t, err, qt.IsNil)
-	account, err := owner.LoadAccount(ctx, table, "dealers", "quotes")
+	account, err := owner.LoadAccount(ctx, f.table, "dealers", "quotes")
 	qt.Assert(t, err, qt.IsNil)
 	return host, account
 }
 
-func assign(t *testing.T, table glade.Table) {
+func (f *fixture) contract(t *testing.T) owner.Contract {
 	t.Helper()
-	absent, _ := load(t, table)
-	a := owner.Assignment{Listed: glade.Listed{Host: "h1"}, Customer: "dealers", Pool: glade.PoolSpec{Name: "quotes"}}
-	result, err := owner.Assign(ctx, table, absent, a, start)
-	expectCommit(t, glade.Committed, result, err)
-	result, err = owner.Assign(ctx, table, absent, a, start)
-	expectCommit(t, glade.Conflicted, result, err)
+	contract, err := owner.LoadContract(ctx, f.table, "dealers")
+	qt.Assert(t, err, qt.IsNil)
+	return contract
+}
+
+func expectDone(t *testing.T, result owner.Result, err error) {
+	t.Helper()
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, result.IsDone(), qt.IsTrue, qt.Commentf("%s", result))
 }
 
-func expectCommit(t *testing.T, want, got glade.Commit, err error) {
+func expectNot(t *testing.T, result owner.Result, err error, want string) {
 	t.Helper()
 	qt.Assert(t, err, qt.IsNil)
-	qt.Check(t, got, qt.Equals, want)
+	qt.Check(t, result.String(), qt.Equals, want)
+}
+
+func TestAssignStopsAtTheWantedNumber(t *testing.T) {
+	f := newFixture(t, memory.Up)
+	host, account := f.load(t, "h4")
+	result, err := owner.Assign(ctx, f.table, host, account, f.assignment("h4"), start)
+	expectNot(t, result, err, "wait.full")
+}
+
+func TestTwoKeepersPlanOnce(t *testing.T) {
+	f := newFixture(t, memory.Up)
+	first, account := f.load(t, "h1")
+	second, _ := f.load(t, "h2")
+	result, err := owner.Plan(ctx, f.table, f.contract(t), first, account, start)
+	expectDone(t, result, err)
+	result, err = owner.Plan(ctx, f.table, f.contract(t), second, account, start)
+	expectNot(t, result, err, "conflicted")
+	second, account = f.load(t, "h2")
+	result, err = owner.Plan(ctx, f.table, f.contract(t), second, account, start)
+	expectNot(t, result, err, "wait.headroom")
+}
+
+func TestPlanUnderAnOldContractConflicts(t *testing.T) {
+	f := newFixture(t, memory.Up)
+	old := f.contract(t)
+	f.spec.Budget.Down = 1
+	f.accept(t, 1)
+	host, account := f.load(t, "h1")
+	result, err := owner.Plan(ctx, f.table, old, host, account, start)
+	expectNot(t, result, err, "conflicted")
 }
 
-func TestTwoKeepersDrainOnce(t *testing.T) {
-	table := memory.NewTable()
-	assign(t, table)
-	host, account := load(t, table)
-	result, err := owner.BeginDrain(ctx, table, host, account, "w", start)
-	expectCommit(t, glade.Committed, result, err)
-	result, err = owner.BeginDrain(ctx, table, host, account, "w", start)
-	expectCommit(t, glade.Conflicted, result, err)
-	host, account = load(t, table)
-	qt.Check(t, host.Data().Phase, qt.Equals, glade.HostDraining)
-	qt.Check(t, account.Data().Down, qt.HasLen, 1)
+func TestFailureIsRecordedBeyondTheBudget(t *testing.T) {
+	f := newFixture(t, memory.Lossy)
+	for _, name := range []glade.Host{"h1", "h2", "h3"} {
+		host, account := f.load(t, name)
+		result, err := owner.Fail(ctx, f.table, host, account, start)
+		expectDone(t, result, err)
+	}
+	_, account := f.load(t, "h1")
+	qt.Check(t, budget.Down(account.Data()), qt.Equals, 3)
 }
 
 func TestReturnEndsTheDownTime(t *testing.T) {
-	table := memory.NewTable()
-	table.SetMode(memory.Lossy)
-	assign(t, table)
-	host, account := load(t, table)
-	result, err := owner.BeginDrain(ctx, table, host, account, "w", start)
-	expectCommit(t, glade.Committed, result, err)
-	host, account = load(t, table)
-	result, err = owner.Return(ctx, table, host, account, start.Add(time.Minute))
-	expectCommit(t, glade.Committed, result, err)
-	_, account = load(t, table)
-	qt.Check(t, account.Data().Down, qt.HasLen, 0)
-	qt.Check(t, account.Data().Spent, qt.HasLen, 1)
+	f := newFixture(t, memory.Lossy)
+	host, account := f.load(t, "h1")
+	result, err := owner.Fail(ctx, f.table, host, account, start)
+	expectDone(t, result, err)
+	host, _ = f.load(t, "h1")
+	result, err = owner.Advance(ctx, f.table, host, glade.HostVerify, 3, start)
+	expectDone(t, result, err)
+	host, account = f.load(t, "h1")
+	result, err = owner.Return(ctx, f.table, host, account, start.Add(time.Minute))
+	expectDone(t, result, err)
+	_, account = f.load(t, "h1")
+	rule := budget.NewRule(f.spec, f.spec.Pools[0])
+	qt.Check(t, rule.Spent(account.Data(), start.Add(time.Hour)), qt.Equals, time.Minute)
 }
--- a/rows.go
+++ b/rows.go
@@ -76,7 +76,9 @@
 	HostFailed   HostPhase = "failed"
 )
 
-// HostRow is the ownership row of a host: the one pool it belongs to.
+// HostRow is the ownership row of a host: the one pool it belongs to. A host
+// that was released has a row without a pool; the row stays, because its epoch
+// must never fall.
 type HostRow struct {
 	Host     Host      `json:"host"`
 	Zone     Zone      `json:"zone"`
@@ -90,26 +92,67 @@
 	Since int64 `json:"since"`
 	// Wave is the last wave that maintained this host.
 	Wave string `json:"wave"`
-	// Target is the pool that a draining host moves to; empty for maintenance.
-	Target Pool `json:"target,omitempty"`
+	// Target is the pool that a draining host moves to, and TargetCustomer its
+	// customer; both are empty for maintenance.
+	Target         Pool     `json:"target,omitempty"`
+	TargetCustomer Customer `json:"targetcustomer,omitempty"`
 	// Incarnation is the one that served before a reboot was asked for.
 	Incarnation uint64 `json:"inc"`
 }
 
-// AccountRow is the availability account of a pool: the hosts that are down,
-// by planned steps and by failures.
+// DownCause says why a member of a pool does not serve. The zero value means
+// that it serves.
+type DownCause string
+
+// Causes of a member that does not serve. Only plan and fail count against the
+// availability budget.
+const (
+	CauseNone DownCause = ""
+	// CausePlan is a planned step within its allowance of time.
+	CausePlan DownCause = "plan"
+	// CauseFail is a failure, or a planned step that overran its allowance.
+	CauseFail DownCause = "fail"
+	// CauseJoin is a new member that has not served yet.
+	CauseJoin DownCause = "join"
+	// CauseLeave is a surplus member that drains to move to another pool.
+	CauseLeave DownCause = "leave"
+)
+
+// Member is one host in the account of its pool.
+type Member struct {
+	Zone Zone `json:"zone"`
+	Rack Rack `json:"rack"`
+	// Wave is the last wave that maintained the host.
+	Wave string `json:"wave,omitempty"`
+	// Incarnation is the one that serves.
+	Incarnation uint64    `json:"inc,omitempty"`
+	Cause       DownCause `json:"cause,omitempty"`
+	// Since is when the host stopped serving, in milliseconds since 1970.
+	Since int64 `json:"since,omitempty"`
+}
+
+// AccountRow is the availability account of a pool: its members, which of them
+// are down, and the down time that it has spent. A host is a member of the one
+// pool that its ownership row names, because every transaction that changes
+// one changes the other.
 type AccountRow struct {
-	Pool Pool `json:"pool"`
-	// Down maps each host that is down to the time it went down, in
-	// milliseconds since 1970.
-	Down map[Host]int64 `json:"down"`
+	Customer Customer `json:"customer"`
+	Pool     Pool     `json:"pool"`
+	// Size is the number of hosts that the fleet chose for the pool; 0 means
+	// that none was chosen yet and the promised number holds.
+	Size    int             `json:"size,omitempty"`
+	Members map[Host]Member `json:"members"`
+	// Coming maps each host that drains elsewhere to join this pool to when the
+	// move began, in milliseconds since 1970. It is no member yet.
+	Coming map[Host]int64 `json:"coming,omitempty"`
 	// Spent lists ended down times, oldest first.
 	Spent []DownSpan `json:"spent"`
 }
 
 // DownSpan is one ended down time, in milliseconds since 1970.
 type DownSpan struct {
-	Host Host  `json:"host"`
-	From int64 `json:"from"`
-	To   int64 `json:"to"`
+	Host  Host      `json:"host"`
+	From  int64     `json:"from"`
+	To    int64     `json:"to"`
+	Cause DownCause `json:"cause"`
 }
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -1,84 +1,129 @@
-// Package wave decides which hosts a maintenance wave takes down next.
+// Package wave decides which host a maintenance wave takes down next.
 package wave
 
 import (
 	"sort"
+	"time"
 
 	glade "indigoglade"
+	"indigoglade/budget"
 )
 
-// Wait explains why a wave takes no further host down now.
-type Wait string
-
-// Reasons to wait.
+// Reasons to wait beside those of the budget.
 const (
-	WaitNone   Wait = ""
-	WaitPaused Wait = "paused" // the contract says pause or cancel
-	WaitBudget Wait = "budget" // the pool's budget is in use
-	WaitDone   Wait = "done"   // every host was maintained
+	WaitPaused   budget.Wait = "paused"   // the contract says pause
+	WaitCanceled budget.Wait = "canceled" // the contract says cancel
+	WaitDone     budget.Wait = "done"     // every host was maintained
+	WaitNoWave   budget.Wait = "nowave"   // the contract declares no wave
+	WaitMembers  budget.Wait = "members"  // the hosts left to maintain don't serve
 )
 
-// State is what is known of one pool.
-type State struct {
-	Contract glade.Contract
-	Pool     glade.PoolSpec
-	Hosts    []glade.HostRow
-	Account  glade.AccountRow
-}
-
-// Step is the decision for one pool: hosts to drain now, or why not.
+// Step is the decision for one pool: a host to drain now, or why none.
 type Step struct {
-	hosts []glade.Host
-	wait  Wait
+	host glade.Host
+	wait budget.Wait
 }
 
-// Hosts returns the hosts to take down now.
-func (s Step) Hosts() []glade.Host { return s.hosts }
+// Host returns the host to take down now.
+func (s Step) Host() (glade.Host, bool) { return s.host, s.wait == budget.WaitNone }
 
-// Wait returns why no further host is taken down.
-func (s Step) Wait() Wait { return s.wait }
+// Wait returns why no host is taken down.
+func (s Step) Wait() budget.Wait { return s.wait }
 
-// Next decides the next step of the wave in one pool.
-func Next(state State) Step {
-	spec := state.Contract.Spec()
-	if spec.Wave.Name == "" {
-		return Step{wait: WaitDone}
-	}
-	if spec.Wave.State != "run" {
-		return Step{wait: WaitPaused}
+// Next decides the next step of the contract's wave in one pool.
+func Next(spec glade.ContractSpec, pool glade.PoolSpec, account glade.AccountRow, now time.Time) Step {
+	if wait := declared(spec.Wave); wait != budget.WaitNone {
+		return Step{wait: wait}
 	}
-	open := candidates(state.Hosts, spec.Wave.Name)
-	if len(open) == 0 {
+	done, total := Progress(account, spec.Wave.Name)
+	if done == total {
 		return Step{wait: WaitDone}
 	}
-	free := spec.Budget.Down - len(state.Account.Down)
-	if free <= 0 {
-		return Step{wait: WaitBudget}
+	rule := budget.NewRule(spec, pool)
+	wait := WaitMembers
+	for _, host := range order(account, spec.Wave.Name) {
+		wait = rule.Plan(account, host, now)
+		if wait == budget.WaitNone {
+			return Step{host: host}
+		}
 	}
-	if len(open) > free {
-		open = open[:free]
+	return Step{wait: wait}
+}
+
+func declared(w glade.WaveSpec) budget.Wait {
+	switch {
+	case w.Name == "":
+		return WaitNoWave
+	case w.State == "cancel":
+		return WaitCanceled
+	case w.State != "run":
+		return WaitPaused
 	}
-	return Step{hosts: open}
+	return budget.WaitNone
 }
 
-// candidates returns the serving hosts that the wave has not maintained,
-// ordered by rack, so that one failure domain is down at a time.
-func candidates(rows []glade.HostRow, wave string) []glade.Host {
-	var open []glade.HostRow
-	for _, row := range rows {
-		if row.Phase == glade.HostServing && row.Wave != wave {
-			open = append(open, row)
+// Progress returns how many members the wave has maintained and how many there
+// are. A member that is being maintained is not done.
+func Progress(account glade.AccountRow, wave string) (done, total int) {
+	for _, member := range account.Members {
+		if member.Wave == wave && member.Cause != glade.CausePlan {
+			done++
 		}
 	}
-	sort.Slice(open, func(i, j int) bool {
-		if open[i].Rack != open[j].Rack {
-			return open[i].Rack < open[j].Rack
+	return done, len(account.Members)
+}
+
+// place is a serving member that the wave has not maintained.
+type place struct {
+	host   glade.Host
+	member glade.Member
+	// begun marks a rack in which the wave has a host down already.
+	begun bool
+	// left is the number of open members in the zone.
+	left int
+}
+
+// order returns the open members in the order in which the wave takes them. A
+// rack in which a host is down by plan goes first, because a failure of that
+// rack then costs less; then the zone with the most hosts left, so that the
+// wave spreads over the zones; then by rack.
+func order(account glade.AccountRow, wave string) []glade.Host {
+	begun := make(map[string]bool)
+	left := make(map[glade.Zone]int)
+	var open []place
+	for host, member := range account.Members {
+		switch {
+		case member.Cause == glade.CausePlan:
+			begun[rackOf(member)] = true
+		case member.Cause == glade.CauseNone && member.Wave != wave:
+			left[member.Zone]++
+			open = append(open, place{host: host, member: member})
 		}
-		return open[i].Host < open[j].Host
-	})
+	}
+	for i := range open {
+		open[i].begun = begun[rackOf(open[i].member)]
+		open[i].left = left[open[i].member.Zone]
+	}
+	sort.Slice(open, func(i, j int) bool { return open[i].before(open[j]) })
 	hosts := make([]glade.Host, 0, len(open))
-	for _, row := range open {
-		hosts = append(hosts, row.Host)
+	for _, p := range open {
+		hosts = append(hosts, p.host)
 	}
 	return hosts
 }
+
+func rackOf(member glade.Member) string { return budget.Domain("rack", "", member) }
+
+func (p place) before(q place) bool {
+	switch {
+	case p.begun != q.begun:
+		return p.begun
+	case p.left != q.left:
+		return p.left > q.left
+	case p.member.Zone != q.member.Zone:
+		return p.member.Zone < q.member.Zone
+	case p.member.Rack != q.member.Rack:
+		return p.member.Rack < q.member.Rack
+	}
+	return p.host < q.host
+}
--- a/worker.go
+++ b/worker.go
@@ -57,6 +57,12 @@
 	Tasks(ctx context.Context, host Host) ([]TaskState, error)
 }
 
+// Prober runs one request on an endpoint to see that it works.
+type Prober interface {
+	// Probe returns nil when the endpoint gave a whole answer to the request.
+	Probe(ctx context.Context, address string, service Service, id string) error
+}
+
 // Task is one run of a job on a worker.
 type Task struct {
 	ID      string `json:"id"`
