Let a script switch faults of the stand-ins

Cause: the stand-ins could not fail from outside: no zone cut, no rack down, no lost answers, and the runners' faults were reachable from Go alone.

Table, object store and host list go down, slow, lossy or frozen; a zone cut breaks platform calls by the Platform-Zone header and the relays between zones, to which the peers' addresses now point; a gate refuses connections of a host or rack that is down. GET /truth shows the hosts without the list's lag.

Race tests of stand: pass.

--- /dev/null
+++ b/stand/internal/fault/board.go
@@ -0,0 +1,82 @@
+package fault
+
+import (
+	"sync"
+	"time"
+
+	glade "indigoglade"
+)
+
+// Board holds the faults of every script that was taken up. Which of them are
+// on follows from the time alone, so nothing has to run to switch them.
+type Board struct {
+	mu    sync.RWMutex
+	spans []span
+}
+
+type span struct {
+	spec Spec
+	from time.Time
+	to   time.Time
+}
+
+// New returns a board without faults.
+func New() *Board { return &Board{} }
+
+// Start takes up a script whose times count from now. Faults that have ended
+// are forgotten.
+func (b *Board) Start(script Script, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var spans []span
+	for _, s := range b.spans {
+		if now.Before(s.to) {
+			spans = append(spans, s)
+		}
+	}
+	for _, spec := range script.Faults {
+		from := now.Add(spec.At.Duration())
+		spans = append(spans, span{spec: spec, from: from, to: from.Add(spec.For.Duration())})
+	}
+	b.spans = spans
+}
+
+// At returns the fault that is on at a place.
+func (b *Board) At(where string, now time.Time) Kind {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	for _, s := range b.spans {
+		if s.spec.Where == where && s.isOn(now) {
+			return s.spec.Fault
+		}
+	}
+	return None
+}
+
+func (s span) isOn(now time.Time) bool { return !now.Before(s.from) && now.Before(s.to) }
+
+// Runner returns the fault of a host: its own, or else its rack's.
+func (b *Board) Runner(host glade.Host, rack glade.Rack, now time.Time) Kind {
+	if kind := b.At(hostPrefix+string(host), now); kind != None {
+		return kind
+	}
+	return b.At(rackPrefix+string(rack), now)
+}
+
+// IsCut tells whether an availability zone is cut off.
+func (b *Board) IsCut(zone glade.Zone, now time.Time) bool {
+	return b.At(zonePrefix+string(zone), now) == Cut
+}
+
+// Active returns the faults that are on.
+func (b *Board) Active(now time.Time) []Spec {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	active := []Spec{}
+	for _, s := range b.spans {
+		if s.isOn(now) {
+			active = append(active, s.spec)
+		}
+	}
+	return active
+}
--- a/stand/internal/fleet/config.go
+++ b/stand/internal/fleet/config.go
@@ -3,8 +3,11 @@
 package fleet
 
 import (
+	"fmt"
+
 	glade "indigoglade"
 	"indigoglade/config"
+	"indigoglade/stand/internal/relay"
 )
 
 // Config configures the stand-in fleet.
@@ -27,6 +30,8 @@
 	Lag   glade.Span `json:"lag"`
 	Slots int        `json:"slots"`
 	Links int        `json:"links"`
+	// Relays join processes of different zones.
+	Relays []relay.Spec `json:"relays"`
 }
 
 // ReadConfig reads and checks the settings of the stand-in fleet.
@@ -50,5 +55,10 @@
 	if c.Slots < 1 || c.Links < c.Slots {
 		f.Add("/slots", "expected at least 1 slot and no more than the %d connections, found %d", c.Links, c.Slots)
 	}
+	for i, r := range c.Relays {
+		at := fmt.Sprintf("/relays/%d", i)
+		f.CheckAddress(at+"/listen", r.Listen)
+		f.CheckAddress(at+"/address", r.Address)
+	}
 	return f
 }
--- a/stand/internal/fleet/fleet.go
+++ b/stand/internal/fleet/fleet.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/netip"
 	"sync"
 	"time"
@@ -10,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
+	"indigoglade/stand/internal/fault"
 	"indigoglade/stand/internal/ledger"
 )
 
@@ -17,6 +17,7 @@
 type Fleet struct {
 	config  Config
 	clock   glade.Clock
+	board   *fault.Board
 	runners []*Runner
 	byHost  map[glade.Host]*Runner
 
@@ -30,20 +31,26 @@
 	list []glade.Listed
 }
 
+// Parts are what a fleet works with.
+type Parts struct {
+	Clock  glade.Clock
+	Ledger *ledger.Ledger
+	Faults *fault.Board
+}
+
 // New returns a fleet whose runners listen on consecutive ports.
-func New(config Config, clock glade.Clock, book *ledger.Ledger) (*Fleet, error) {
-	f := &Fleet{config: config, clock: clock, byHost: make(map[glade.Host]*Runner)}
+func New(config Config, with Parts) (*Fleet, error) {
+	f := &Fleet{config: config, clock: with.Clock, board: with.Faults, byHost: make(map[glade.Host]*Runner)}
 	base, err := netip.ParseAddrPort(config.Base)
 	if err != nil {
 		return nil, errors.Wrap(err, "base address")
 	}
 	for i := range config.Hosts {
 		address := netip.AddrPortFrom(base.Addr(), base.Port()+uint16(i)).String()
-		listener, err := net.Listen("tcp", address)
+		runner, err := newRunner(f.place(i, address), config, with)
 		if err != nil {
-			return nil, errors.Wrapf(err, "listen on %s", address)
+			return nil, err
 		}
-		runner := newRunner(f.place(i, address), config, clock, book, listener)
 		f.runners = append(f.runners, runner)
 		f.byHost[runner.listed.Host] = runner
 	}
@@ -77,6 +84,9 @@
 // List returns the host list as it stood one lag ago.
 func (f *Fleet) List() []glade.Listed {
 	now := f.clock.Now()
+	if f.board.At(fault.List, now) == fault.Frozen {
+		return f.last()
+	}
 	var current []glade.Listed
 	for _, r := range f.runners {
 		if row, up := r.row(); up {
@@ -95,3 +105,28 @@
 	}
 	return f.listed
 }
+
+// last returns the list as it was given before.
+func (f *Fleet) last() []glade.Listed {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed
+}
+
+// Truth is the state of a host without the lag of the host list.
+type Truth struct {
+	Host    glade.Host    `json:"host"`
+	Service glade.Service `json:"service"`
+	// Open is set when the host takes new work.
+	Open bool `json:"open"`
+}
+
+// Truths returns the state of every host.
+func (f *Fleet) Truths() []Truth {
+	truths := make([]Truth, 0, len(f.runners))
+	for _, r := range f.runners {
+		row, up := r.row()
+		truths = append(truths, Truth{Host: row.Host, Service: row.Service, Open: up && !row.Leaving && row.Service != ""})
+	}
+	return truths
+}
--- a/stand/internal/fleet/runner.go
+++ b/stand/internal/fleet/runner.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
+	"indigoglade/stand/internal/fault"
 	"indigoglade/stand/internal/ledger"
 )
 
@@ -27,20 +28,28 @@
 // leaveGrace is the time after which new work on a leaving runner is late.
 const leaveGrace = 3 * time.Second
 
+// Sizes of the faults.
+const (
+	slowFactor    = 10
+	oversizeBytes = 8 << 20
+	trickleGap    = 100 * time.Millisecond
+)
+
 // maxBody bounds the size of a request body, in bytes.
 const maxBody = 1 << 20
 
 // ErrEpoch refuses a command that carries an older epoch than seen before.
 var ErrEpoch = errors.New("epoch is stale")
 
-// ErrBusy refuses a reboot while work runs.
-var ErrBusy = errors.New("host has running work")
+// ErrDown refuses a command to a host that is booting or down.
+var ErrDown = errors.New("host is not up")
 
 // Runner is one worker host with the endpoint on it.
 type Runner struct {
 	config   Config
 	clock    glade.Clock
 	book     *ledger.Ledger
+	board    *fault.Board
 	listener net.Listener
 
 	mu       sync.Mutex
@@ -51,55 +60,43 @@
 	leftAt   time.Time
 	upAt     time.Time
 	slots    chan struct{}
-	fault    Fault
 	stopping chan struct{}
 }
 
-// Fault is a misbehaviour of a runner that can be switched on.
-type Fault string
-
-// Faults of a runner.
-const (
-	FaultNone Fault = ""
-	// FaultFail reports an error for every request at once.
-	FaultFail Fault = "fail"
-	// FaultCut breaks answers off half way.
-	FaultCut Fault = "cut"
-	// FaultSlow takes ten times as long.
-	FaultSlow Fault = "slow"
-	// FaultCross answers with the id of another request.
-	FaultCross Fault = "cross"
-	// FaultDead accepts connections and never answers.
-	FaultDead Fault = "dead"
-)
-
-func newRunner(listed glade.Listed, config Config, clock glade.Clock, book *ledger.Ledger, listener net.Listener) *Runner {
-	return &Runner{
+func newRunner(listed glade.Listed, config Config, with Parts) (*Runner, error) {
+	r := &Runner{
 		config:   config,
-		clock:    clock,
-		book:     book,
-		listener: listener,
+		clock:    with.Clock,
+		book:     with.Ledger,
+		board:    with.Faults,
 		listed:   listed,
 		slots:    make(chan struct{}, config.Slots),
 		stopping: make(chan struct{}),
 	}
+	listener, err := newGate(listed.Address, r.IsDown)
+	r.listener = listener
+	return r, err
 }
 
 // Listener returns the listener of the runner's endpoint.
 func (r *Runner) Listener() net.Listener { return r.listener }
 
-// SetFault switches a misbehaviour on or off.
-func (r *Runner) SetFault(fault Fault) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.fault = fault
+// Fault returns the misbehaviour of the host that is on.
+func (r *Runner) Fault() fault.Kind {
+	return r.board.Runner(r.listed.Host, r.listed.Rack, r.clock.Now())
 }
 
+// Zone returns the availability zone of the host.
+func (r *Runner) Zone() glade.Zone { return r.listed.Zone }
+
+// IsDown tells whether the host is down by a fault.
+func (r *Runner) IsDown() bool { return r.Fault() == fault.Down }
+
 // row returns the runner's row of the host list, and whether the host is up.
 func (r *Runner) row() (glade.Listed, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.listed, !r.isBooting()
+	return r.listed, !r.isBooting() && !r.IsDown()
 }
 
 func (r *Runner) isBooting() bool { return r.clock.Now().Before(r.upAt) }
@@ -108,8 +105,8 @@
 func (r *Runner) State() (glade.WorkerState, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.isBooting() {
-		return glade.WorkerState{}, errors.New("host is booting")
+	if r.isBooting() || r.IsDown() {
+		return glade.WorkerState{}, ErrDown
 	}
 	return glade.WorkerState{
 		Host:        r.listed.Host,
@@ -169,7 +166,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	stop, fault, ok := r.enter(glade.Service(service))
+	stop, kind, ok := r.enter(glade.Service(service))
 	if !ok {
 		w.Header().Set(LeavingHeader, "true")
 		w.WriteHeader(http.StatusServiceUnavailable)
@@ -183,21 +180,21 @@
 	}
 	defer r.leave()
 	r.start(id)
-	if !r.work(request.Context(), stop, fault) {
+	if !r.work(request.Context(), stop, kind) {
 		panic(http.ErrAbortHandler)
 	}
 	r.book.Done(id)
-	r.answer(w, id, body, fault)
+	r.answer(w, id, body, kind)
 }
 
-func (r *Runner) enter(service glade.Service) (<-chan struct{}, Fault, bool) {
+func (r *Runner) enter(service glade.Service) (<-chan struct{}, fault.Kind, bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.isBooting() || service != r.listed.Service || r.flight+r.waiting >= r.config.Links {
-		return nil, FaultNone, false
+		return nil, fault.None, false
 	}
 	r.waiting++
-	return r.stopping, r.fault, true
+	return r.stopping, r.Fault(), true
 }
 
 func (r *Runner) start(id string) {
@@ -225,14 +222,14 @@
 }
 
 // work takes the time of one request. It returns false when it was broken off.
-func (r *Runner) work(ctx context.Context, stop <-chan struct{}, fault Fault) bool {
+func (r *Runner) work(ctx context.Context, stop <-chan struct{}, kind fault.Kind) bool {
 	took := r.config.Work.Duration()
-	switch fault {
-	case FaultSlow:
-		took *= 10
-	case FaultFail:
+	switch kind {
+	case fault.Slow:
+		took *= slowFactor
+	case fault.Fail:
 		took = 0
-	case FaultDead:
+	case fault.Dead:
 		took = time.Hour
 	}
 	timer := time.NewTimer(took)
@@ -247,25 +244,53 @@
 	}
 }
 
-func (r *Runner) answer(w http.ResponseWriter, id string, body []byte, fault Fault) {
-	if fault == FaultCross {
+func (r *Runner) answer(w http.ResponseWriter, id string, body []byte, kind fault.Kind) {
+	if kind == fault.Cross {
 		id += "x"
 	}
 	w.Header().Set(RequestHeader, id)
 	if state, err := r.State(); err == nil && state.Draining {
 		w.Header().Set(LeavingHeader, "true")
 	}
-	if fault == FaultFail {
-		w.WriteHeader(http.StatusInternalServerError)
-		return
-	}
 	reply := append([]byte(id+" "), body...)
-	w.Header().Set("Content-Length", strconv.Itoa(len(reply)))
-	if fault == FaultCut {
-		reply = reply[:len(reply)/2]
+	switch kind {
+	case fault.Fail:
+		w.WriteHeader(http.StatusInternalServerError)
+	case fault.Garbage:
+		writeGarbage(w)
+	case fault.Oversize:
+		w.Write(make([]byte, oversizeBytes))
+	case fault.Trickle:
+		trickle(w, reply)
+	case fault.Cut:
+		w.Header().Set("Content-Length", strconv.Itoa(len(reply)))
+		w.Write(reply[:len(reply)/2])
+		panic(http.ErrAbortHandler)
+	default:
+		w.Header().Set("Content-Length", strconv.Itoa(len(reply)))
+		w.Write(reply)
 	}
-	w.Write(reply)
-	if fault == FaultCut {
+}
+
+// writeGarbage sends bytes that are no HTTP answer.
+func writeGarbage(w http.ResponseWriter) {
+	raw, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	defer raw.Close()
+	raw.Write([]byte("\x00\xffno answer\r\n\r\n"))
+}
+
+// trickle sends the answer a byte at a time.
+func trickle(w http.ResponseWriter, reply []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(reply)))
+	flush := http.NewResponseController(w)
+	for i := range reply {
+		w.Write(reply[i : i+1])
+		if flush.Flush() != nil {
+			return
+		}
+		time.Sleep(trickleGap)
+	}
 }
--- a/stand/internal/server/server.go
+++ b/stand/internal/server/server.go
@@ -11,6 +11,7 @@
 	"indigoglade/daemon"
 	"indigoglade/memory"
 	"indigoglade/remote"
+	"indigoglade/stand/internal/fault"
 	"indigoglade/stand/internal/fleet"
 	"indigoglade/stand/internal/ledger"
 )
@@ -19,6 +20,8 @@
 type Config struct {
 	Fleet  *fleet.Fleet
 	Ledger *ledger.Ledger
+	Faults *fault.Board
+	Clock  glade.Clock
 }
 
 // Server is the platform's front.
@@ -27,6 +30,8 @@
 	objects *memory.Objects
 	fleet   *fleet.Fleet
 	ledger  *ledger.Ledger
+	faults  *fault.Board
+	clock   glade.Clock
 }
 
 // New returns a platform with an empty table and object store.
@@ -36,22 +41,28 @@
 		objects: memory.NewObjects(),
 		fleet:   config.Fleet,
 		ledger:  config.Ledger,
+		faults:  config.Faults,
+		clock:   config.Clock,
 	}
 }
 
 // Handler returns the routes of the platform.
 func (s *Server) Handler() http.Handler {
 	e := daemon.NewEcho()
-	e.POST("/table/get", handle(s.get))
-	e.POST("/table/scan", handle(s.scan))
-	e.POST("/table/commit", handle(s.commit))
-	e.POST("/object/get", handle(s.getObject))
-	e.POST("/object/create", handle(s.createObject))
-	e.POST("/hosts", handle(s.hosts))
+	e.Use(s.cutZones)
+	e.POST("/table/get", handle(s.get), s.faulty(fault.Table))
+	e.POST("/table/scan", handle(s.scan), s.faulty(fault.Table))
+	e.POST("/table/commit", handle(s.commit), s.faulty(fault.Table), s.lossy(fault.Table))
+	e.POST("/object/get", handle(s.getObject), s.faulty(fault.Objects))
+	e.POST("/object/create", handle(s.createObject), s.faulty(fault.Objects), s.lossy(fault.Objects))
+	e.POST("/hosts", handle(s.hosts), s.faulty(fault.List))
 	e.POST("/worker/state", handle(s.state))
 	e.POST("/worker/drain", handle(s.drain))
 	e.POST("/worker/reboot", handle(s.reboot))
 	e.GET("/ledger", s.book)
+	e.GET("/truth", s.truth)
+	e.GET("/fault", s.activeFaults)
+	e.POST("/fault", s.startFaults)
 	return e
 }
 
@@ -108,33 +119,48 @@
 }
 
 func (s *Server) state(_ echo.Context, in remote.HostCall) (glade.WorkerState, error) {
-	runner, ok := s.fleet.Runner(in.Host)
-	if !ok {
-		return glade.WorkerState{}, errNoHost
+	runner, err := s.runner(in.Host)
+	if err != nil {
+		return glade.WorkerState{}, err
 	}
 	return runner.State()
 }
 
 func (s *Server) drain(_ echo.Context, in remote.HostCall) (remote.None, error) {
-	runner, ok := s.fleet.Runner(in.Host)
-	if !ok {
-		return remote.None{}, errNoHost
+	runner, err := s.runner(in.Host)
+	if err != nil {
+		return remote.None{}, err
 	}
 	return remote.None{}, runner.Drain(in.Epoch)
 }
 
 func (s *Server) reboot(_ echo.Context, in remote.HostCall) (remote.None, error) {
-	runner, ok := s.fleet.Runner(in.Host)
-	if !ok {
-		return remote.None{}, errNoHost
+	runner, err := s.runner(in.Host)
+	if err != nil {
+		return remote.None{}, err
 	}
 	return remote.None{}, runner.Reboot(in.Epoch, in.Service)
 }
 
+// runner returns the runner of a host that commands can reach: it is up, and
+// its zone is not cut off from the platform.
+func (s *Server) runner(host glade.Host) (*fleet.Runner, error) {
+	runner, ok := s.fleet.Runner(host)
+	if !ok {
+		return nil, errNoHost
+	}
+	if runner.IsDown() || s.faults.IsCut(runner.Zone(), s.clock.Now()) {
+		return nil, fleet.ErrDown
+	}
+	return runner, nil
+}
+
 func (s *Server) book(c echo.Context) error {
 	return c.JSON(http.StatusOK, LedgerReply{Counts: s.ledger.Counts(), Totals: s.ledger.Totals()})
 }
 
+func (s *Server) truth(c echo.Context) error { return c.JSON(http.StatusOK, s.fleet.Truths()) }
+
 // LedgerReply is what the endpoints really ran.
 type LedgerReply struct {
 	Counts map[string]ledger.Count `json:"counts"`
--- a/stand/main.go
+++ b/stand/main.go
@@ -10,15 +10,20 @@
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
+	glade "indigoglade"
 	"indigoglade/clock"
+	"indigoglade/config"
 	"indigoglade/daemon"
+	"indigoglade/stand/internal/fault"
 	"indigoglade/stand/internal/fleet"
 	"indigoglade/stand/internal/ledger"
+	"indigoglade/stand/internal/relay"
 	"indigoglade/stand/internal/server"
 )
 
 type flags struct {
 	Config string `arg:"" type:"existingfile" help:"Settings file, JSON with comments."`
+	Faults string `type:"existingfile" help:"Script of faults, which starts with the program."`
 }
 
 const grace = 5 * time.Second
@@ -37,26 +42,58 @@
 	if err != nil {
 		return errors.Wrap(err, "read settings")
 	}
-	file := fleet.ReadConfig(f.Config, source)
-	if problems := file.Problems(); len(problems) > 0 {
-		for _, p := range problems {
-			fmt.Fprintln(os.Stderr, p)
-		}
-		return errors.Errorf("%s: %d problems", f.Config, len(problems))
+	settings, err := config.Finish(fleet.ReadConfig(f.Config, source), os.Stderr)
+	if err != nil {
+		return err
+	}
+	board := fault.New()
+	if err := startScript(f.Faults, board); err != nil {
+		return err
 	}
-	config := file.Value()
-	book := ledger.New()
-	hosts, err := fleet.New(config, clock.System{}, book)
+	parts := fleet.Parts{Clock: clock.System{}, Ledger: ledger.New(), Faults: board}
+	hosts, err := fleet.New(settings, parts)
 	if err != nil {
 		return err
 	}
 	group := daemon.New(daemon.Config{Name: "stand", Output: os.Stderr, Grace: grace})
-	platform := server.New(server.Config{Fleet: hosts, Ledger: book})
-	if err := group.Serve(config.Platform, platform.Handler(), nil); err != nil {
+	platform := server.New(server.Config{Fleet: hosts, Ledger: parts.Ledger, Faults: board, Clock: parts.Clock})
+	if err := group.Serve(settings.Platform, platform.Handler(), nil); err != nil {
 		return err
 	}
 	for _, runner := range hosts.Runners() {
 		group.ServeOn(runner.Listener(), runner, nil)
 	}
+	if err := addRelays(group, settings.Relays, board); err != nil {
+		return err
+	}
 	return group.Run()
 }
+
+// startScript takes up the script of faults in a file, if one is named.
+func startScript(name string, board *fault.Board) error {
+	if name == "" {
+		return nil
+	}
+	source, err := os.ReadFile(name)
+	if err != nil {
+		return errors.Wrap(err, "read script of faults")
+	}
+	script, err := config.Finish(fault.Read(name, source), os.Stderr)
+	if err != nil {
+		return err
+	}
+	board.Start(script, clock.System{}.Now())
+	return nil
+}
+
+func addRelays(group *daemon.Group, specs []relay.Spec, board *fault.Board) error {
+	isCut := func(zone glade.Zone) bool { return board.IsCut(zone, clock.System{}.Now()) }
+	for _, spec := range specs {
+		one, err := relay.New(relay.Config{Spec: spec, IsCut: isCut})
+		if err != nil {
+			return err
+		}
+		group.Add(one.Run)
+	}
+	return nil
+}
