Check every outcome of open load against the ledger while a wave, a cut and a change run

Cause: the load tool sent one request after the other from 16 callers, so that a stall hid its own cost, never sent again, and the demo ran it after the wave and without any cut.

Change: bench load is open: services peak by turns at five times their mean and rest at a twentieth; callers send again to other entry hosts with Request-Key and Request-Resend, send twice at once, send slowly or leave. A histogram for each outcome, reasons, a table by service, JSON, progress on a terminal. A watcher counts hosts down from the platform's rows and the stand-ins' own view. The demo runs a wave, a contract change and a zone cut under that load and fails when a promise did not hold. The stand-ins' work takes 200 ms, so that a pool holds 400 a second and the peak of 500 is more than it holds; the contracts promise that rate.

--- a/bench/internal/load/load.go
+++ b/bench/internal/load/load.go
@@ -1,20 +1,18 @@
 // Package load sends work to running entry hosts and checks every outcome
 // against the endpoints' own ledger.
+//
+// The load is open: requests start at their time whether or not earlier ones
+// have ended, and latency counts from that time, so that a stall of the system
+// shows in every request that it delays.
 package load
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
-	"net/http"
 	"os"
-	"sync"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
@@ -25,32 +23,25 @@
 
 // Command drives load.
 type Command struct {
-	Site    string        `default:"site.json" type:"existingfile" help:"Site file."`
-	Time    time.Duration `default:"10s" help:"How long to send."`
-	Callers int           `default:"16" help:"Callers that send at once."`
-	Seed    uint64        `default:"1" help:"Seed of the order of work."`
+	Site   string        `default:"site.json" type:"existingfile" help:"Site file."`
+	Time   time.Duration `default:"10s" help:"How long to send."`
+	Turn   time.Duration `default:"3s" help:"How long each service peaks before the next one does."`
+	Mean   float64       `default:"1.25" help:"Mean requests per second for each slot that the contracts promise."`
+	Flight int           `default:"4096" help:"Most requests in flight; further ones are counted as unsent."`
+	Seed   uint64        `default:"1" help:"Seed of every random choice."`
+	Faults string        `type:"existingfile" help:"Script of faults to start on the stand-ins with the load."`
+	Output string        `short:"o" enum:"text,json" default:"text" help:"Form of the output: ${enum}."`
 }
 
-// target is one service that can be asked.
-type target struct {
-	customer glade.Customer
-	service  glade.Service
-}
+// settleTime is how long endpoints may go on after the last caller was served.
+const settleTime = 2 * time.Second
 
-// sent is what a caller saw of one request.
-type sent struct {
-	id      string
-	outcome string
-	whole   bool
-}
+// errBroken marks a run in which a promise did not hold.
+var errBroken = errors.New("a promise did not hold")
 
-// Run sends, then compares.
+// Run sends, then compares. It returns an error when a promise did not hold.
 func (l Command) Run() error {
-	source, err := os.ReadFile(l.Site)
-	if err != nil {
-		return errors.Wrap(err, "read site file")
-	}
-	site, err := config.Finish(config.ReadSite(l.Site, source), os.Stderr)
+	site, err := readSite(l.Site)
 	if err != nil {
 		return err
 	}
@@ -60,13 +51,45 @@
 	if err != nil {
 		return err
 	}
-	all := l.drive(ctx, site, targets)
-	counts, err := fetchLedger(site.Platform)
+	if err := startFaults(site.Platform, l.Faults); err != nil {
+		return err
+	}
+	watch := newWatcher(site)
+	go watch.run(ctx)
+	saw := newRecorder(l.progress())
+	l.drive(ctx, site, targets, saw)
+	report, err := l.report(saw, targets, watch, site.Platform)
 	if err != nil {
 		return err
 	}
-	fmt.Println(compare(all, counts))
-	return nil
+	return report.finish(os.Stdout, l.Output == "json")
+}
+
+func (l Command) report(saw *recorder, targets []target, watch *watcher, platform string) (Report, error) {
+	records := saw.finish()
+	time.Sleep(settleTime)
+	ledger, err := fetch[Ledger](platform, "/ledger")
+	if err != nil {
+		return Report{}, err
+	}
+	watch.wait()
+	return newReport(records, ledger, targets, watch), nil
+}
+
+func readSite(name string) (config.SiteSpec, error) {
+	source, err := os.ReadFile(name)
+	if err != nil {
+		return config.SiteSpec{}, errors.Wrap(err, "read site file")
+	}
+	return config.Finish(config.ReadSite(name, source), os.Stderr)
+}
+
+// target is one service that can be asked.
+type target struct {
+	customer   glade.Customer
+	service    glade.Service
+	slots      int
+	repeatable bool
 }
 
 func findTargets(ctx context.Context, site config.SiteSpec) ([]target, error) {
@@ -78,148 +101,67 @@
 	var targets []target
 	for _, record := range records {
 		for _, pool := range record.Data().Spec.Pools {
-			if pool.Hosts > 0 {
-				targets = append(targets, target{customer: record.Data().Spec.Customer, service: pool.Serve})
+			if pool.Hosts > 0 && pool.Serve != "" {
+				targets = append(targets, target{
+					customer:   record.Data().Spec.Customer,
+					service:    pool.Serve,
+					slots:      pool.Hosts * pool.Slots,
+					repeatable: pool.Repeatable,
+				})
 			}
 		}
 	}
 	if len(targets) == 0 {
-		return nil, errors.New("no contract has a pool with hosts")
+		return nil, errors.New("no contract has a pool with hosts; apply contracts first")
 	}
 	return targets, nil
 }
 
-// drive runs the callers until ctx ends and returns what they saw.
-func (l Command) drive(ctx context.Context, site config.SiteSpec, targets []target) []sent {
-	var wait sync.WaitGroup
-	callers := make([]*caller, l.Callers)
-	for i := range callers {
-		callers[i] = &caller{
-			site:    site,
-			targets: targets,
-			random:  rand.New(rand.NewPCG(l.Seed, uint64(i))),
-			wait:    &wait,
-			client:  &http.Client{Timeout: callTimeout, Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+// drive sends until ctx ends and waits for the requests in flight.
+func (l Command) drive(ctx context.Context, site config.SiteSpec, targets []target, saw *recorder) {
+	client := newClient(site)
+	start := time.Now()
+	flight := make(chan struct{}, l.Flight)
+	var sources []*source
+	for i, t := range targets {
+		s := &source{
+			target: t,
+			shape:  shape{mean: l.Mean * float64(t.slots), turn: l.Turn, index: i, count: len(targets)},
+			random: newRandom(l.Seed, uint64(i)),
+			start:  start,
+			client: client,
+			flight: flight,
+			saw:    saw,
+			done:   make(chan struct{}),
 		}
-		wait.Add(1)
-		go callers[i].run(ctx)
+		sources = append(sources, s)
+		go s.run(ctx)
 	}
-	wait.Wait()
-	var all []sent
-	for _, c := range callers {
-		all = append(all, c.saw...)
+	for _, s := range sources {
+		<-s.done
 	}
-	return all
-}
-
-const callTimeout = 10 * time.Second
-
-// caller sends one request after the other.
-type caller struct {
-	site    config.SiteSpec
-	targets []target
-	random  *rand.Rand
-	wait    *sync.WaitGroup
-	client  *http.Client
-	saw     []sent
-}
-
-func (c *caller) run(ctx context.Context) {
-	defer c.wait.Done()
-	for ctx.Err() == nil {
-		c.saw = append(c.saw, c.call())
+	for range l.Flight {
+		flight <- struct{}{}
 	}
 }
 
-func (c *caller) call() sent {
-	entry := c.site.Entries[c.random.IntN(len(c.site.Entries))]
-	t := c.targets[c.random.IntN(len(c.targets))]
-	id := uuid.NewString()
-	url := fmt.Sprintf("http://%s/v1/%s/%s", entry.Listen, t.customer, t.service)
-	request, err := http.NewRequest(http.MethodPost, url, bytes.NewReader([]byte("roof "+id)))
-	if err != nil {
-		return sent{id: id, outcome: "refused"}
-	}
-	request.Header.Set("Request-Id", id)
-	reply, err := c.client.Do(request)
-	if err != nil {
-		return sent{id: id, outcome: "unknown"}
+// progress returns where to show progress, or nil when standard error is no
+// terminal.
+func (l Command) progress() io.Writer {
+	info, err := os.Stderr.Stat()
+	if err != nil || info.Mode()&os.ModeCharDevice == 0 {
+		return nil
 	}
-	defer reply.Body.Close()
-	body, err := io.ReadAll(reply.Body)
-	whole := err == nil && string(body) == id+" roof "+id
-	return sent{id: id, outcome: reply.Header.Get("Outcome"), whole: whole}
+	return os.Stderr
 }
 
-// Count is what the endpoints know of one request.
-type Count struct {
-	Runs int `json:"runs"`
-	Done int `json:"done"`
-}
-
-// Ledger is what the endpoints really ran.
-type Ledger struct {
-	Counts map[string]Count `json:"counts"`
-	Totals struct {
-		Cut  int `json:"cut"`
-		Late int `json:"late"`
-		Peak int `json:"peak"`
-	} `json:"totals"`
-}
-
-func fetchLedger(platform string) (Ledger, error) {
-	var ledger Ledger
-	reply, err := http.Get("http://" + platform + "/ledger")
-	if err != nil {
-		return ledger, errors.Wrap(err, "fetch ledger")
+// finish prints the report and returns an error when a promise did not hold.
+func (r Report) finish(w io.Writer, asJSON bool) error {
+	if err := r.print(w, asJSON); err != nil {
+		return err
 	}
-	defer reply.Body.Close()
-	return ledger, errors.Wrap(json.NewDecoder(reply.Body).Decode(&ledger), "decode ledger")
-}
-
-// Totals compares what callers saw with what endpoints ran.
-type Totals struct {
-	Sent     int `json:"sent"`
-	Answered int `json:"answered"`
-	Refused  int `json:"refused"`
-	Failed   int `json:"failed"`
-	Unknown  int `json:"unknown"`
-	// Twice counts requests that ran more than once.
-	Twice int `json:"twice"`
-	// Lost counts answers that did not run or were not whole, and refusals that
-	// ran.
-	Lost int `json:"lost"`
-}
-
-// String formats the totals as the demo's last line.
-func (t Totals) String() string {
-	return fmt.Sprintf("sent %d answered %d refused %d failed %d unknown %d twice %d lost %d",
-		t.Sent, t.Answered, t.Refused, t.Failed, t.Unknown, t.Twice, t.Lost)
-}
-
-func compare(all []sent, ledger Ledger) Totals {
-	t := Totals{Sent: len(all)}
-	for _, s := range all {
-		count := ledger.Counts[s.id]
-		if count.Runs > 1 {
-			t.Twice++
-		}
-		switch s.outcome {
-		case "answered":
-			t.Answered++
-			if count.Done == 0 || !s.whole {
-				t.Lost++
-			}
-		case "refused":
-			t.Refused++
-			if count.Runs > 0 {
-				t.Lost++
-			}
-		case "failed":
-			t.Failed++
-		default:
-			t.Unknown++
-		}
+	if broken := r.broken(); len(broken) > 0 {
+		return errors.Wrap(errBroken, fmt.Sprint(broken))
 	}
-	return t
+	return nil
 }
--- /dev/null
+++ b/bench/internal/load/record.go
@@ -0,0 +1,131 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	glade "indigoglade"
+)
+
+// record is one request with what its caller saw.
+type record struct {
+	id      string
+	target  target
+	manner  manner
+	tries   []try
+	latency time.Duration
+}
+
+// outcome sums up the tries of one request. An answer settles it. Without one,
+// a single try that may have run leaves the whole request unknown or failed. A
+// refusal that points to another run of the same key says nothing of that run,
+// so it is a refusal of the whole only beside no other.
+func (r record) outcome() glade.Outcome {
+	worst := glade.Refused
+	for _, t := range r.tries {
+		switch t.outcome {
+		case glade.Answered:
+			return glade.Answered
+		case glade.Unknown:
+			worst = glade.Unknown
+		case glade.Failed:
+			if worst != glade.Unknown {
+				worst = glade.Failed
+			}
+		case glade.Refused:
+			if worst == glade.Refused && isElsewhere(t.reason) {
+				worst = glade.Unknown
+			}
+		}
+	}
+	return worst
+}
+
+// isElsewhere tells whether a refusal rests on another run of the same key.
+func isElsewhere(reason glade.Reason) bool {
+	return reason == glade.ReasonDuplicate || reason == glade.ReasonHistory
+}
+
+// isWhole tells whether every answer that the caller got was its own.
+func (r record) isWhole() bool {
+	for _, t := range r.tries {
+		if t.outcome == glade.Answered && !t.whole {
+			return false
+		}
+	}
+	return true
+}
+
+// ringLength bounds the records on their way to the recorder.
+const ringLength = 1024
+
+const progressPeriod = 500 * time.Millisecond
+
+// recorder collects the records of every caller.
+type recorder struct {
+	ring     chan record
+	records  []record
+	counts   map[glade.Outcome]int
+	unsent   atomic.Int64
+	progress io.Writer
+	start    time.Time
+	done     chan struct{}
+}
+
+func newRecorder(progress io.Writer) *recorder {
+	r := &recorder{
+		ring:     make(chan record, ringLength),
+		counts:   make(map[glade.Outcome]int),
+		progress: progress,
+		start:    time.Now(),
+		done:     make(chan struct{}),
+	}
+	go r.run()
+	return r
+}
+
+func (r *recorder) add(one record) { r.ring <- one }
+
+func (r *recorder) run() {
+	defer close(r.done)
+	ticker := time.NewTicker(progressPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case one, open := <-r.ring:
+			if !open {
+				r.show("\n")
+				return
+			}
+			r.records = append(r.records, one)
+			r.counts[one.outcome()]++
+		case <-ticker.C:
+			r.show("")
+		}
+	}
+}
+
+// show rewrites the line of progress.
+func (r *recorder) show(end string) {
+	if r.progress == nil {
+		return
+	}
+	fmt.Fprintf(r.progress, "\r%5.1f s  ended %d  answered %d  refused %d  failed %d  unknown %d %s",
+		time.Since(r.start).Seconds(), len(r.records), r.counts[glade.Answered], r.counts[glade.Refused],
+		r.counts[glade.Failed], r.counts[glade.Unknown], end)
+}
+
+// finish returns the records after the last caller has ended.
+func (r *recorder) finish() records {
+	close(r.ring)
+	<-r.done
+	return records{all: r.records, unsent: int(r.unsent.Load())}
+}
+
+// records are all requests of a run, read-only.
+type records struct {
+	all    []record
+	unsent int
+}
--- /dev/null
+++ b/bench/internal/load/report.go
@@ -0,0 +1,226 @@
+package load
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/pkg/errors"
+
+	glade "indigoglade"
+)
+
+// Totals compares what callers saw with what endpoints ran.
+type Totals struct {
+	Sent     int `json:"sent"`
+	Answered int `json:"answered"`
+	Refused  int `json:"refused"`
+	Failed   int `json:"failed"`
+	Unknown  int `json:"unknown"`
+	// Twice counts requests that ran more than once though their work is not
+	// repeatable.
+	Twice int `json:"twice"`
+	// Lost counts answers that did not run or were not whole, and refusals that
+	// ran.
+	Lost int `json:"lost"`
+}
+
+// String formats the totals as the demo's last line.
+func (t Totals) String() string {
+	return fmt.Sprintf("sent %d answered %d refused %d failed %d unknown %d twice %d lost %d",
+		t.Sent, t.Answered, t.Refused, t.Failed, t.Unknown, t.Twice, t.Lost)
+}
+
+// add takes up one request.
+func (t *Totals) add(r record, count Count) {
+	t.Sent++
+	if count.Runs > 1 && !r.target.repeatable {
+		t.Twice++
+	}
+	lost := !r.isWhole()
+	switch r.outcome() {
+	case glade.Answered:
+		t.Answered++
+		lost = lost || count.Done == 0
+	case glade.Refused:
+		t.Refused++
+		lost = lost || count.Runs > 0
+	case glade.Failed:
+		t.Failed++
+	case glade.Unknown:
+		t.Unknown++
+	}
+	if lost {
+		t.Lost++
+	}
+}
+
+// Latency is the distribution of the latency of one outcome, in milliseconds.
+type Latency struct {
+	Outcome string  `json:"outcome"`
+	Count   int64   `json:"count"`
+	P50     float64 `json:"p50"`
+	P90     float64 `json:"p90"`
+	P99     float64 `json:"p99"`
+	Max     float64 `json:"max"`
+}
+
+// Served is what callers saw of one service.
+type Served struct {
+	Customer glade.Customer `json:"customer"`
+	Service  glade.Service  `json:"service"`
+	Totals
+}
+
+// Report is the result of a run.
+type Report struct {
+	Totals    Totals         `json:"totals"`
+	Services  []Served       `json:"services"`
+	Latencies []Latency      `json:"latencies"`
+	Reasons   map[string]int `json:"reasons"`
+	// Resent counts requests that were sent more than once.
+	Resent int `json:"resent"`
+	// Reruns counts repeatable requests that ran more than once.
+	Reruns int `json:"reruns"`
+	// Unsent counts requests beyond the bound of requests in flight.
+	Unsent    int       `json:"unsent"`
+	Endpoints Endpoints `json:"endpoints"`
+	Budgets   []Budget  `json:"budgets"`
+	// Looks and Misses count how often the budgets could be looked at or not.
+	Looks  int `json:"looks"`
+	Misses int `json:"misses"`
+}
+
+// Bounds and precision of the histograms, in microseconds and digits.
+const (
+	lowest  = 1
+	highest = 120_000_000
+	digits  = 3
+)
+
+func newReport(all records, ledger Ledger, targets []target, watch *watcher) Report {
+	r := Report{
+		Reasons:   make(map[string]int),
+		Unsent:    all.unsent,
+		Endpoints: ledger.Totals,
+		Budgets:   watch.tracker.report(),
+		Looks:     watch.looks,
+		Misses:    watch.misses,
+	}
+	services := make(map[target]*Totals)
+	histograms := make(map[glade.Outcome]*hdrhistogram.Histogram)
+	for _, one := range all.all {
+		r.add(one, ledger.Counts[one.id])
+		if services[one.target] == nil {
+			services[one.target] = &Totals{}
+		}
+		services[one.target].add(one, ledger.Counts[one.id])
+		observe(histograms, one)
+	}
+	for _, t := range targets {
+		if totals := services[t]; totals != nil {
+			r.Services = append(r.Services, Served{Customer: t.customer, Service: t.service, Totals: *totals})
+		}
+	}
+	r.Latencies = latencies(histograms)
+	return r
+}
+
+func (r *Report) add(one record, count Count) {
+	r.Totals.add(one, count)
+	if len(one.tries) > 1 {
+		r.Resent++
+	}
+	if count.Runs > 1 && one.target.repeatable {
+		r.Reruns++
+	}
+	if last := one.tries[len(one.tries)-1]; last.reason != glade.ReasonNone {
+		r.Reasons[last.outcome.String()+"."+string(last.reason)]++
+	}
+}
+
+func observe(histograms map[glade.Outcome]*hdrhistogram.Histogram, one record) {
+	outcome := one.outcome()
+	if histograms[outcome] == nil {
+		histograms[outcome] = hdrhistogram.New(lowest, highest, digits)
+	}
+	// A latency above the highest value is recorded as that.
+	_ = histograms[outcome].RecordValue(min(one.latency.Microseconds(), highest))
+}
+
+func latencies(histograms map[glade.Outcome]*hdrhistogram.Histogram) []Latency {
+	var list []Latency
+	for _, outcome := range []glade.Outcome{glade.Answered, glade.Refused, glade.Failed, glade.Unknown} {
+		h := histograms[outcome]
+		if h == nil {
+			continue
+		}
+		ms := func(micros int64) float64 { return float64(micros) / float64(time.Millisecond/time.Microsecond) }
+		list = append(list, Latency{
+			Outcome: outcome.String(), Count: h.TotalCount(),
+			P50: ms(h.ValueAtQuantile(50)), P90: ms(h.ValueAtQuantile(90)), P99: ms(h.ValueAtQuantile(99)), Max: ms(h.Max()),
+		})
+	}
+	return list
+}
+
+// broken names the promises that did not hold.
+func (r Report) broken() []string {
+	var names []string
+	for _, p := range []struct {
+		name  string
+		count int
+	}{
+		{"ran twice", r.Totals.Twice},
+		{"lost", r.Totals.Lost},
+		{"cut by a planned stop", r.Endpoints.Cut},
+		{"late on a leaving endpoint", r.Endpoints.Late},
+	} {
+		if p.count > 0 {
+			names = append(names, fmt.Sprintf("%s: %d", p.name, p.count))
+		}
+	}
+	for _, b := range r.Budgets {
+		if b.IsBroken() {
+			names = append(names, fmt.Sprintf("budget of %s: %d down, %d allowed", b.Pool, b.Most, b.Allowed))
+		}
+	}
+	return names
+}
+
+func (r Report) print(w io.Writer, asJSON bool) error {
+	if asJSON {
+		encoder := json.NewEncoder(w)
+		encoder.SetIndent("", "  ")
+		return errors.Wrap(encoder.Encode(r), "write report")
+	}
+	r.text(w)
+	return nil
+}
+
+func (r Report) text(w io.Writer) {
+	fmt.Fprintf(w, "%-10s %-10s %7s %9s %8s %7s %8s\n", "customer", "service", "sent", "answered", "refused", "failed", "unknown")
+	for _, s := range r.Services {
+		fmt.Fprintf(w, "%-10s %-10s %7d %9d %8d %7d %8d\n", s.Customer, s.Service, s.Sent, s.Answered, s.Refused, s.Failed, s.Unknown)
+	}
+	for _, l := range r.Latencies {
+		fmt.Fprintf(w, "latency of %-9s p50 %.1f ms  p90 %.1f ms  p99 %.1f ms  max %.1f ms\n", l.Outcome, l.P50, l.P90, l.P99, l.Max)
+	}
+	fmt.Fprintln(w, "reasons", r.Reasons)
+	fmt.Fprintf(w, "sent more than once %d, repeatable work run again %d, not sent for lack of room %d\n", r.Resent, r.Reruns, r.Unsent)
+	fmt.Fprintf(w, "new work on leaving endpoints %d, work cut by planned stops %d, most in flight on one endpoint %d\n",
+		r.Endpoints.Late, r.Endpoints.Cut, r.Endpoints.Peak)
+	for _, b := range r.Budgets {
+		verdict := "held"
+		if b.IsBroken() {
+			verdict = "broken"
+		}
+		fmt.Fprintf(w, "budget of %-10s %s: at most %d down, %d allowed\n", b.Pool, verdict, b.Most, b.Allowed)
+	}
+	if r.Misses > 0 {
+		fmt.Fprintf(w, "budgets not looked at %d times of %d\n", r.Misses, r.Looks+r.Misses)
+	}
+	fmt.Fprintln(w, r.Totals)
+}
--- /dev/null
+++ b/bench/internal/load/watch.go
@@ -0,0 +1,145 @@
+package load
+
+import (
+	"context"
+	"sort"
+	"time"
+
+	glade "indigoglade"
+	"indigoglade/config"
+	"indigoglade/remote"
+	"indigoglade/table"
+)
+
+// watchPeriod is how often the watcher looks.
+const watchPeriod = 200 * time.Millisecond
+
+// Budget is what the watcher saw of one pool's availability budget.
+type Budget struct {
+	Pool glade.Pool `json:"pool"`
+	// Allowed is the greatest number of hosts that may be down at once.
+	Allowed int `json:"allowed"`
+	// Most is the greatest number that was down at once.
+	Most int `json:"most"`
+}
+
+// IsBroken tells whether more hosts were down than allowed.
+func (b Budget) IsBroken() bool { return b.Most > b.Allowed }
+
+// tracker counts the hosts that are down from the rows of the table service and
+// the stand-ins' own view of the hosts, not from what keepers say of
+// themselves.
+type tracker struct {
+	// served maps each host to the pool in which it was last open. A host that
+	// joins a pool counts as down only after it has once been up there.
+	served  map[glade.Host]glade.Pool
+	budgets map[glade.Pool]*Budget
+}
+
+func newTracker() *tracker {
+	return &tracker{served: make(map[glade.Host]glade.Pool), budgets: make(map[glade.Pool]*Budget)}
+}
+
+// look takes up one state of the fleet.
+func (t *tracker) look(contracts []glade.ContractSpec, rows []glade.HostRow, truths []truth) {
+	open := make(map[glade.Host]glade.Service)
+	for _, one := range truths {
+		if one.Open {
+			open[one.Host] = one.Service
+		}
+	}
+	down := make(map[glade.Pool]int)
+	for _, row := range rows {
+		if open[row.Host] == row.Service {
+			t.served[row.Host] = row.Pool
+		} else if t.served[row.Host] == row.Pool {
+			down[row.Pool]++
+		}
+	}
+	for _, spec := range contracts {
+		for _, pool := range spec.Pools {
+			t.note(pool.Name, spec.Budget.Down, down[pool.Name])
+		}
+	}
+}
+
+func (t *tracker) note(pool glade.Pool, allowed, down int) {
+	b, ok := t.budgets[pool]
+	if !ok {
+		b = &Budget{Pool: pool, Allowed: allowed}
+		t.budgets[pool] = b
+	}
+	// A contract that lowers the budget must not count what was right before.
+	b.Allowed = max(b.Allowed, allowed)
+	b.Most = max(b.Most, down)
+}
+
+func (t *tracker) report() []Budget {
+	budgets := make([]Budget, 0, len(t.budgets))
+	for _, b := range t.budgets {
+		budgets = append(budgets, *b)
+	}
+	sort.Slice(budgets, func(i, j int) bool { return budgets[i].Pool < budgets[j].Pool })
+	return budgets
+}
+
+// watcher looks at the fleet while load runs.
+type watcher struct {
+	platform *remote.Client
+	address  string
+	tracker  *tracker
+	looks    int
+	misses   int
+	done     chan struct{}
+}
+
+func newWatcher(site config.SiteSpec) *watcher {
+	return &watcher{
+		platform: remote.New(remote.Config{Address: site.Platform, Zone: "operator"}),
+		address:  site.Platform,
+		tracker:  newTracker(),
+		done:     make(chan struct{}),
+	}
+}
+
+func (w *watcher) run(ctx context.Context) {
+	defer close(w.done)
+	for ctx.Err() == nil {
+		if err := w.look(ctx); err != nil {
+			w.misses++
+		} else {
+			w.looks++
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(watchPeriod):
+		}
+	}
+}
+
+func (w *watcher) wait() { <-w.done }
+
+func (w *watcher) look(ctx context.Context) error {
+	contracts, err := table.LoadAll[glade.ContractRow](ctx, w.platform, glade.PrefixContract)
+	if err != nil {
+		return err
+	}
+	hosts, err := table.LoadAll[glade.HostRow](ctx, w.platform, glade.PrefixHost)
+	if err != nil {
+		return err
+	}
+	truths, err := fetch[[]truth](w.address, "/truth")
+	if err != nil {
+		return err
+	}
+	var specs []glade.ContractSpec
+	for _, record := range contracts {
+		specs = append(specs, record.Data().Spec)
+	}
+	var rows []glade.HostRow
+	for _, record := range hosts {
+		rows = append(rows, record.Data())
+	}
+	w.tracker.look(specs, rows, truths)
+	return nil
+}
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -1,18 +1,21 @@
 #!/usr/bin/env bash
-# Runs the real programs on the built-in stand-ins and ends by itself.
+# Runs the real programs on the built-in stand-ins and ends by itself: load runs
+# while a maintenance wave, a contract change and a zone cut happen. It fails
+# when a promise did not hold.
 set -eu
 top=$(cd "$(dirname "$0")/.." && pwd)
 deploy=$top/deploy/${1:-gunescati}
 bin=$top/bin
 logs=$(mktemp -d)
 pids=()
+load_time=20s
 
 stop() {
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
-  rm -rf "$logs"
+  pids=()
 }
-trap stop EXIT
+trap 'stop; rm -rf "$logs"' EXIT
 
 start() { # NAME, then the program and its arguments
   local name=$1
@@ -23,20 +26,37 @@
 
 indigo() { "$bin/indigo" --site "$deploy/site.json" "$@"; }
 
+wait_for_hosts() {
+  for _ in $(seq 100); do
+    [ "$(indigo show hosts | grep -c serving || true)" -lt 50 ] || return 0
+    sleep 0.2
+  done
+}
+
 start stand "$bin/stand" "$deploy/stand.json"
 until indigo show contracts >/dev/null 2>&1; do sleep 0.1; done
 for file in "$deploy"/e*.json; do start "$(basename "$file" .json)" "$bin/entry" "$file"; done
 for file in "$deploy"/k*.json; do start "$(basename "$file" .json)" "$bin/keeper" "$file"; done
 
 indigo apply --wait "$deploy"/contracts/*.json
-for _ in $(seq 100); do
-  serving=$(indigo show hosts | grep -c serving || true)
-  [ "$serving" -lt 50 ] || break
-  sleep 0.2
-done
+wait_for_hosts
 indigo show pools
+
+echo "load for $load_time, a wave, a contract change, and a zone cut from 9 s to 15 s"
+"$bin/bench" load --site "$deploy/site.json" --time "$load_time" --faults "$deploy/faults.json" >"$logs/totals" &
+load=$!
+pids+=("$load")
+sleep 1
 indigo apply --wait "$deploy"/wave/*.json
-"$bin/bench" load --site "$deploy/site.json" --time 15s >"$logs/totals"
+sleep 3
+indigo apply --wait "$deploy"/change/*.json >"$logs/change"
+verdict=0
+wait "$load" || verdict=$?
+
 indigo show pools
 indigo burn
-cat "$logs/totals"
+echo
+sed '$d' "$logs/totals"
+sed 's/^in force/contract change in force/' "$logs/change"
+tail -n 1 "$logs/totals"
+exit "$verdict"
