Accept, place, run and collect jobs through the programs

Cause: long work had no path at all: rows, placement, tasks on workers and the callers' routes were missing.

Change: a job is a row with a state machine; entry hosts accept jobs in group commits (a job row and one inbox page for all that arrived together); keepers divide customers into 16 shards, fence themselves by the shard's lead row, place over an index of the hosts and follow the tasks; results are written under the run's fence; the stand-ins run tasks with leases, lagging usage, checkpoints and throttling.

--- a/entry/internal/serve/serve.go
+++ b/entry/internal/serve/serve.go
@@ -141,7 +141,7 @@
 	w.deadline = start.Add(left)
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
 	if err != nil {
-		return w, bodyReason(err)
+		return w, BodyReason(err)
 	}
 	w.body = body
 	return w, glade.ReasonNone
@@ -171,7 +171,8 @@
 	return min(time.Duration(ms)*time.Millisecond, promised), glade.ReasonNone
 }
 
-func bodyReason(err error) glade.Reason {
+// BodyReason explains why a request body could not be read.
+func BodyReason(err error) glade.Reason {
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return glade.ReasonLarge
@@ -231,7 +232,13 @@
 	case glade.Unknown:
 		return http.StatusGatewayTimeout
 	}
-	switch r.reason {
+	return RefusedStatus(r.reason)
+}
+
+// RefusedStatus maps the reason of a refusal to the HTTP status that callers
+// see.
+func RefusedStatus(reason glade.Reason) int {
+	switch reason {
 	case glade.ReasonCustomer, glade.ReasonService:
 		return http.StatusNotFound
 	case glade.ReasonMalformed:
--- /dev/null
+++ b/entry/internal/ticket/ticket.go
@@ -0,0 +1,244 @@
+// Package ticket is the callers' side of long work: a job is accepted once,
+// looked up by its ticket at any entry host, collected, and cancelled.
+package ticket
+
+import (
+	"encoding/json"
+	"expvar"
+	"net/http"
+	"strconv"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/labstack/echo/v4"
+
+	glade "indigoglade"
+	"indigoglade/adopt"
+	"indigoglade/entry/internal/serve"
+	"indigoglade/jobs"
+)
+
+// Bounds of the callers' interface.
+const (
+	// maxBody bounds the description of a job with its payload, in bytes.
+	maxBody = 64 << 10
+	// knownJobs is the number of jobs whose last known state is kept.
+	knownJobs = 4096
+	// retryAfter tells callers when to come back, in seconds.
+	retryAfter = 2
+)
+
+// AgeHeader tells how old a state is that could not be read afresh, in
+// milliseconds.
+const AgeHeader = "Job-Age"
+
+// Config configures a Desk.
+type Config struct {
+	Table   glade.Table
+	Objects glade.Objects
+	Book    *adopt.Book
+	Clock   glade.Clock
+}
+
+// Desk accepts and looks up jobs.
+type Desk struct {
+	config   Config
+	writer   *writer
+	known    *lru.Cache[glade.Ticket, seen]
+	counters *expvar.Map
+}
+
+// seen is the last known state of a job.
+type seen struct {
+	status Status
+	at     time.Time
+}
+
+// New returns a desk that counts in the expvar map "jobs".
+func New(config Config) *Desk {
+	known, err := lru.New[glade.Ticket, seen](knownJobs)
+	if err != nil {
+		panic(err)
+	}
+	return &Desk{config: config, writer: newWriter(config), known: known, counters: expvar.NewMap("jobs")}
+}
+
+// Routes adds the callers' routes.
+func (d *Desk) Routes(e *echo.Echo) {
+	e.POST("/v1/:customer/jobs/:kind", d.accept)
+	e.GET("/v1/jobs/:ticket", d.show)
+	e.GET("/v1/jobs/:ticket/result", d.collect)
+	e.DELETE("/v1/jobs/:ticket", d.cancel)
+}
+
+// Order is a caller's description of a job.
+type Order struct {
+	// Key makes the ticket: the same key finds the same job.
+	Key      string         `json:"key"`
+	Team     string         `json:"team"`
+	Priority glade.Priority `json:"prio"`
+	Cores    int            `json:"cores"`
+	// Memory is in bytes.
+	Memory int64 `json:"memory"`
+	Accels int   `json:"accels"`
+	// Time is the expected run time.
+	Time    glade.Span      `json:"time"`
+	Payload json.RawMessage `json:"payload"`
+}
+
+// Status is what callers learn of a job.
+type Status struct {
+	Ticket glade.Ticket   `json:"ticket"`
+	Phase  glade.JobPhase `json:"phase"`
+	Reason string         `json:"reason,omitempty"`
+	// Ending tells that the cancellation was asked for and the run has not
+	// ended yet.
+	Ending bool `json:"ending,omitempty"`
+}
+
+func statusOf(row glade.JobRow) Status {
+	return Status{Ticket: row.Ticket, Phase: row.Phase, Reason: row.Reason, Ending: row.Cancel && row.Phase.IsOpen()}
+}
+
+func (d *Desk) accept(c echo.Context) error {
+	row, reason := d.parse(c)
+	if reason != glade.ReasonNone {
+		return d.refuse(c, reason)
+	}
+	result, ok := d.writer.write(c.Request().Context(), row)
+	if !ok {
+		return d.refuse(c, glade.ReasonQueue)
+	}
+	d.counters.Add("accept."+result.String(), 1)
+	switch result {
+	case glade.Committed:
+		return c.JSON(http.StatusAccepted, Status{Ticket: row.Ticket, Phase: glade.JobAccepted})
+	case glade.Unavailable:
+		return d.refuse(c, glade.ReasonStore)
+	}
+	// The row may be written or not. The ticket tells the caller where to look.
+	c.Response().Header().Set(serve.OutcomeHeader, glade.Unknown.String())
+	c.Response().Header().Set(serve.ReasonHeader, string(glade.ReasonStore))
+	return c.JSON(http.StatusGatewayTimeout, Status{Ticket: row.Ticket})
+}
+
+func (d *Desk) parse(c echo.Context) (glade.JobRow, glade.Reason) {
+	customer := glade.Customer(c.Param("customer"))
+	kind := glade.Service(c.Param("kind"))
+	contract, ok := d.config.Book.Find(customer)
+	if !ok {
+		return glade.JobRow{}, d.unknownCustomer()
+	}
+	pool, ok := contract.PoolFor(kind)
+	if !ok {
+		return glade.JobRow{}, glade.ReasonService
+	}
+	order := Order{Priority: glade.Normal, Cores: 1}
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxBody)
+	decoder := json.NewDecoder(body)
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&order); err != nil {
+		return glade.JobRow{}, serve.BodyReason(err)
+	}
+	if !order.isValid() {
+		return glade.JobRow{}, glade.ReasonMalformed
+	}
+	return glade.JobRow{
+		Ticket:     jobs.TicketFor(customer, kind, order.Key),
+		Customer:   customer,
+		Kind:       kind,
+		Team:       order.Team,
+		Priority:   order.Priority,
+		Repeatable: pool.Repeatable,
+		Size:       glade.Size{Cores: order.Cores, Memory: order.Memory, Accels: order.Accels},
+		Time:       order.Time,
+		Payload:    order.Payload,
+	}, glade.ReasonNone
+}
+
+func (o Order) isValid() bool {
+	return o.Priority.IsValid() && o.Cores >= 0 && o.Memory >= 0 && o.Accels >= 0 && o.Time >= 0
+}
+
+func (d *Desk) unknownCustomer() glade.Reason {
+	if _, confirmed := d.config.Book.Age(d.config.Clock.Now()); !confirmed {
+		return glade.ReasonCold
+	}
+	return glade.ReasonCustomer
+}
+
+// refuse answers that the job was not accepted.
+func (d *Desk) refuse(c echo.Context, reason glade.Reason) error {
+	d.counters.Add("refused."+string(reason), 1)
+	h := c.Response().Header()
+	h.Set(serve.OutcomeHeader, glade.Refused.String())
+	h.Set(serve.ReasonHeader, string(reason))
+	h.Set(echo.HeaderRetryAfter, strconv.Itoa(retryAfter))
+	return c.String(serve.RefusedStatus(reason), "refused: "+string(reason)+"\n")
+}
+
+// show answers with the state of a job. While the table service can't be read,
+// it answers with the last state seen here and its age.
+func (d *Desk) show(c echo.Context) error {
+	ticket := glade.Ticket(c.Param("ticket"))
+	if _, ok := ticket.Customer(); !ok {
+		return c.String(http.StatusNotFound, "no such job\n")
+	}
+	old, known := d.known.Get(ticket)
+	if known && old.status.Phase.IsFinal() {
+		return c.JSON(http.StatusOK, old.status)
+	}
+	record, err := jobs.Find(c.Request().Context(), d.config.Table, ticket)
+	now := d.config.Clock.Now()
+	switch {
+	case err != nil && known:
+		c.Response().Header().Set(AgeHeader, strconv.FormatInt(now.Sub(old.at).Milliseconds(), 10))
+		return c.JSON(http.StatusOK, old.status)
+	case err != nil:
+		return d.refuse(c, glade.ReasonStore)
+	case !record.Exists():
+		return c.String(http.StatusNotFound, "no such job\n")
+	}
+	status := statusOf(record.Data())
+	d.known.Add(ticket, seen{status: status, at: now})
+	return c.JSON(http.StatusOK, status)
+}
+
+// collect answers with the result of a job that is done.
+func (d *Desk) collect(c echo.Context) error {
+	ctx := c.Request().Context()
+	record, err := jobs.Find(ctx, d.config.Table, glade.Ticket(c.Param("ticket")))
+	if err != nil {
+		return d.refuse(c, glade.ReasonStore)
+	}
+	row := record.Data()
+	if !record.Exists() {
+		return c.String(http.StatusNotFound, "no such job\n")
+	}
+	if row.Phase != glade.JobDone {
+		return c.JSON(http.StatusConflict, statusOf(row))
+	}
+	result, found, err := d.config.Objects.Get(ctx, row.Result)
+	if err != nil || !found {
+		return d.refuse(c, glade.ReasonStore)
+	}
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, result)
+}
+
+// cancel asks for the end of a job. 200 means that it has ended, 202 that its
+// run is being stopped.
+func (d *Desk) cancel(c echo.Context) error {
+	ticket := glade.Ticket(c.Param("ticket"))
+	row, result := jobs.Cancel(c.Request().Context(), d.config.Table, ticket, d.config.Clock.Now())
+	d.counters.Add("cancel."+result.String(), 1)
+	switch {
+	case result != glade.Committed:
+		c.Response().Header().Set(echo.HeaderRetryAfter, strconv.Itoa(retryAfter))
+		return c.String(http.StatusServiceUnavailable, "unknown: send the cancellation again\n")
+	case row.Ticket == "":
+		return c.String(http.StatusNotFound, "no such job\n")
+	case row.Phase.IsFinal():
+		return c.JSON(http.StatusOK, statusOf(row))
+	}
+	return c.JSON(http.StatusAccepted, statusOf(row))
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
 	"indigoglade/adopt"
@@ -19,6 +20,7 @@
 	"indigoglade/entry/internal/desk"
 	"indigoglade/entry/internal/duty"
 	"indigoglade/entry/internal/serve"
+	"indigoglade/entry/internal/ticket"
 	"indigoglade/link"
 	"indigoglade/remote"
 	"indigoglade/send"
@@ -58,7 +60,10 @@
 	meter := burn.New()
 	front := desk.New(desk.Config{Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
-	server := serve.New(serve.Config{Book: book, Desk: front, Sender: sender, Meter: meter, Clock: system})
+	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
+	server := serve.New(serve.Config{
+		Book: book, Desk: front, Sender: sender, Meter: meter, Clock: system, Routes: []func(*echo.Echo){tickets.Routes},
+	})
 	duties := duty.New(duty.Config{
 		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Clock: system, Log: group.Log(),
 	})
--- /dev/null
+++ b/jobs/hosts.go
@@ -0,0 +1,150 @@
+package jobs
+
+import (
+	"context"
+	"slices"
+	"strings"
+
+	glade "indigoglade"
+	"indigoglade/owner"
+	"indigoglade/table"
+)
+
+// sweepRows is the number of host rows that one step reads again.
+const sweepRows = 20
+
+// maxReloads bounds the host rows that one step reads because they may have
+// changed.
+const maxReloads = 50
+
+// hostView is what is known of the hosts: the platform's list, which lags, and
+// the ownership rows. Rows are read again when the list shows a change, when a
+// transaction met a conflict, and in a slow sweep; a row that is out of date
+// costs a conflict and never a wrong placement.
+type hostView struct {
+	config Config
+	listed map[glade.Host]glade.Listed
+	rows   map[glade.Host]owner.Host
+	stale  map[glade.Host]bool
+	// owned lists the hosts of each customer, and changed the customers whose
+	// hosts may have changed.
+	owned   map[glade.Customer]map[glade.Host]bool
+	changed map[glade.Customer]bool
+	cursor  string
+	full    bool
+}
+
+func newHostView(config Config) *hostView {
+	return &hostView{
+		config:  config,
+		listed:  make(map[glade.Host]glade.Listed),
+		rows:    make(map[glade.Host]owner.Host),
+		stale:   make(map[glade.Host]bool),
+		owned:   make(map[glade.Customer]map[glade.Host]bool),
+		changed: make(map[glade.Customer]bool),
+	}
+}
+
+// step brings the view up to date.
+func (v *hostView) step(ctx context.Context) error {
+	list, err := v.config.Hosts.List(ctx)
+	if err != nil {
+		return err
+	}
+	for _, now := range list {
+		if before, known := v.listed[now.Host]; !known || before != now {
+			v.listed[now.Host] = now
+			v.stale[now.Host] = true
+			v.changed[v.rows[now.Host].Data().Customer] = true
+		}
+	}
+	if !v.full {
+		return v.loadAll(ctx)
+	}
+	if err := v.reload(ctx); err != nil {
+		return err
+	}
+	return v.sweep(ctx)
+}
+
+func (v *hostView) loadAll(ctx context.Context) error {
+	records, err := table.LoadAll[glade.HostRow](ctx, v.config.Table, glade.PrefixHost)
+	if err != nil {
+		return err
+	}
+	for _, record := range records {
+		v.set(record.Data().Host, record)
+	}
+	v.full = true
+	clear(v.stale)
+	return nil
+}
+
+// set takes over a row.
+func (v *hostView) set(host glade.Host, record owner.Host) {
+	old := v.rows[host]
+	v.rows[host] = record
+	if old.Version() == record.Version() {
+		return
+	}
+	before, after := old.Data().Customer, record.Data().Customer
+	delete(v.owned[before], host)
+	if v.owned[after] == nil {
+		v.owned[after] = make(map[glade.Host]bool)
+	}
+	v.owned[after][host] = true
+	v.changed[before] = true
+	v.changed[after] = true
+}
+
+func (v *hostView) reload(ctx context.Context) error {
+	hosts := make([]glade.Host, 0, len(v.stale))
+	for host := range v.stale {
+		hosts = append(hosts, host)
+	}
+	slices.Sort(hosts)
+	for _, host := range hosts[:min(len(hosts), maxReloads)] {
+		record, err := owner.LoadHost(ctx, v.config.Table, host)
+		if err != nil {
+			return err
+		}
+		v.set(host, record)
+		delete(v.stale, host)
+	}
+	return nil
+}
+
+func (v *hostView) sweep(ctx context.Context) error {
+	rows, err := v.config.Table.Scan(ctx, glade.PrefixHost, v.cursor, sweepRows)
+	if err != nil {
+		return err
+	}
+	v.cursor = ""
+	for _, row := range rows {
+		record, err := table.Decode[glade.HostRow](row)
+		if err != nil {
+			return err
+		}
+		v.set(glade.Host(strings.TrimPrefix(row.Key, glade.PrefixHost)), record)
+		if len(rows) == sweepRows {
+			v.cursor = row.Key
+		}
+	}
+	return nil
+}
+
+// spot returns where a placement on a host would be, and whether the host takes
+// new tasks.
+func (v *hostView) spot(host glade.Host) (Spot, bool) {
+	row := v.rows[host].Data()
+	listed, known := v.listed[host]
+	spot := Spot{Host: host, Rack: row.Rack, Epoch: row.Epoch, Incarnation: listed.Incarnation}
+	serves := listed.Service == row.Service && !listed.Leaving
+	return spot, known && serves && row.Phase == glade.HostServing
+}
+
+// isLeaving tells whether a host drains, or no longer belongs to the customer.
+func (v *hostView) isLeaving(host glade.Host, customer glade.Customer) bool {
+	row := v.rows[host].Data()
+	return row.Phase != glade.HostServing || row.Customer != customer
+}
--- a/keeper/main.go
+++ b/keeper/main.go
@@ -15,6 +15,7 @@
 	"indigoglade/config"
 	"indigoglade/daemon"
 	"indigoglade/keeper/internal/fleet"
+	"indigoglade/keeper/internal/tasks"
 	"indigoglade/remote"
 )
 
@@ -40,10 +41,17 @@
 	}
 	group := daemon.New(daemon.Config{Name: "keeper." + string(spec.Node), Output: os.Stderr, Grace: grace, Status: spec.Status})
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
+	book := adopt.New()
+	roster := glade.NewStaticRoster(spec.Node, []glade.Node{spec.Node})
 	duties := fleet.New(fleet.Config{
 		Table: platform, Hosts: platform, Workers: platform,
-		Book: adopt.New(), Roster: glade.NewStaticRoster(spec.Node, []glade.Node{spec.Node}), Clock: clock.System{}, Log: group.Log(),
+		Book: book, Roster: roster, Clock: clock.System{}, Log: group.Log(),
+	})
+	work := tasks.New(tasks.Config{
+		Table: platform, Objects: remote.NewObjects(platform), Hosts: platform, Workers: platform,
+		Book: book, Roster: roster, Clock: clock.System{}, Log: group.Log(),
 	})
 	group.Add(duties.Run)
+	group.Add(work.Run)
 	return group.Run()
 }
--- /dev/null
+++ b/place/round.go
@@ -0,0 +1,422 @@
+package place
+
+import (
+	"maps"
+	"slices"
+	"sort"
+
+	glade "indigoglade"
+)
+
+// Placement gives a waiting task a host.
+type Placement struct {
+	Task Task
+	Host glade.Host
+}
+
+// Relief makes room on a host.
+type Relief struct {
+	Task glade.Ticket
+	Host glade.Host
+	// Cores is the number of cores that the task keeps when it is throttled,
+	// and 0 when it is stopped with a checkpoint.
+	Cores int
+	// For is the task that the room is made for.
+	For glade.Ticket
+}
+
+// Plan is what one round decided.
+type Plan struct {
+	placed  []Placement
+	reliefs []Relief
+}
+
+// Placed returns the tasks to start.
+func (p Plan) Placed() []Placement { return p.placed }
+
+// Reliefs returns the running tasks to throttle or stop.
+func (p Plan) Reliefs() []Relief { return p.reliefs }
+
+// throttledCores is the number of cores that a throttled task keeps.
+const throttledCores = 1
+
+// Limits bounds the tasks that one round places.
+type Limits struct {
+	// Urgent bounds the urgent tasks.
+	Urgent int
+	// Others bounds all tasks, the urgent ones included, before a task that is
+	// not urgent is placed.
+	Others int
+}
+
+// Round places waiting tasks. A placed task counts as running at
+// once; the caller calls Forget and Wait when it doesn't come to that.
+//
+// Higher priorities come first. Among one priority, teams within their quotas
+// come first, the least served one before the others; then the idle quota of
+// others is lent to teams beyond theirs, unless a task within its quota waits
+// for that pool.
+func (f *Fleet) Round(limits Limits) Plan {
+	r := round{fleet: f, tight: make(map[glade.Pool][]glade.Size), starved: make(map[glade.Pool]bool)}
+	for rank := range ranks {
+		r.limit = limits.Others
+		if rank == glade.Urgent.Rank() {
+			r.limit = limits.Urgent
+		}
+		r.pass(rank, false)
+		r.pass(rank, true)
+	}
+	if len(r.plan.reliefs) == 0 {
+		r.restore()
+	}
+	return r.plan
+}
+
+// ranks is the number of priorities.
+const ranks = 3
+
+type round struct {
+	fleet *Fleet
+	limit int
+	plan  Plan
+	// tight lists sizes for which a pool had no room in this round.
+	tight map[glade.Pool][]glade.Size
+	// starved marks pools in which a task within its quota found no room.
+	starved map[glade.Pool]bool
+}
+
+// pass looks at the waiting tasks of one priority: those within their teams'
+// quotas, or those beyond.
+func (r *round) pass(rank int, borrow bool) {
+	heads := r.fleet.teams(rank)
+	for len(heads) > 0 && len(r.plan.placed) < r.limit {
+		i := r.fleet.leastServed(heads)
+		if !r.next(&heads[i], borrow) {
+			heads = slices.Delete(heads, i, i+1)
+		}
+	}
+}
+
+// head is the place in the queue of one team.
+type head struct {
+	team  string
+	queue []*Task
+}
+
+// next looks at waiting tasks of a team until it has placed one. It returns
+// false at the end of the queue.
+func (r *round) next(h *head, borrow bool) bool {
+	f := r.fleet
+	for len(h.queue) > 0 {
+		task := h.queue[0]
+		h.queue = h.queue[1:]
+		if f.waiting[task.ID] != task || f.isWithin(task) == borrow {
+			continue
+		}
+		if borrow && r.starved[task.Pool] {
+			continue
+		}
+		if r.try(task, borrow) {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *round) try(task *Task, borrow bool) bool {
+	f := r.fleet
+	if r.isTight(task) {
+		return r.lack(task, borrow)
+	}
+	at, ok := f.search(task, false)
+	if ok {
+		r.take(task, at)
+		return true
+	}
+	if len(task.Avoid) == 0 && len(task.Racks) == 0 {
+		r.tight[task.Pool] = append(r.tight[task.Pool], task.Size)
+	}
+	return r.lack(task, borrow)
+}
+
+func (r *round) take(task *Task, at int) {
+	placed := *task
+	host := r.fleet.slots[at].host.Host
+	r.fleet.Hold(placed, host)
+	r.plan.placed = append(r.plan.placed, Placement{Task: placed, Host: host})
+}
+
+// isTight tells whether the pool has no room for a task of this size.
+func (r *round) isTight(task *Task) bool {
+	if f := r.fleet; f.holds[task.ID] != "" {
+		return false
+	}
+	for _, size := range r.tight[task.Pool] {
+		if size.Fits(task.Size) {
+			return true
+		}
+	}
+	return false
+}
+
+// lack makes room for a task that found none. It returns true when that was
+// possible at once.
+func (r *round) lack(task *Task, borrow bool) bool {
+	f := r.fleet
+	if !borrow && len(f.quotas) > 0 {
+		r.starved[task.Pool] = true
+	}
+	if _, held := f.holds[task.ID]; held || len(r.plan.reliefs) >= r.limit {
+		return false
+	}
+	if task.Priority == glade.Urgent {
+		if at, ok := f.search(task, true); ok {
+			return r.relieve(task, at, f.bulkOn(at))
+		}
+	}
+	return !borrow && len(f.quotas) > 0 && r.takeBack(task)
+}
+
+// relieve throttles tasks where only cores are missing, and then the task can
+// start at once. Otherwise it stops them with a checkpoint.
+func (r *round) relieve(task *Task, at int, victims []*held) bool {
+	f := r.fleet
+	s := f.slots[at]
+	missing := task.Size.Minus(s.host.Size.Minus(s.used))
+	if missing.Memory <= 0 && missing.Accels <= 0 && r.throttle(task, victims, missing.Cores) {
+		r.take(task, at)
+		return true
+	}
+	f.holds[task.ID] = s.host.Host
+	for _, h := range victims {
+		if missing.Cores <= 0 && missing.Memory <= 0 && missing.Accels <= 0 {
+			break
+		}
+		missing = missing.Minus(h.task.Size)
+		f.leave(h)
+		r.plan.reliefs = append(r.plan.reliefs, Relief{Task: h.task.ID, Host: s.host.Host, For: task.ID})
+	}
+	return false
+}
+
+func (r *round) throttle(task *Task, victims []*held, cores int) bool {
+	spare := 0
+	for _, h := range victims {
+		spare += max(0, h.task.Size.Cores-throttledCores)
+	}
+	if spare < cores {
+		return false
+	}
+	f := r.fleet
+	for _, h := range victims {
+		if cores <= 0 {
+			break
+		}
+		if h.task.Size.Cores <= throttledCores {
+			continue
+		}
+		cores -= h.task.Size.Cores - throttledCores
+		f.slowed[h.task.ID] = h.task.Size.Cores
+		r.setCores(h, throttledCores, task.ID)
+	}
+	return true
+}
+
+// setCores throttles a running task, or lets it have its cores again.
+func (r *round) setCores(h *held, cores int, why glade.Ticket) {
+	size := h.task.Size
+	size.Cores = cores
+	r.fleet.Resize(h.task.ID, size)
+	host := r.fleet.slots[h.slot].host.Host
+	r.plan.reliefs = append(r.plan.reliefs, Relief{Task: h.task.ID, Host: host, Cores: cores, For: why})
+}
+
+// restore gives throttled tasks their cores back where the host has room.
+func (r *round) restore() {
+	f := r.fleet
+	for _, id := range slices.Sorted(maps.Keys(f.slowed)) {
+		h := f.running[id]
+		s := f.slots[h.slot]
+		extra := f.slowed[id] - h.task.Size.Cores
+		if h.leaving || extra > s.host.Size.Cores-s.used.Cores {
+			continue
+		}
+		r.setCores(h, f.slowed[id], id)
+		delete(f.slowed, id)
+	}
+}
+
+// takeBack stops tasks of teams beyond their quotas on one host, so that a team
+// within its quota gets it back.
+func (r *round) takeBack(task *Task) bool {
+	f := r.fleet
+	byHost := make(map[int][]*held)
+	for _, h := range f.running {
+		if f.isLent(h, task) {
+			byHost[h.slot] = append(byHost[h.slot], h)
+		}
+	}
+	hosts := make([]int, 0, len(byHost))
+	for at := range byHost {
+		hosts = append(hosts, at)
+	}
+	sort.Ints(hosts)
+	for _, at := range hosts {
+		free := f.slots[at].host.Size.Minus(f.slots[at].used)
+		for _, h := range byHost[at] {
+			free = free.Plus(h.task.Size)
+		}
+		if task.Size.Fits(free) && f.accepts(task, at) {
+			newestFirst(byHost[at])
+			return r.relieve(task, at, byHost[at])
+		}
+	}
+	return false
+}
+
+// isLent tells whether a running task rests on another team's quota and may be
+// stopped for task.
+func (f *Fleet) isLent(h *held, task *Task) bool {
+	own := h.task
+	if h.leaving || own.Pool != task.Pool || own.Team == task.Team || own.Priority.Rank() < task.Priority.Rank() {
+		return false
+	}
+	quota := f.quotas[own.Team]
+	used := f.usage[own.Team]
+	return used.Cores > quota.Cores || used.Accels > quota.Accels
+}
+
+// bulkOn returns the batch tasks of a host, the newest first.
+func (f *Fleet) bulkOn(at int) []*held {
+	var list []*held
+	for _, h := range f.slots[at].tasks {
+		if h.task.Priority == glade.Bulk && !h.leaving {
+			list = append(list, h)
+		}
+	}
+	newestFirst(list)
+	return list
+}
+
+func newestFirst(list []*held) {
+	sort.Slice(list, func(i, j int) bool {
+		if list[i].order != list[j].order {
+			return list[i].order > list[j].order
+		}
+		return list[i].task.ID < list[j].task.ID
+	})
+}
+
+// search finds a host for a task: where room is made for it already, or in the
+// zone that runs the fewest tasks of its group. A task without accelerators
+// takes a host that has some only when no other has room.
+func (f *Fleet) search(task *Task, reach bool) (int, bool) {
+	if host, held := f.holds[task.ID]; held && !reach {
+		at := f.byHost[host]
+		s := f.slots[at]
+		if s.host.Open && task.Size.Fits(s.host.Size.Minus(s.used)) {
+			return at, true
+		}
+		if !s.host.Open || len(f.leavingOn(at)) == 0 {
+			delete(f.holds, task.ID)
+		}
+	}
+	zones := f.zoneOrder(task)
+	if task.Size.Accels == 0 {
+		if at, ok := f.searchZones(task, zones, false, reach); ok {
+			return at, true
+		}
+	}
+	return f.searchZones(task, zones, true, reach)
+}
+
+func (f *Fleet) leavingOn(at int) []*held {
+	var list []*held
+	for _, h := range f.slots[at].tasks {
+		if h.leaving {
+			list = append(list, h)
+		}
+	}
+	return list
+}
+
+func (f *Fleet) searchZones(task *Task, zones []glade.Zone, accels, reach bool) (int, bool) {
+	for _, zone := range zones {
+		key := treeKey{pool: task.Pool, zone: zone, accels: accels}
+		t := f.trees[key]
+		if t == nil {
+			continue
+		}
+		start := f.cursors[key] % len(t.leaves)
+		leaf, ok := t.find(start, task.Size, reach, func(at int) bool { return f.accepts(task, at) })
+		if ok {
+			f.cursors[key] = leaf + 1
+			return t.leaves[leaf], true
+		}
+	}
+	return 0, false
+}
+
+// zoneOrder returns the zones of the task's pool, the one with the fewest tasks
+// of its group first.
+func (f *Fleet) zoneOrder(task *Task) []glade.Zone {
+	zones := slices.Clone(f.zones[task.Pool])
+	sort.SliceStable(zones, func(i, j int) bool {
+		return f.spread[spreadKey{task.Group, zones[i]}] < f.spread[spreadKey{task.Group, zones[j]}]
+	})
+	return zones
+}
+
+func (f *Fleet) accepts(task *Task, at int) bool {
+	h := f.slots[at].host
+	return h.Open && !slices.Contains(task.Avoid, h.Host) && !slices.Contains(task.Racks, h.Rack)
+}
+
+// teams returns the queues of one priority, without the tasks that have left
+// them, in the order of the teams' names.
+func (f *Fleet) teams(rank int) []head {
+	var heads []head
+	for key, queue := range f.queues {
+		if key.rank != rank {
+			continue
+		}
+		queue = slices.DeleteFunc(queue, func(t *Task) bool { return f.waiting[t.ID] != t })
+		f.queues[key] = queue
+		if len(queue) > 0 {
+			heads = append(heads, head{team: key.team, queue: queue})
+		}
+	}
+	sort.Slice(heads, func(i, j int) bool { return heads[i].team < heads[j].team })
+	return heads
+}
+
+// leastServed returns the position of the team that uses the smallest share of
+// its quota.
+func (f *Fleet) leastServed(heads []head) int {
+	best := 0
+	for i := range heads {
+		if f.share(heads[i].team) < f.share(heads[best].team) {
+			best = i
+		}
+	}
+	return best
+}
+
+// share returns what a team uses, as a share of its quota.
+func (f *Fleet) share(team string) float64 {
+	used := f.usage[team]
+	quota := f.quotas[team]
+	cores := float64(used.Cores) / float64(max(quota.Cores, 1))
+	accels := float64(used.Accels) / float64(max(quota.Accels, 1))
+	return max(cores, accels)
+}
+
+// isWithin tells whether a task keeps its team within its quota.
+func (f *Fleet) isWithin(task *Task) bool {
+	if len(f.quotas) == 0 {
+		return true
+	}
+	quota := f.quotas[task.Team]
+	used := f.usage[task.Team].Plus(task.Size)
+	return used.Cores <= quota.Cores && used.Accels <= quota.Accels
+}
--- a/remote/client.go
+++ b/remote/client.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	glade "indigoglade"
 )
 
 // Timeout bounds one call to the platform.
@@ -73,6 +75,9 @@
 	if reply.StatusCode == http.StatusServiceUnavailable {
 		return out, errRefused
 	}
+	if reply.StatusCode == http.StatusConflict {
+		return out, errors.Wrapf(glade.ErrRefused, "call %s", path)
+	}
 	if reply.StatusCode != http.StatusOK {
 		return out, errors.Errorf("call %s: status %d", path, reply.StatusCode)
 	}
--- a/remote/worker.go
+++ b/remote/worker.go
@@ -17,6 +17,7 @@
 	Task       glade.Task    `json:"task"`
 	TaskID     string        `json:"id"`
 	Checkpoint bool          `json:"checkpoint"`
+	Cores      int           `json:"cores"`
 }
 
 // List reads the platform's host list.
@@ -53,6 +54,12 @@
 	return err
 }
 
+// Throttle limits a running task to a number of cores.
+func (c *Client) Throttle(ctx context.Context, host glade.Host, task string, cores int) error {
+	_, err := call[HostCall, None](ctx, c, "/worker/throttle", HostCall{Host: host, TaskID: task, Cores: cores})
+	return err
+}
+
 // Tasks reports the tasks of a host.
 func (c *Client) Tasks(ctx context.Context, host glade.Host) ([]glade.TaskState, error) {
 	return call[HostCall, []glade.TaskState](ctx, c, "/worker/tasks", HostCall{Host: host})
--- a/stand/internal/fleet/config.go
+++ b/stand/internal/fleet/config.go
@@ -27,6 +27,12 @@
 	Lag   glade.Span `json:"lag"`
 	Slots int        `json:"slots"`
 	Links int        `json:"links"`
+	// Task is the time of a task that doesn't say how long it takes.
+	Task glade.Span `json:"task"`
+	// Usage is how long the usage of a task stays unknown.
+	Usage glade.Span `json:"usage"`
+	// Lease is how long tasks run on when nobody asks for them; 0 is for ever.
+	Lease glade.Span `json:"lease"`
 }
 
 // ReadConfig reads and checks the settings of the stand-in fleet.
--- a/stand/internal/fleet/runner.go
+++ b/stand/internal/fleet/runner.go
@@ -53,6 +53,11 @@
 	slots    chan struct{}
 	fault    Fault
 	stopping chan struct{}
+	tasks    map[string]*task
+	// ended holds the tasks that may not start any more.
+	ended map[string]bool
+	// lease is when the leases of the tasks were renewed last.
+	lease time.Time
 }
 
 // Fault is a misbehaviour of a runner that can be switched on.
@@ -82,6 +87,8 @@
 		listed:   listed,
 		slots:    make(chan struct{}, config.Slots),
 		stopping: make(chan struct{}),
+		tasks:    make(map[string]*task),
+		ended:    make(map[string]bool),
 	}
 }
 
@@ -115,7 +122,7 @@
 		Host:        r.listed.Host,
 		Incarnation: r.listed.Incarnation,
 		Draining:    r.listed.Leaving,
-		Running:     r.flight + r.waiting,
+		Running:     r.flight + r.waiting + r.runningTasks(),
 		Service:     r.listed.Service,
 		Epoch:       r.epoch,
 	}, nil
@@ -152,6 +159,7 @@
 		close(r.stopping)
 		r.stopping = make(chan struct{})
 	}
+	r.book.CutTasks(r.dropTasks())
 	r.epoch = epoch
 	r.listed.Incarnation++
 	r.listed.Leaving = false
--- a/stand/internal/ledger/ledger.go
+++ b/stand/internal/ledger/ledger.go
@@ -2,7 +2,10 @@
 // be checked against it.
 package ledger
 
-import "sync"
+import (
+	"maps"
+	"sync"
+)
 
 // Count is what the endpoints know of one request.
 type Count struct {
@@ -22,6 +25,9 @@
 	Late int `json:"late"`
 	// Peak is the greatest number of requests in flight on one endpoint.
 	Peak int `json:"peak"`
+	// Tasks counts started tasks, and TasksCut those that a reboot broke off.
+	Tasks    int `json:"tasks"`
+	TasksCut int `json:"taskscut"`
 }
 
 // Ledger counts runs by request id.
@@ -29,11 +35,12 @@
 	mu     sync.Mutex
 	counts map[string]Count
 	totals Totals
+	jobs   map[string]int
 }
 
 // New returns an empty ledger.
 func New() *Ledger {
-	return &Ledger{counts: make(map[string]Count)}
+	return &Ledger{counts: make(map[string]Count), jobs: make(map[string]int)}
 }
 
 // Start records that the work of a request began, with the number of requests
@@ -67,6 +74,28 @@
 	l.totals.Cut += n
 }
 
+// StartTask records that a task of a job began.
+func (l *Ledger) StartTask(job string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.jobs[job]++
+	l.totals.Tasks++
+}
+
+// CutTasks records that a reboot broke n running tasks off.
+func (l *Ledger) CutTasks(n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.totals.TasksCut += n
+}
+
+// Jobs returns how often each job was started.
+func (l *Ledger) Jobs() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.jobs)
+}
+
 // Counts returns a copy of the counts of every request.
 func (l *Ledger) Counts() map[string]Count {
 	l.mu.Lock()
--- a/stand/internal/server/server.go
+++ b/stand/internal/server/server.go
@@ -51,6 +51,10 @@
 	e.POST("/worker/state", handle(s.state))
 	e.POST("/worker/drain", handle(s.drain))
 	e.POST("/worker/reboot", handle(s.reboot))
+	e.POST("/worker/start", handle(s.start))
+	e.POST("/worker/stop", handle(s.stop))
+	e.POST("/worker/throttle", handle(s.throttle))
+	e.POST("/worker/tasks", handle(s.tasks))
 	e.GET("/ledger", s.book)
 	return e
 }
@@ -69,7 +73,7 @@
 		switch {
 		case errors.Is(err, memory.ErrDown):
 			return c.String(http.StatusServiceUnavailable, err.Error())
-		case errors.Is(err, fleet.ErrEpoch):
+		case errors.Is(err, fleet.ErrEpoch), errors.Is(err, fleet.ErrDraining), errors.Is(err, fleet.ErrEnded):
 			return c.String(http.StatusConflict, err.Error())
 		case err != nil:
 			return c.String(http.StatusBadGateway, err.Error())
--- a/table/record.go
+++ b/table/record.go
@@ -34,6 +34,10 @@
 // HasOp tells whether operation op is among the row's last writers.
 func (r Record[T]) HasOp(op string) bool { return r.entry.HasOp(op) }
 
+// Absent returns the record of a row that is expected to be absent, for a write
+// that needs no read.
+func Absent[T any](key string) Record[T] { return Record[T]{key: key} }
+
 // Decode decodes a row.
 func Decode[T any](row glade.Row) (Record[T], error) {
 	record := Record[T]{key: row.Key, version: row.Version}
--- a/worker.go
+++ b/worker.go
@@ -1,6 +1,14 @@
 package glade
 
-import "context"
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// ErrRefused is the error of a command that a worker got and did not carry out:
+// its epoch is stale, the host drains, or the task was stopped before.
+var ErrRefused = errors.New("worker refused the command")
 
 // Listed is one row of the platform's host list. The list lags.
 type Listed struct {
@@ -49,9 +57,11 @@
 	// runs service, not draining.
 	Reboot(ctx context.Context, host Host, epoch uint64, service Service) error
 	// Start runs a task under a lease. It returns an error when the worker
-	// refuses or can't be reached.
+	// refuses or can't be reached. A repeated Start of the same task has no
+	// effect, and a Start after a Stop of the same task is refused.
 	Start(ctx context.Context, host Host, epoch uint64, task Task) error
-	// Stop ends a task. A checkpoint is written first when asked for.
+	// Stop ends a task, also one that has not arrived yet. A checkpoint is
+	// written first when asked for; the next report of the task carries it.
 	Stop(ctx context.Context, host Host, task string, checkpoint bool) error
 	// Tasks reports the tasks of a host with their usage, which lags.
 	Tasks(ctx context.Context, host Host) ([]TaskState, error)
@@ -67,6 +77,8 @@
 	Memory  int64  `json:"memory"`
 	Accels  int    `json:"accels"`
 	Payload []byte `json:"payload"`
+	// Saved is the checkpoint to go on from.
+	Saved []byte `json:"saved,omitempty"`
 }
 
 // TaskPhase is the phase of a task on a worker.
@@ -82,11 +94,13 @@
 
 // TaskState is a worker's report of one task.
 type TaskState struct {
-	ID     string    `json:"id"`
-	Job    string    `json:"job"`
-	Fence  uint64    `json:"fence"`
-	Phase  TaskPhase `json:"phase"`
-	Memory int64     `json:"memory"`
-	Reason string    `json:"reason,omitempty"`
-	Result []byte    `json:"result,omitempty"`
+	ID    string    `json:"id"`
+	Job   string    `json:"job"`
+	Fence uint64    `json:"fence"`
+	Phase TaskPhase `json:"phase"`
+	// Memory is the greatest use seen so far, in bytes; 0 before the first
+	// report of usage.
+	Memory int64  `json:"memory"`
+	Reason string `json:"reason,omitempty"`
+	Result []byte `json:"result,omitempty"`
 }
