--- a/stand/internal/fleet/runner.go
+++ b/stand/internal/fleet/runner.go
@@ -61,6 +61,11 @@
 	upAt     time.Time
 	slots    chan struct{}
 	stopping chan struct{}
+	tasks    map[string]*task
+	// ended holds the tasks that may not start any more.
+	ended map[string]bool
+	// lease is when the leases of the tasks were renewed last.
+	lease time.Time
 }
 
 func newRunner(listed glade.Listed, config Config, with Parts) (*Runner, error) {
@@ -72,6 +77,8 @@
 		listed:   listed,
 		slots:    make(chan struct{}, config.Slots),
 		stopping: make(chan struct{}),
+		tasks:    make(map[string]*task),
+		ended:    make(map[string]bool),
 	}
 	listener, err := newGate(listed.Address, r.IsDown)
 	r.listener = listener
@@ -112,7 +119,7 @@
 		Host:        r.listed.Host,
 		Incarnation: r.listed.Incarnation,
 		Draining:    r.listed.Leaving,
-		Running:     r.flight + r.waiting,
+		Running:     r.flight + r.waiting + r.runningTasks(),
 		Service:     r.listed.Service,
 		Epoch:       r.epoch,
 	}, nil
@@ -149,6 +156,7 @@
 		close(r.stopping)
 		r.stopping = make(chan struct{})
 	}
+	r.book.CutTasks(r.dropTasks())
 	r.epoch = epoch
 	r.listed.Incarnation++
 	r.listed.Leaving = false
