--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -69,6 +69,21 @@
 	g.group.Add(func() error { return duty(ctx) }, func(error) { cancel() })
 }
 
+// OnStop adds what is done first on a stop, at most for the group's grace. It
+// must be added before the duties that it needs.
+func (g *Group) OnStop(do func(ctx context.Context)) {
+	done := make(chan struct{})
+	g.group.Add(func() error {
+		<-done
+		return nil
+	}, func(error) {
+		ctx, cancel := context.WithTimeout(context.Background(), g.config.Grace)
+		defer cancel()
+		do(ctx)
+		close(done)
+	})
+}
+
 // Serve adds an HTTP server. On a stop it runs before, closes the listener and
 // waits for running requests, at most the group's grace.
 func (g *Group) Serve(address string, handler http.Handler, before func(ctx context.Context)) error {
--- a/entry/main.go
+++ b/entry/main.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/labstack/echo/v4"
 
 	"indigoglade/adopt"
 	"indigoglade/burn"
@@ -18,6 +19,7 @@
 	"indigoglade/entry/internal/desk"
 	"indigoglade/entry/internal/duty"
 	"indigoglade/entry/internal/serve"
+	"indigoglade/entry/internal/ticket"
 	"indigoglade/peer"
 	"indigoglade/remote"
 	"indigoglade/send"
@@ -60,7 +62,11 @@
 	peers := peer.New(peer.Config{
 		Spec: spec, Book: book, Table: platform, Clock: system, Log: group.Log(), End: front.Leave,
 	})
-	server := serve.New(serve.Config{Book: book, Desk: front, Sender: sender, Meter: meter, Clock: system, End: peers.End})
+	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
+	server := serve.New(serve.Config{
+		Book: book, Desk: front, Sender: sender, Meter: meter, Clock: system, End: peers.End,
+		Routes: []func(*echo.Echo){tickets.Routes},
+	})
 	duties := duty.New(duty.Config{
 		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Roster: peers, Clock: system,
 	})
--- a/keeper/main.go
+++ b/keeper/main.go
@@ -3,6 +3,7 @@
 package main
 
 import (
+	"expvar"
 	"fmt"
 	"os"
 	"time"
@@ -13,16 +14,23 @@
 	"indigoglade/clock"
 	"indigoglade/config"
 	"indigoglade/daemon"
-	"indigoglade/keeper/internal/fleet"
+	"indigoglade/fleet"
+	"indigoglade/keeper/internal/tasks"
 	"indigoglade/peer"
 	"indigoglade/remote"
+	"indigoglade/send"
 )
 
 type flags struct {
 	Config string `arg:"" type:"existingfile" help:"Settings file, JSON with comments."`
 }
 
-const grace = 5 * time.Second
+// Bounds of the program.
+const (
+	grace         = 5 * time.Second
+	dialBound     = 500 * time.Millisecond
+	maxProbeReply = 4 << 20
+)
 
 func main() {
 	var f flags
@@ -43,13 +51,21 @@
 	system := clock.System{}
 	book := adopt.New()
 	peers := peer.New(peer.Config{Spec: spec, Book: book, Table: platform, Clock: system, Log: group.Log()})
+	group.OnStop(peers.Leave)
 	if err := peers.Join(group); err != nil {
 		return err
 	}
+	sender := send.New(send.Config{Links: 1, MaxReply: maxProbeReply, Connect: dialBound})
 	duties := fleet.New(fleet.Config{
-		Table: platform, Hosts: platform, Workers: platform,
+		Table: platform, Hosts: platform, Workers: platform, Prober: fleet.NewProber(sender, system),
+		Book: book, Roster: peers, Clock: system, Log: group.Log(),
+	})
+	work := tasks.New(tasks.Config{
+		Table: platform, Objects: remote.NewObjects(platform), Hosts: platform, Workers: platform,
 		Book: book, Roster: peers, Clock: system, Log: group.Log(),
 	})
+	expvar.Publish("fleet", duties.Counters())
 	group.Add(duties.Run)
+	group.Add(work.Run)
 	return group.Run()
 }
