Claim keys over the entry hosts before work runs

Cause: a send of the same key to another entry host ran a second time. Figures: before, two sends of one key ran twice.

--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -14,7 +14,7 @@
 	glade "indigoglade"
 	"indigoglade/adopt"
 	"indigoglade/burn"
-	"indigoglade/entry/internal/desk"
+	"indigoglade/desk"
 	"indigoglade/link"
 	"indigoglade/remote"
 )
--- a/entry/main.go
+++ b/entry/main.go
@@ -3,7 +3,9 @@
 package main
 
 import (
+	"expvar"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"time"
@@ -11,17 +13,20 @@
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
 
+	glade "indigoglade"
 	"indigoglade/adopt"
 	"indigoglade/burn"
+	"indigoglade/claim"
 	"indigoglade/clock"
 	"indigoglade/config"
 	"indigoglade/daemon"
-	"indigoglade/entry/internal/desk"
+	"indigoglade/desk"
 	"indigoglade/entry/internal/duty"
-	"indigoglade/entry/internal/serve"
 	"indigoglade/link"
+	"indigoglade/once"
 	"indigoglade/remote"
 	"indigoglade/send"
+	"indigoglade/serve"
 )
 
 type flags struct {
@@ -35,6 +40,11 @@
 	maxReply   = 4 << 20
 	dialBound  = 500 * time.Millisecond
 	ringLength = 4096
+	// peerBound bounds one call to a peer.
+	peerBound = 300 * time.Millisecond
+	// maxKeys bounds the keys remembered, heldAnswers the answers, in bytes.
+	maxKeys     = 200_000
+	heldAnswers = 8 << 20
 )
 
 func main() {
@@ -58,7 +68,10 @@
 	meter := burn.New()
 	front := desk.New(desk.Config{Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
-	server := serve.New(serve.Config{Book: book, Desk: front, Sender: sender, Meter: meter, Clock: system})
+	claimer := newClaimer(spec, system)
+	server := serve.New(serve.Config{
+		Book: book, Desk: front, Sender: sender, Claimer: claimer, Meter: meter, Clock: system,
+	})
 	duties := duty.New(duty.Config{
 		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Clock: system, Log: group.Log(),
 	})
@@ -71,14 +84,31 @@
 	}
 	mux := link.NewMux()
 	duties.Register(mux)
+	claimer.Register(mux)
 	group.Status().GET("/status", duties.Status)
 	group.Add(link.NewServer(peers, mux).Run)
 	group.Add(front.Run)
+	group.Add(claimer.Run)
 	group.Add(duties.Contracts)
 	group.Add(duties.Endpoints)
 	return group.Run()
 }
 
+// newClaimer returns the claimer over every entry host in the settings.
+func newClaimer(spec config.NodeSpec, system glade.Clock) *claim.Claimer {
+	members := []once.Member{once.NewMember(spec.Node, spec.Zone)}
+	peers := make(map[glade.Node]*link.Client)
+	for _, peer := range spec.Peers {
+		members = append(members, once.NewMember(peer.Node, peer.Zone))
+		peers[peer.Node] = link.NewClient(link.Config{Address: peer.Address, Timeout: peerBound})
+	}
+	seed := uint64(system.Now().UnixNano())
+	return claim.New(claim.Config{
+		Self: spec.Node, Members: members, Peers: peers, Clock: system, Random: rand.New(rand.NewPCG(seed, 0)),
+		Records: maxKeys, Bytes: heldAnswers, Counters: expvar.NewMap("claims"),
+	})
+}
+
 // zoneNodes counts the entry hosts of the own availability zone.
 func zoneNodes(spec config.NodeSpec) int {
 	nodes := 1
--- /dev/null
+++ b/once/attempt.go
@@ -0,0 +1,129 @@
+package once
+
+import (
+	"slices"
+
+	glade "indigoglade"
+)
+
+// Verdict is the state of an Attempt.
+type Verdict int
+
+// Verdicts.
+const (
+	// Open means that the votes so far decide nothing.
+	Open Verdict = iota
+	// Won means that the send may run.
+	Won
+	// Lost means that another send has the key.
+	Lost
+)
+
+// AttemptConfig configures an Attempt.
+type AttemptConfig struct {
+	Self glade.Node
+	// Order lists all entry hosts, the key's owner first.
+	Order []glade.Node
+	Claim Claim
+	// Resend tells that the caller sent the key before.
+	Resend bool
+}
+
+// Attempt collects the votes on one claim. It first asks the fewest entry
+// hosts that suffice, then all.
+type Attempt struct {
+	config AttemptConfig
+	wide   bool
+	votes  map[glade.Node]Vote
+}
+
+// NewAttempt returns an attempt without votes.
+func NewAttempt(config AttemptConfig) *Attempt {
+	return &Attempt{config: config, votes: make(map[glade.Node]Vote)}
+}
+
+// Claim returns the claim to send.
+func (a *Attempt) Claim() Claim { return a.config.Claim }
+
+// Asks returns the entry hosts to ask, the own one included: the own one and
+// the owner, or the own one and the next when it is the owner itself.
+func (a *Attempt) Asks() []glade.Node {
+	order := a.config.Order
+	if a.wide || len(order) < 2 {
+		return order
+	}
+	other := order[0]
+	if other == a.config.Self {
+		other = order[1]
+	}
+	return []glade.Node{a.config.Self, other}
+}
+
+// Widen starts over with all entry hosts, and the incarnations known by now.
+// Votes from before don't count, because they were given for others.
+func (a *Attempt) Widen(expect map[glade.Node]uint64) {
+	a.wide = true
+	a.config.Claim.Expect = expect
+	a.votes = make(map[glade.Node]Vote)
+}
+
+// IsWide tells whether all entry hosts are asked.
+func (a *Attempt) IsWide() bool { return a.wide }
+
+// Add takes up a vote on the current claim.
+func (a *Attempt) Add(v Vote) {
+	if expected, ok := a.config.Claim.Expect[v.Node]; !ok || expected != v.Inc {
+		return
+	}
+	a.votes[v.Node] = v
+}
+
+// Holder returns the send that has the key, when a vote named one.
+func (a *Attempt) Holder() (glade.Node, uint64, bool) {
+	for _, node := range a.config.Order {
+		if v := a.votes[node]; v.State == Seen {
+			return v.Holder, v.Token, true
+		}
+	}
+	return "", 0, false
+}
+
+// Verdict weighs the votes. Votes without whole history count only when all
+// entry hosts were asked, none that answered has seen the key, the caller says
+// that it did not send before, and sends from before the start can no longer
+// be under way.
+func (a *Attempt) Verdict() Verdict {
+	var grants, blanks []glade.Node
+	seen := false
+	for node, v := range a.votes {
+		switch {
+		case v.State == Granted:
+			grants = append(grants, node)
+		case v.State == Blank && v.Settled:
+			blanks = append(blanks, node)
+		case v.State == Seen:
+			seen = true
+		}
+	}
+	if a.isQuorum(grants) {
+		return Won
+	}
+	if seen {
+		return Lost
+	}
+	complete := a.wide && len(a.votes) >= len(a.config.Order)-1
+	if complete && !a.config.Resend && a.isQuorum(append(grants, blanks...)) {
+		return Won
+	}
+	return Open
+}
+
+// isQuorum tells whether the grants suffice.
+func (a *Attempt) isQuorum(grants []glade.Node) bool {
+	n := len(a.config.Order)
+	if n < 3 {
+		return len(grants) == n
+	}
+	fast := len(grants) >= 2 && slices.Contains(grants, a.config.Order[0])
+	return fast || len(grants) >= n-1
+}
--- /dev/null
+++ b/once/copy.go
@@ -0,0 +1,66 @@
+package once
+
+import (
+	"time"
+
+	glade "indigoglade"
+)
+
+// CopyPages is the number of pages in which records are copied.
+const CopyPages = 16
+
+// CopyAsk asks an entry host for a page of its records, for one that started.
+type CopyAsk struct {
+	Node glade.Node `json:"node"`
+	Inc  uint64     `json:"inc"`
+	Page int        `json:"page"`
+}
+
+// CopyPage is a page of records.
+type CopyPage struct {
+	Node glade.Node `json:"node"`
+	Inc  uint64     `json:"inc"`
+	// Known is the newest incarnation known of the asking entry host. When it
+	// is higher than the asking one, that one has to take a higher number.
+	Known   uint64   `json:"known"`
+	Whole   bool     `json:"whole"`
+	Records []Record `json:"records"`
+}
+
+// Copy answers a copy. From the first page on, claims that rest on an earlier
+// incarnation of the asking entry host are stale here.
+func (s *Store) Copy(now time.Time, ask CopyAsk) CopyPage {
+	s.sweep(now)
+	s.Learn(ask.Node, ask.Inc)
+	page := CopyPage{Node: s.config.Self, Inc: s.Inc(), Known: s.seen[ask.Node], Whole: s.IsWhole(now)}
+	if page.Known > ask.Inc {
+		return page
+	}
+	for key, r := range s.records {
+		if int(key[0])%CopyPages == ask.Page {
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page
+}
+
+// Rise takes an incarnation above known, after which every copy starts again.
+func (s *Store) Rise(known uint64) {
+	s.seen[s.config.Self] = max(s.Inc(), known+1)
+	s.copied = make(map[glade.Node]bool)
+}
+
+// Merge takes up the records of a page.
+func (s *Store) Merge(now time.Time, page CopyPage) {
+	s.sweep(now)
+	s.Learn(page.Node, page.Inc)
+	for _, r := range page.Records {
+		if r.Expiry > now.UnixMilli() {
+			s.put(r)
+		}
+	}
+}
+
+// Copied records that every page of an entry host whose history is whole was
+// merged.
+func (s *Store) Copied(node glade.Node) { s.copied[node] = true }
--- a/entry/internal/serve/serve.go
+++ b/serve/serve.go
@@ -18,19 +18,24 @@
 	glade "indigoglade"
 	"indigoglade/adopt"
 	"indigoglade/burn"
+	"indigoglade/claim"
 	"indigoglade/daemon"
-	"indigoglade/entry/internal/desk"
+	"indigoglade/desk"
+	"indigoglade/once"
 	"indigoglade/send"
 )
 
 // Headers of the callers' HTTP interface.
 const (
 	IDHeader       = "Request-Id"
+	KeyHeader      = "Request-Key"      // names the work; defaults to the caller's Request-Id
+	ResendHeader   = "Request-Resend"   // "true" when the key was sent before
 	DeadlineHeader = "Request-Deadline" // milliseconds left
 	OutcomeHeader  = "Outcome"
 	ReasonHeader   = "Reason"
 	VersionHeader  = "Contract-Version"
 	AgeHeader      = "Contract-Age" // milliseconds since the platform confirmed it
+	RetryHeader    = "Retry-After"  // seconds
 )
 
 // maxBody bounds the size of a request body, in bytes.
@@ -45,8 +50,10 @@
 	Book   *adopt.Book
 	Desk   *desk.Desk
 	Sender *send.Sender
-	Meter  *burn.Meter
-	Clock  glade.Clock
+	// Claimer claims keyed work of pools that are not repeatable.
+	Claimer *claim.Claimer
+	Meter   *burn.Meter
+	Clock   glade.Clock
 	// Routes add further routes for callers.
 	Routes []func(e *echo.Echo)
 }
@@ -94,6 +101,8 @@
 // work is one request on its way through the entry host.
 type work struct {
 	id       string
+	key      string
+	resend   bool
 	contract glade.Contract
 	pool     glade.PoolSpec
 	body     []byte
@@ -118,11 +127,20 @@
 	if bad != glade.ReasonNone {
 		return s.reply(c, w, refused(bad))
 	}
-	return s.reply(c, w, s.run(c.Request().Context(), w))
+	return s.reply(c, w, s.runOnce(c.Request().Context(), w))
 }
 
 func (s *Server) parse(c echo.Context, start time.Time) (work, glade.Reason) {
 	w := work{id: c.Request().Header.Get(IDHeader), start: start}
+	w.key = c.Request().Header.Get(KeyHeader)
+	if w.key == "" {
+		w.key = w.id
+	}
+	w.resend = c.Request().Header.Get(ResendHeader) == "true"
+	if (w.id != "" && !once.CheckText(w.id)) || (w.key != "" && !once.CheckText(w.key)) {
+		w.id = uuid.NewString()
+		return w, glade.ReasonMalformed
+	}
 	if w.id == "" {
 		w.id = uuid.NewString()
 	}
@@ -179,6 +197,25 @@
 	return glade.ReasonMalformed
 }
 
+// runOnce runs the request. Keyed work that must not run twice is claimed
+// first. It goes on when its caller leaves, so that a resend gets its answer.
+func (s *Server) runOnce(ctx context.Context, w work) result {
+	if w.key == "" || w.pool.Repeatable {
+		return s.run(ctx, w)
+	}
+	answer := w.contract.Spec().Answer
+	ticket, known := s.config.Claimer.Claim(ctx, claim.Send{
+		Customer: w.contract.Customer(), Service: w.pool.Serve, Text: w.key, Resend: w.resend,
+		Window: answer.Window.Duration(), Promised: answer.Deadline.Duration(), Deadline: w.deadline,
+	})
+	if ticket == nil {
+		return result{outcome: known.Outcome, reason: known.Reason, body: known.Body}
+	}
+	r := s.run(context.WithoutCancel(ctx), w)
+	s.config.Claimer.Finish(ticket, claim.Answer{Outcome: r.outcome, Reason: r.reason, Body: r.body})
+	return r
+}
+
 // run makes attempts until one ends the request.
 func (s *Server) run(ctx context.Context, w work) result {
 	last := refused(glade.ReasonConnect)
