--- a/entry/main.go
+++ b/entry/main.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/labstack/echo/v4"
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
@@ -22,6 +23,7 @@
 	"indigoglade/daemon"
 	"indigoglade/desk"
 	"indigoglade/entry/internal/duty"
+	"indigoglade/entry/internal/ticket"
 	"indigoglade/link"
 	"indigoglade/once"
 	"indigoglade/remote"
@@ -68,9 +70,11 @@
 	meter := burn.New()
 	front := desk.New(desk.Config{Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
+	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
 	claimer := newClaimer(spec, system)
 	server := serve.New(serve.Config{
 		Book: book, Desk: front, Sender: sender, Claimer: claimer, Meter: meter, Clock: system,
+		Routes: []func(*echo.Echo){tickets.Routes},
 	})
 	duties := duty.New(duty.Config{
 		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Clock: system, Log: group.Log(),
