Decide on slots by index, deadline and success; measure outcomes over sockets

Cause: a pick scanned all endpoints, leaving a queue scanned all waiting requests, 2 of 8 slots stayed unused with 3 entry hosts in a zone, an endpoint that fails fast drew the most work, nothing was shed in time, a caller that left freed a slot that was still in use, an answer that ends with its connection counted as whole, link calls that their caller gave up dropped the shared connection, and jsonrpc2 logged past the log. Change: route keeps endpoints by requests in flight, shares add up to 8 by rendezvous, outliers are ejected up to a cap and come back with one slot. admit orders by deadline, takes customers by turns, and refuses at once what can't be answered in time (wait from the mean service time, plus mean and three mean deviations), with Retry-After. package retry bounds retries. Attempts go on when callers leave; a slot is kept until an overrun ends. Heads of answers are bounded. bench drives seven or nine entry hosts over sockets with kills and every fault.

--- a/bench/internal/calls/calls.go
+++ b/bench/internal/calls/calls.go
@@ -1,9 +1,24 @@
-// Package calls measures the request path.
+// Package calls measures the request path: over real sockets what callers see
+// beside what endpoints ran, and in virtual time how well slots are used.
 package calls
 
 import "indigoglade/bench/internal/gauge"
 
 // Measures returns the measures of this package.
 func Measures() []gauge.Measure {
-	return nil
+	truth := &truthRun{}
+	return []gauge.Measure{
+		{Name: "calls.twice", Unit: "requests", Run: truth.value(func(t *tally) int { return t.twice })},
+		{Name: "calls.refused.ran", Unit: "requests", Run: truth.value(func(t *tally) int { return t.refusedRan })},
+		{Name: "calls.cut.whole", Unit: "answers", Run: truth.value(func(t *tally) int { return t.cut })},
+		{Name: "calls.wrong.caller", Unit: "answers", Run: truth.value(func(t *tally) int { return t.wrong })},
+		{Name: "calls.slots.7", Unit: "in flight", Run: runSlots(7)},
+		{Name: "calls.slots.9", Unit: "in flight", Run: runSlots(9)},
+		{Name: "calls.amplify", Unit: "of fresh", Run: runAmplify},
+		{Name: "calls.peak.7", Unit: "of slots", Run: runPeak(7)},
+		{Name: "calls.peak.9", Unit: "of slots", Run: runPeak(9)},
+		{Name: "calls.peak.gain", Unit: "of baseline", Run: runPeakGain},
+		{Name: "calls.allocs", Unit: "a decision", Run: runAllocs},
+		{Name: "calls.cost.2600", Unit: "of 10", Run: runCost},
+	}
 }
--- /dev/null
+++ b/bench/internal/calls/endpoint.go
@@ -0,0 +1,222 @@
+package calls
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"indigoglade/send"
+)
+
+// ledger records what endpoints really ran, by the key in the request body.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+	all  int
+}
+
+func newLedger() *ledger { return &ledger{runs: make(map[string]int)} }
+
+func (l *ledger) start(key string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[key]++
+	l.all++
+}
+
+func (l *ledger) count(key string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.runs[key]
+}
+
+func (l *ledger) total() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.all
+}
+
+// fault is a way in which an endpoint misbehaves.
+type fault int
+
+const (
+	healthy fault = iota
+	failing
+	cutting
+	crossing
+	garbling
+	oversizing
+	trickling
+	endless
+	late
+	closing
+	faultKinds
+)
+
+// endpoint is a runner on loopback that misbehaves in a share of its answers.
+type endpoint struct {
+	listener net.Listener
+	ledger   *ledger
+	work     time.Duration
+	// bad is the share of requests that meet a fault.
+	bad   float64
+	kinds []fault
+
+	mu     sync.Mutex
+	random *rand.Rand
+	flight int
+	peak   int
+	conns  map[net.Conn]bool
+}
+
+func newEndpoint(l *ledger, work time.Duration, bad float64, kinds []fault, random *rand.Rand) (*endpoint, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	e := &endpoint{
+		listener: listener, ledger: l, work: work, bad: bad, kinds: kinds, random: random, conns: make(map[net.Conn]bool),
+	}
+	go e.run()
+	return e, nil
+}
+
+func (e *endpoint) run() {
+	for {
+		conn, err := e.listener.Accept()
+		if err != nil {
+			return
+		}
+		e.mu.Lock()
+		e.conns[conn] = true
+		e.mu.Unlock()
+		s := session{endpoint: e, conn: conn}
+		go s.run()
+	}
+}
+
+func (e *endpoint) close() {
+	e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for conn := range e.conns {
+		conn.Close()
+	}
+}
+
+func (e *endpoint) enter() fault {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.flight++
+	e.peak = max(e.peak, e.flight)
+	if e.random.Float64() >= e.bad {
+		return healthy
+	}
+	return e.kinds[e.random.IntN(len(e.kinds))]
+}
+
+func (e *endpoint) leave() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.flight--
+}
+
+// session is one connection to an endpoint.
+type session struct {
+	endpoint *endpoint
+	conn     net.Conn
+}
+
+func (s session) run() {
+	defer s.conn.Close()
+	reader := bufio.NewReader(s.conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(request.Body)
+		if err != nil {
+			return
+		}
+		if !s.serve(request.Header.Get(send.RequestHeader), string(body)) {
+			return
+		}
+	}
+}
+
+// lateTime is longer than the deadline of every request of the measures.
+const lateTime = 700 * time.Millisecond
+
+// serve runs one request and tells whether the connection goes on.
+func (s session) serve(id, key string) bool {
+	kind := s.endpoint.enter()
+	defer s.endpoint.leave()
+	if kind == closing {
+		return false
+	}
+	s.endpoint.ledger.start(key)
+	switch kind {
+	case failing:
+		return s.write("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+	case garbling:
+		s.write("\x00\xffgarbage\r\n\r\n")
+		return false
+	case oversizing:
+		s.write(head(id, maxReply*2))
+		s.write(strings.Repeat("x", maxReply*2))
+		return false
+	case late:
+		time.Sleep(lateTime)
+	default:
+		time.Sleep(s.endpoint.work)
+	}
+	return s.answer(kind, id, replyTo(key))
+}
+
+func (s session) answer(kind fault, id, body string) bool {
+	switch kind {
+	case cutting:
+		s.write(head(id, len(body)) + body[:len(body)/2])
+		return false
+	case crossing:
+		other := "another" + id
+		return s.write(head(other, len(replyTo(other))) + replyTo(other))
+	case trickling:
+		return s.trickle(head(id, len(body)) + body)
+	case endless:
+		return s.trickle(head(id, maxReply) + strings.Repeat(body, 40))
+	}
+	return s.write(head(id, len(body)) + body)
+}
+
+// trickleTime is the pause between the bytes of a trickled answer.
+const trickleTime = 20 * time.Millisecond
+
+func (s session) trickle(text string) bool {
+	for i := range len(text) {
+		if !s.write(text[i : i+1]) {
+			return false
+		}
+		time.Sleep(trickleTime)
+	}
+	return true
+}
+
+func (s session) write(text string) bool {
+	_, err := io.WriteString(s.conn, text)
+	return err == nil
+}
+
+func head(id string, length int) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", send.RequestHeader, id, length)
+}
+
+// replyTo is the whole answer to a key.
+func replyTo(key string) string { return "price for " + key + " end" }
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -21,7 +21,9 @@
 	Members []once.Member
 	Peers   map[glade.Node]*link.Client
 	Clock   glade.Clock
-	Random  *rand.Rand
+	// Start is when the entry host started; zero means now.
+	Start  time.Time
+	Random *rand.Rand
 	// Records bounds the number of keys remembered.
 	Records int
 	// Bytes bounds the size of the answers held.
@@ -76,13 +78,16 @@
 		config.Counters = new(expvar.Map).Init()
 	}
 	ring := once.NewRing(config.Members)
-	now := config.Clock.Now()
+	if config.Start.IsZero() {
+		config.Start = config.Clock.Now()
+	}
+	start := config.Start
 	return &Claimer{
 		config:   config,
 		ring:     ring,
 		counters: config.Counters,
 		store: once.NewStore(once.StoreConfig{
-			Self: config.Self, Inc: uint64(now.UnixNano()), Nodes: ring.Nodes(), Start: now, Window: MaxWindow,
+			Self: config.Self, Inc: uint64(start.UnixNano()), Nodes: ring.Nodes(), Start: start, Window: MaxWindow,
 			Limit: config.Records,
 		}),
 		active: make(map[sendID]*run),
@@ -160,7 +165,7 @@
 			continue
 		}
 		q := question{claimer: c, node: node, claim: attempt.Claim(), votes: votes}
-		go q.run(ctx)
+		go q.run(context.WithoutCancel(ctx))
 	}
 	for range asks {
 		v := <-votes
--- /dev/null
+++ b/claim/claim_test.go
@@ -0,0 +1,116 @@
+package claim_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	glade "indigoglade"
+	"indigoglade/claim"
+	"indigoglade/clock"
+	"indigoglade/link"
+	"indigoglade/once"
+)
+
+// serving is one entry host's server for peers.
+type serving struct {
+	server *link.Server
+	ctx    context.Context
+}
+
+func (s serving) run() { _ = s.server.Run(s.ctx) }
+
+// newClaimers starts entry hosts that know each other. The first down ones
+// have an address where nobody listens.
+func newClaimers(t *testing.T, n, down int) []*claim.Claimer {
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	var members []once.Member
+	var listeners []net.Listener
+	for i := range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		qt.Assert(t, err, qt.IsNil)
+		listeners = append(listeners, listener)
+		members = append(members, once.NewMember(glade.Node(fmt.Sprint("e", i)), "z"))
+	}
+	var claimers []*claim.Claimer
+	for i := range n {
+		peers := make(map[glade.Node]*link.Client)
+		for j := range n {
+			node := glade.Node(fmt.Sprint("e", j))
+			peers[node] = link.NewClient(link.Config{Address: listeners[j].Addr().String(), Timeout: 2 * time.Second})
+		}
+		c := claim.New(claim.Config{
+			Self: glade.Node(fmt.Sprint("e", i)), Members: members, Peers: peers, Clock: clock.NewFake(start),
+			Start: start.Add(-claim.MaxWindow), Random: rand.New(rand.NewPCG(1, uint64(i))), Records: 100, Bytes: 1 << 16,
+		})
+		claimers = append(claimers, c)
+		if i < down {
+			listeners[i].Close()
+			continue
+		}
+		mux := link.NewMux()
+		c.Register(mux)
+		go serving{link.NewServer(listeners[i], mux), ctx}.run()
+	}
+	return claimers
+}
+
+var start = time.Now()
+
+func newSend(text string, resend bool) claim.Send {
+	return claim.Send{
+		Customer: "dealers", Service: "quotes", Text: text, Resend: resend,
+		Window: time.Minute, Promised: 10 * time.Second, Deadline: start.Add(10 * time.Second),
+	}
+}
+
+// expectWon claims and checks that the send may run.
+func expectWon(t *testing.T, c *claim.Claimer, send claim.Send) *claim.Ticket {
+	t.Helper()
+	ticket, answer := c.Claim(context.Background(), send)
+	qt.Assert(t, ticket, qt.IsNotNil, qt.Commentf("%v", answer))
+	return ticket
+}
+
+// expectAnswer claims and checks that the send doesn't run.
+func expectAnswer(t *testing.T, c *claim.Claimer, send claim.Send, want claim.Answer) {
+	t.Helper()
+	ticket, answer := c.Claim(context.Background(), send)
+	qt.Check(t, ticket, qt.IsNil)
+	qt.Check(t, answer, qt.DeepEquals, want)
+}
+
+var answered = claim.Answer{Outcome: glade.Answered, Body: []byte("42")}
+
+func TestReplay(t *testing.T) {
+	all := newClaimers(t, 3, 0)
+	all[0].Finish(expectWon(t, all[0], newSend("k", false)), answered)
+	for _, c := range all {
+		expectAnswer(t, c, newSend("k", true), answered)
+	}
+}
+
+func TestRefusedMayRunAgain(t *testing.T) {
+	all := newClaimers(t, 1, 0)
+	all[0].Finish(expectWon(t, all[0], newSend("k", false)), claim.Answer{Outcome: glade.Refused, Reason: glade.ReasonQueue})
+	expectWon(t, all[0], newSend("k", true))
+}
+
+func TestOneDownIsNoReasonToRefuse(t *testing.T) {
+	all := newClaimers(t, 4, 1)
+	for i := range 8 {
+		expectWon(t, all[1+i%3], newSend(fmt.Sprint("k", i), true))
+	}
+}
+
+func TestTooFewVotes(t *testing.T) {
+	all := newClaimers(t, 4, 3)
+	expectAnswer(t, all[3], newSend("k", false), claim.Answer{Outcome: glade.Refused, Reason: glade.ReasonHistory})
+	expectAnswer(t, all[3], newSend("k", true), claim.Answer{Outcome: glade.Unknown, Reason: glade.ReasonHistory})
+}
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -15,9 +15,11 @@
 
 // Config configures a Desk.
 type Config struct {
+	Node glade.Node
 	Zone glade.Zone
-	// Nodes is the number of entry hosts that share the zone's endpoints.
-	Nodes int
+	// Nodes are the entry hosts that share the zone's endpoints, the own one
+	// included.
+	Nodes []glade.Node
 	Clock glade.Clock
 	// Ring is the length of the ring of events.
 	Ring int
@@ -28,12 +30,16 @@
 	Contract glade.Contract
 	Pool     glade.PoolSpec
 	Deadline time.Time
+	// Avoid is the endpoint of an earlier attempt.
+	Avoid glade.Endpoint
 }
 
 // Answer is the decision on an Ask.
 type Answer struct {
 	grant  route.Grant
+	at     time.Time
 	reason glade.Reason
+	retry  time.Duration
 }
 
 // Grant returns the permission for one attempt, if there is one.
@@ -42,13 +48,14 @@
 // Reason returns why there is no grant.
 func (a Answer) Reason() glade.Reason { return a.reason }
 
+// Retry returns the time after which a refused request may be sent again.
+func (a Answer) Retry() time.Duration { return a.retry }
+
 // Desk is the owner of routing and admission.
 type Desk struct {
 	config Config
 	events chan event
-	router *route.Router
-	queues map[glade.Service]*admit.Queue
-	asks   map[*admit.Ticket]ask
+	gate   *admit.Gate
 }
 
 type event interface{ apply(d *Desk, now time.Time) }
@@ -56,42 +63,50 @@
 type ask struct {
 	Ask
 	reply chan Answer
+	// ticket belongs to the goroutine that decides.
+	ticket *admit.Ticket
+}
+
+type quit struct{ ask *ask }
+
+// Attempt is what came of a grant.
+type Attempt struct {
+	Service glade.Service
+	Result  route.Result
+	// Leaving tells that the endpoint said that it is leaving.
+	Leaving bool
 }
 
 type done struct {
-	grant   route.Grant
-	service glade.Service
-	leaving bool
+	answer  Answer
+	attempt Attempt
 }
 
 type leave struct{ endpoint glade.Endpoint }
 
 type update struct{ list []glade.Listed }
 
+// runnerSlots is the number of slots of a runner.
+const runnerSlots = 8
+
 // New returns a desk that knows no endpoint.
 func New(config Config) *Desk {
 	seed := uint64(config.Clock.Now().UnixNano())
-	d := &Desk{
+	return &Desk{
 		config: config,
 		events: make(chan event, config.Ring),
-		queues: make(map[glade.Service]*admit.Queue),
-		asks:   make(map[*admit.Ticket]ask),
+		gate:   admit.New(route.New(route.Config{Share: config.share, Random: rand.New(rand.NewPCG(seed, 0))})),
 	}
-	d.router = route.New(route.Config{Zone: config.Zone, Share: d.share, Random: rand.New(rand.NewPCG(seed, 0))})
-	return d
 }
 
-// runnerSlots is the number of slots of a runner.
-const runnerSlots = 8
-
-// share splits the slots of a zone's runners evenly over the zone's own entry
-// hosts. The parts stay within the runner's slots whoever is alive, because
-// they rest on the settings alone.
-func (d *Desk) share(zone glade.Zone) int {
-	if zone != d.config.Zone {
+// share splits the slots of a zone's runners over the zone's own entry hosts.
+// The parts stay within the runner's slots whoever is alive, because they rest
+// on the settings alone.
+func (c Config) share(row glade.Listed) int {
+	if row.Zone != c.Zone {
 		return 0
 	}
-	return runnerSlots / d.config.Nodes
+	return route.Share(row.Host, runnerSlots, c.Node, c.Nodes)
 }
 
 // Run decides until ctx ends.
@@ -106,14 +121,17 @@
 	}
 }
 
-// Acquire waits for a grant. It returns a reason when there is none by the
-// deadline, or when the caller leaves.
+// ringRetry is how long a caller is asked to wait when the ring is full.
+const ringRetry = time.Second
+
+// Acquire waits for a grant. It returns a reason at once when the request can't
+// be answered by its deadline, or when the caller leaves.
 func (d *Desk) Acquire(ctx context.Context, request Ask) Answer {
-	a := ask{Ask: request, reply: make(chan Answer, 1)}
+	a := &ask{Ask: request, reply: make(chan Answer, 1)}
 	select {
 	case d.events <- a:
 	default:
-		return Answer{reason: glade.ReasonQueue}
+		return Answer{reason: glade.ReasonQueue, retry: ringRetry}
 	}
 	ctx, cancel := context.WithDeadline(ctx, request.Deadline)
 	defer cancel()
@@ -121,38 +139,14 @@
 	case answer := <-a.reply:
 		return answer
 	case <-ctx.Done():
-		return d.giveUp(a)
+		d.events <- quit{ask: a}
+		return <-a.reply
 	}
 }
 
-// giveUp leaves the queue. A grant that was made in the same moment is
-// returned unused.
-func (d *Desk) giveUp(a ask) Answer {
-	select {
-	case answer := <-a.reply:
-		return answer
-	default:
-	}
-	d.events <- quit{a}
-	answer := <-a.reply
-	return answer
-}
-
-type quit struct{ ask }
-
-func (q quit) apply(d *Desk, _ time.Time) {
-	for ticket, waiting := range d.asks {
-		if waiting.reply == q.reply && d.queues[q.Pool.Serve].Leave(ticket) {
-			delete(d.asks, ticket)
-			q.reply <- Answer{reason: glade.ReasonDeadline}
-			return
-		}
-	}
-}
-
-// Release returns a grant with what the attempt showed of the endpoint.
-func (d *Desk) Release(grant route.Grant, service glade.Service, leaving bool) {
-	d.events <- done{grant: grant, service: service, leaving: leaving}
+// Release returns a grant with what came of it.
+func (d *Desk) Release(answer Answer, attempt Attempt) {
+	d.events <- done{answer: answer, attempt: attempt}
 }
 
 // Update hands over a host list.
@@ -161,65 +155,53 @@
 // Leave takes an endpoint incarnation out for good.
 func (d *Desk) Leave(endpoint glade.Endpoint) { d.events <- leave{endpoint: endpoint} }
 
-func (a ask) apply(d *Desk, now time.Time) {
-	if grant, ok := d.router.Pick(now, a.Pool.Serve); ok {
-		a.reply <- Answer{grant: grant}
-		return
-	}
-	if d.router.Live(a.Pool.Serve) == 0 {
-		a.reply <- Answer{reason: glade.ReasonEndpoints}
-		return
-	}
-	q := d.queue(a.Pool.Serve)
-	ticket, ok := q.Join(a.Contract.Customer(), a.Pool.Serve, a.Deadline, a.Contract.Spec().Answer.Queue)
-	if !ok {
-		a.reply <- Answer{reason: glade.ReasonQueue}
-		return
+func (a *ask) apply(d *Desk, now time.Time) {
+	spec := a.Contract.Spec().Answer
+	decision := d.gate.Ask(now, admit.Ask{
+		Customer: a.Contract.Customer(), Service: a.Pool.Serve, Deadline: a.Deadline,
+		Depth: spec.Queue, Weight: spec.Rate, Avoid: a.Avoid,
+	}, a)
+	if a.ticket = decision.Ticket(); a.ticket == nil {
+		a.answer(now, decision)
 	}
-	d.asks[ticket] = a
 }
 
-func (d *Desk) queue(service glade.Service) *admit.Queue {
-	q, ok := d.queues[service]
-	if !ok {
-		q = admit.New()
-		d.queues[service] = q
+func (a *ask) answer(now time.Time, decision admit.Decision) {
+	grant, _ := decision.Grant()
+	a.reply <- Answer{grant: grant, at: now, reason: decision.Reason(), retry: decision.Retry()}
+}
+
+// apply leaves the queue. When the decision was made in the same moment, the
+// reply holds it already.
+func (q quit) apply(d *Desk, _ time.Time) {
+	ticket := q.ask.ticket
+	if ticket == nil {
+		return
 	}
-	return q
+	q.ask.ticket = nil
+	d.gate.Quit(ticket)
+	d.gate.Free(ticket)
+	q.ask.reply <- Answer{reason: glade.ReasonDeadline}
 }
 
 func (e done) apply(d *Desk, now time.Time) {
-	if e.leaving {
-		d.router.Leave(e.grant.Endpoint())
+	if e.attempt.Leaving {
+		d.gate.Leave(e.answer.grant.Endpoint())
 	}
-	d.router.Done(now, e.grant)
-	d.serveNext(now, e.service)
+	took := now.Sub(e.answer.at)
+	d.tell(now, d.gate.Done(now, e.attempt.Service, e.answer.grant, e.attempt.Result, took))
 }
 
-func (e leave) apply(d *Desk, _ time.Time) { d.router.Leave(e.endpoint) }
+func (e leave) apply(d *Desk, _ time.Time) { d.gate.Leave(e.endpoint) }
 
-func (e update) apply(d *Desk, now time.Time) {
-	d.router.Update(e.list)
-	for service := range d.queues {
-		d.serveNext(now, service)
-	}
-}
+func (e update) apply(d *Desk, now time.Time) { d.tell(now, d.gate.Update(now, e.list)) }
 
-// serveNext grants slots to waiting requests while there are both.
-func (d *Desk) serveNext(now time.Time, service glade.Service) {
-	q := d.queue(service)
-	for q.Len() > 0 {
-		grant, ok := d.router.Pick(now, service)
-		if !ok {
-			return
-		}
-		ticket, ok := q.Next(now)
-		if !ok {
-			d.router.Done(now, grant)
-			return
-		}
-		a := d.asks[ticket]
-		delete(d.asks, ticket)
-		a.reply <- Answer{grant: grant}
+// tell answers the requests that were decided on.
+func (d *Desk) tell(now time.Time, decisions []admit.Decision) {
+	for _, decision := range decisions {
+		a := decision.Ticket().Owner().(*ask)
+		a.ticket = nil
+		a.answer(now, decision)
+		d.gate.Free(decision.Ticket())
 	}
 }
--- a/entry/main.go
+++ b/entry/main.go
@@ -68,13 +68,13 @@
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	book := adopt.New()
 	meter := burn.New()
-	front := desk.New(desk.Config{Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
+	front := desk.New(desk.Config{Node: spec.Node, Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
 	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
 	claimer := newClaimer(spec, system)
 	server := serve.New(serve.Config{
 		Book: book, Desk: front, Sender: sender, Claimer: claimer, Meter: meter, Clock: system,
-		Routes: []func(*echo.Echo){tickets.Routes},
+		Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
 	})
 	duties := duty.New(duty.Config{
 		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Clock: system, Log: group.Log(),
@@ -113,12 +113,12 @@
 	})
 }
 
-// zoneNodes counts the entry hosts of the own availability zone.
-func zoneNodes(spec config.NodeSpec) int {
-	nodes := 1
+// zoneNodes lists the entry hosts of the own availability zone.
+func zoneNodes(spec config.NodeSpec) []glade.Node {
+	nodes := []glade.Node{spec.Node}
 	for _, peer := range spec.Peers {
 		if peer.Zone == spec.Zone {
-			nodes++
+			nodes = append(nodes, peer.Node)
 		}
 	}
 	return nodes
--- a/link/link.go
+++ b/link/link.go
@@ -74,7 +74,7 @@
 		if err != nil {
 			return errors.Wrap(err, "accept peer")
 		}
-		jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), handler)
+		jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), handler, jsonrpc2.SetLogger(quiet{}))
 	}
 }
 
@@ -104,6 +104,7 @@
 // open whether the peer acted.
 func Call[In, Out any](ctx context.Context, c *Client, method string, in In) (Out, error) {
 	var out Out
+	parent := ctx
 	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout)
 	defer cancel()
 	conn, err := c.connect(ctx)
@@ -112,7 +113,9 @@
 	}
 	if err := conn.Call(ctx, method, in, &out); err != nil {
 		var reported *jsonrpc2.Error
-		if !errors.As(err, &reported) {
+		// A caller that gives up shows nothing of the connection, which other
+		// calls share.
+		if !errors.As(err, &reported) && parent.Err() == nil {
 			c.drop(conn)
 		}
 		return out, errors.Wrapf(err, "call %s of %s", method, c.config.Address)
@@ -132,7 +135,8 @@
 	}
 	// The connection outlives the call that opened it.
 	background := context.WithoutCancel(ctx)
-	c.conn = jsonrpc2.NewConn(background, jsonrpc2.NewPlainObjectStream(raw), jsonrpc2.HandlerWithError(refuse))
+	c.conn = jsonrpc2.NewConn(background, jsonrpc2.NewPlainObjectStream(raw), jsonrpc2.HandlerWithError(refuse),
+		jsonrpc2.SetLogger(quiet{}))
 	return c.conn, nil
 }
 
@@ -145,6 +149,13 @@
 	return secure.DialContext(ctx, "tcp", c.config.Address)
 }
 
+// quiet drops the library's own log lines. Calls that fail are counted by their
+// callers.
+type quiet struct{}
+
+// Printf does nothing.
+func (quiet) Printf(string, ...any) {}
+
 // refuse answers calls that a server makes back over a client's connection.
 func refuse(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
 	return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side only calls"}
--- a/once/attempt.go
+++ b/once/attempt.go
@@ -39,7 +39,15 @@
 
 // NewAttempt returns an attempt without votes.
 func NewAttempt(config AttemptConfig) *Attempt {
-	return &Attempt{config: config, votes: make(map[glade.Node]Vote)}
+	a := &Attempt{config: config, votes: make(map[glade.Node]Vote)}
+	expect := make(map[glade.Node]uint64)
+	for _, node := range a.Asks() {
+		if inc, ok := config.Claim.Expect[node]; ok {
+			expect[node] = inc
+		}
+	}
+	a.config.Claim.Expect = expect
+	return a
 }
 
 // Claim returns the claim to send.
--- a/route/route.go
+++ b/route/route.go
@@ -1,5 +1,9 @@
 // Package route chooses an endpoint for each attempt from the live endpoints
 // of a service and the share of their slots that this entry host may use.
+//
+// The endpoint with the fewest requests in flight is taken. An endpoint that
+// fails fast looks idle, so those whose success ratio falls are ejected for a
+// time, up to a cap, and come back slowly.
 package route
 
 import (
@@ -11,11 +15,9 @@
 
 // Config configures a Router.
 type Config struct {
-	// Zone is the entry host's own availability zone.
-	Zone glade.Zone
-	// Share returns the number of slots of an endpoint in the given zone that
-	// this entry host may fill.
-	Share func(zone glade.Zone) int
+	// Share returns the number of slots of an endpoint that this entry host may
+	// fill, at most 16. It is asked when the host list changes.
+	Share func(row glade.Listed) int
 	// Random chooses between endpoints.
 	Random *rand.Rand
 }
@@ -29,26 +31,16 @@
 	left     map[glade.Host]uint64
 }
 
-type group struct {
-	near []*target
-	far  []*target
-}
-
-type target struct {
-	listed glade.Listed
-	flight int
-}
-
 // Grant is the permission for one attempt on one endpoint.
 type Grant struct {
 	target *target
 }
 
 // Endpoint returns the endpoint to send to.
-func (g Grant) Endpoint() glade.Endpoint { return g.target.listed.Endpoint() }
+func (g Grant) Endpoint() glade.Endpoint { return g.target.row.Endpoint() }
 
 // Address returns the endpoint's IP number and port.
-func (g Grant) Address() string { return g.target.listed.Address }
+func (g Grant) Address() string { return g.target.row.Address }
 
 // New returns a router without endpoints.
 func New(config Config) *Router {
@@ -62,7 +54,7 @@
 
 // Update takes up a host list. The list lags, so an incarnation that is known
 // to be leaving stays out, whatever the list says.
-func (r *Router) Update(list []glade.Listed) {
+func (r *Router) Update(now time.Time, list []glade.Listed) {
 	known := make(map[glade.Endpoint]*target, len(list))
 	services := make(map[glade.Service]*group)
 	for _, row := range list {
@@ -74,23 +66,39 @@
 		}
 		t, ok := r.known[row.Endpoint()]
 		if !ok {
-			t = &target{}
+			t = newTarget()
 		}
-		t.listed = row
 		known[row.Endpoint()] = t
 		g := services[row.Service]
 		if g == nil {
 			g = &group{}
 			services[row.Service] = g
 		}
-		if row.Zone == r.config.Zone {
-			g.near = append(g.near, t)
-		} else {
-			g.far = append(g.far, t)
+		t.row = row
+		t.group = g
+		t.share = min(r.config.Share(row), maxShare)
+		g.add(t)
+	}
+	for endpoint, t := range r.known {
+		if known[endpoint] == nil {
+			t.group = nil
 		}
 	}
 	r.known = known
 	r.services = services
+	for _, g := range services {
+		g.restore(now)
+	}
+}
+
+func (g *group) add(t *target) {
+	t.listed = false
+	g.targets = append(g.targets, t)
+	if t.ejected {
+		g.out = append(g.out, t)
+	}
+	g.slots += t.share
+	g.place(t)
 }
 
 // Leave takes an incarnation out for good and tells whether that was news.
@@ -99,79 +107,72 @@
 		return false
 	}
 	r.left[endpoint.Host] = endpoint.Incarnation
+	if t := r.known[endpoint]; t != nil {
+		t.leave()
+	}
 	return true
 }
 
-// Pick grants one attempt on an endpoint of a service. Endpoints of the own
-// availability zone come first. The second result is false when no endpoint
-// has a slot free.
-func (r *Router) Pick(_ time.Time, service glade.Service) (Grant, bool) {
-	g := r.services[service]
-	if g == nil {
-		return Grant{}, false
-	}
-	if t := r.choose(g.near); t != nil {
-		t.flight++
-		return Grant{target: t}, true
-	}
-	if t := r.choose(g.far); t != nil {
-		t.flight++
-		return Grant{target: t}, true
+func (t *target) leave() {
+	t.left = true
+	if t.group != nil {
+		t.group.slots -= t.share
+		t.group.place(t)
 	}
-	return Grant{}, false
 }
 
-// Done returns a grant.
-func (r *Router) Done(_ time.Time, grant Grant) {
-	grant.target.flight--
-}
-
-// Live returns the number of endpoints of a service that take new work.
-func (r *Router) Live(service glade.Service) int {
+// Pick grants one attempt on an endpoint of a service, other than avoid if
+// there is another. The second result is false when no endpoint has a slot
+// free.
+func (r *Router) Pick(now time.Time, service glade.Service, avoid glade.Endpoint) (Grant, bool) {
 	g := r.services[service]
 	if g == nil {
-		return 0
+		return Grant{}, false
 	}
-	live := 0
-	for _, t := range append(append([]*target(nil), g.near...), g.far...) {
-		if r.isOpen(t) {
-			live++
-		}
+	if len(g.out) > 0 {
+		g.restore(now)
+	}
+	t := g.choose(r.config.Random, avoid)
+	if t == nil {
+		return Grant{}, false
 	}
-	return live
+	t.flight++
+	g.place(t)
+	return Grant{target: t}, true
 }
 
-func (r *Router) isOpen(t *target) bool {
-	return t.listed.Incarnation > r.left[t.listed.Host]
-}
+// Result is what an attempt showed of its endpoint.
+type Result int
+
+// Results.
+const (
+	// Unused means that no attempt was made.
+	Unused Result = iota
+	// Good means that the endpoint answered.
+	Good
+	// Bad means that it failed, broke off, or can't be reached.
+	Bad
+)
 
-// choose takes the less loaded of two random endpoints, and falls back to the
-// first one with a free slot.
-func (r *Router) choose(targets []*target) *target {
-	if len(targets) == 0 {
-		return nil
-	}
-	a := targets[r.config.Random.IntN(len(targets))]
-	b := targets[r.config.Random.IntN(len(targets))]
-	if b.flight < a.flight {
-		a, b = b, a
-	}
-	if r.isFree(a) {
-		return a
-	}
-	if r.isFree(b) {
-		return b
+// Done returns a grant.
+func (r *Router) Done(now time.Time, grant Grant, result Result) {
+	t := grant.target
+	t.flight--
+	if t.group == nil {
+		return
 	}
-	start := r.config.Random.IntN(len(targets))
-	for i := range targets {
-		t := targets[(start+i)%len(targets)]
-		if r.isFree(t) {
-			return t
-		}
+	if result != Unused && t.record(result == Good) {
+		t.group.eject(now, t)
+		return
 	}
-	return nil
+	t.group.place(t)
 }
 
-func (r *Router) isFree(t *target) bool {
-	return r.isOpen(t) && t.flight < r.config.Share(t.listed.Zone)
+// Slots returns the number of slots of a service's live endpoints that this
+// entry host may fill.
+func (r *Router) Slots(service glade.Service) int {
+	if g := r.services[service]; g != nil {
+		return g.slots
+	}
+	return 0
 }
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,121 @@
+package route_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	glade "indigoglade"
+	"indigoglade/route"
+)
+
+var start = time.Unix(1000, 0)
+
+func rows(n int) []glade.Listed {
+	var list []glade.Listed
+	for i := range n {
+		list = append(list, glade.Listed{Host: glade.Host(fmt.Sprint("h", i)), Incarnation: 1, Service: "quotes"})
+	}
+	return list
+}
+
+func newRouter(n, share int) *route.Router {
+	r := route.New(route.Config{Share: func(glade.Listed) int { return share }, Random: rand.New(rand.NewPCG(1, 1))})
+	r.Update(start, rows(n))
+	return r
+}
+
+// drain takes every free slot and returns the grants by host.
+func drain(r *route.Router, now time.Time) map[glade.Host][]route.Grant {
+	taken := make(map[glade.Host][]route.Grant)
+	for {
+		g, ok := r.Pick(now, "quotes", glade.Endpoint{})
+		if !ok {
+			return taken
+		}
+		taken[g.Endpoint().Host] = append(taken[g.Endpoint().Host], g)
+	}
+}
+
+func TestPickFillsEverySlotOnce(t *testing.T) {
+	taken := drain(newRouter(5, 3), start)
+	qt.Check(t, taken, qt.HasLen, 5)
+	for host, grants := range taken {
+		qt.Check(t, grants, qt.HasLen, 3, qt.Commentf("%s", host))
+	}
+}
+
+func TestPickAvoids(t *testing.T) {
+	r := newRouter(2, 8)
+	first, _ := r.Pick(start, "quotes", glade.Endpoint{})
+	for range 5 {
+		next, ok := r.Pick(start, "quotes", first.Endpoint())
+		qt.Assert(t, ok, qt.IsTrue)
+		qt.Check(t, next.Endpoint(), qt.Not(qt.Equals), first.Endpoint())
+		r.Done(start, next, route.Good)
+	}
+}
+
+func TestLeavingStaysOut(t *testing.T) {
+	r := newRouter(2, 8)
+	qt.Check(t, r.Leave(glade.Endpoint{Host: "h0", Incarnation: 1}), qt.IsTrue)
+	r.Update(start, rows(2))
+	qt.Check(t, r.Slots("quotes"), qt.Equals, 8)
+	qt.Check(t, drain(r, start), qt.HasLen, 1)
+}
+
+// fail fails every attempt on the hosts until nothing changes.
+func fail(r *route.Router, now time.Time, bad func(glade.Host) bool) {
+	for range 200 {
+		g, ok := r.Pick(now, "quotes", glade.Endpoint{})
+		if !ok {
+			return
+		}
+		result := route.Good
+		if bad(g.Endpoint().Host) {
+			result = route.Bad
+		}
+		r.Done(now, g, result)
+	}
+}
+
+func TestEjection(t *testing.T) {
+	r := newRouter(4, 8)
+	fail(r, start, func(h glade.Host) bool { return h == "h1" })
+	t.Run("out", func(t *testing.T) {
+		taken := drain(r, start)
+		qt.Check(t, taken["h1"], qt.HasLen, 0)
+		qt.Check(t, taken["h2"], qt.HasLen, 8)
+		for _, grants := range taken {
+			for _, g := range grants {
+				r.Done(start, g, route.Unused)
+			}
+		}
+	})
+	t.Run("back with one slot", func(t *testing.T) {
+		qt.Check(t, drain(r, start.Add(2*time.Second))["h1"], qt.HasLen, 1)
+	})
+}
+
+func TestEjectionCap(t *testing.T) {
+	r := newRouter(4, 8)
+	fail(r, start, func(glade.Host) bool { return true })
+	qt.Check(t, drain(r, start), qt.HasLen, 2)
+}
+
+func TestSharesAddUp(t *testing.T) {
+	for n := 1; n <= 9; n++ {
+		var nodes []glade.Node
+		for i := range n {
+			nodes = append(nodes, glade.Node(fmt.Sprint("e", i)))
+		}
+		sum := 0
+		for _, node := range nodes {
+			sum += route.Share("h7", 8, node, nodes)
+		}
+		qt.Check(t, sum, qt.Equals, 8, qt.Commentf("%d nodes", n))
+	}
+}
--- a/send/send.go
+++ b/send/send.go
@@ -57,6 +57,7 @@
 	status  int
 	body    []byte
 	leaving bool
+	rest    *Rest
 }
 
 // Outcome tells what is known of the attempt.
@@ -74,6 +75,30 @@
 // IsLeaving tells whether the endpoint said that it is leaving.
 func (r Result) IsLeaving() bool { return r.leaving }
 
+// Rest returns what is left of an attempt whose endpoint may still be working
+// when the deadline has passed, or nil.
+func (r Result) Rest() *Rest { return r.rest }
+
+// Rest is an attempt that was given up while its endpoint may be working.
+type Rest struct {
+	conn *conn
+}
+
+// Wait returns when the endpoint has ended the attempt, at the latest at until.
+// Until then the endpoint's slot is taken.
+func (r *Rest) Wait(until time.Time) {
+	defer r.conn.Close()
+	// The half-close asks the endpoint to end the connection when it is done.
+	tcp, ok := r.conn.Conn.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	if r.conn.SetReadDeadline(until) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.conn.Conn)
+}
+
 // Sender makes attempts over kept-alive connections.
 type Sender struct {
 	config Config
@@ -81,11 +106,29 @@
 	idle   map[string][]*conn
 }
 
+// maxHead bounds the size of an answer's head, and of what chunks add to its
+// body, in bytes.
+const maxHead = 64 << 10
+
+// conn is a connection to an endpoint. The limit bounds what is read of one
+// answer, since http.ReadResponse has no bound of its own.
 type conn struct {
 	net.Conn
+	limit  *io.LimitedReader
 	reader *bufio.Reader
 }
 
+func newConn(raw net.Conn) *conn {
+	c := newReader(raw)
+	c.Conn = raw
+	return c
+}
+
+func newReader(r io.Reader) *conn {
+	limit := &io.LimitedReader{R: r}
+	return &conn{limit: limit, reader: bufio.NewReader(limit)}
+}
+
 // New returns a sender without connections.
 func New(config Config) *Sender {
 	return &Sender{config: config, idle: make(map[string][]*conn)}
@@ -100,9 +143,12 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.SetDeadline(time.Unix(1, 0)) })
 	result, keep := s.exchange(ctx, c, call)
-	if stop() && keep {
+	switch {
+	case stop() && keep:
 		s.put(call.Address, c)
-	} else {
+	case result.reason == glade.ReasonTimeout:
+		result.rest = &Rest{conn: c}
+	default:
 		c.Close()
 	}
 	return result
@@ -119,16 +165,27 @@
 	if err != nil {
 		return unknown(ctx, err), false
 	}
+	return s.receive(ctx, c, call)
+}
+
+// receive reads one answer, and tells whether the connection may be kept.
+func (s *Sender) receive(ctx context.Context, c *conn, call Call) (Result, bool) {
+	c.limit.N = maxHead
 	reply, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		return unknown(ctx, err), false
 	}
 	defer reply.Body.Close()
+	c.limit.N = maxHead + s.config.MaxReply
 	return s.read(ctx, reply, call)
 }
 
 func (s *Sender) read(ctx context.Context, reply *http.Response, call Call) (Result, bool) {
 	result := Result{status: reply.StatusCode, leaving: reply.Header.Get(LeavingHeader) != ""}
+	if !isDelimited(reply) {
+		result.outcome, result.reason = glade.Unknown, glade.ReasonCut
+		return result, false
+	}
 	body, err := io.ReadAll(io.LimitReader(reply.Body, s.config.MaxReply+1))
 	if err != nil {
 		cut := unknown(ctx, err)
@@ -152,6 +209,12 @@
 	return result, !reply.Close
 }
 
+// isDelimited tells whether the end of an answer shows. A body that ends with
+// its connection could be cut anywhere, and an interim answer is not the end.
+func isDelimited(reply *http.Response) bool {
+	return reply.StatusCode >= http.StatusOK && (reply.ContentLength >= 0 || len(reply.TransferEncoding) > 0)
+}
+
 func unknown(ctx context.Context, err error) Result {
 	var network net.Error
 	switch {
@@ -190,7 +253,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &conn{Conn: raw, reader: bufio.NewReader(raw)}, nil
+	return newConn(raw), nil
 }
 
 // isOpen peeks at an idle connection without waiting. Only a connection with
--- a/send/send_test.go
+++ b/send/send_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -81,6 +82,8 @@
 	expectResult(t, head+"Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", glade.Unknown, glade.ReasonCut)
 	expectResult(t, "HTTP/1.1 200 OK\r\nRequest-Id: b\r\nContent-Length: 0\r\n\r\n", glade.Unknown, glade.ReasonMismatch)
 	expectResult(t, "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", glade.Failed, glade.ReasonEndpoint)
+	expectResult(t, head+"\r\nok", glade.Unknown, glade.ReasonCut)
+	expectResult(t, "HTTP/1.1 100 Continue\r\n\r\n"+head+"Content-Length: 2\r\n\r\nok", glade.Unknown, glade.ReasonCut)
 	expectResult(t, "garbage\r\n\r\n", glade.Unknown, glade.ReasonCut)
 	expectResult(t, "", glade.Unknown, glade.ReasonCut)
 }
@@ -94,3 +97,21 @@
 	r := sender.Do(context.Background(), send.Call{ID: "a", Address: address, Deadline: time.Now().Add(5 * time.Second)})
 	qt.Check(t, r.Outcome(), qt.Equals, glade.Refused)
 }
+
+func TestDoBoundsTheHead(t *testing.T) {
+	flood := "HTTP/1.1 200 OK\r\nRequest-Id: a\r\nX: " + strings.Repeat("x", 1<<20)
+	expectResult(t, flood, glade.Unknown, glade.ReasonCut)
+	expectResult(t, "HTTP/1.1 200 OK\r\n"+strings.Repeat("X: y\r\n", 1<<18), glade.Unknown, glade.ReasonCut)
+}
+
+func TestDoKeepsTheSlotOfALateAnswer(t *testing.T) {
+	e := newEndpoint(t, "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nab", false)
+	sender := send.New(send.Config{Links: 1, MaxReply: 8, Connect: time.Second})
+	r := sender.Do(context.Background(), send.Call{
+		ID: "a", Address: e.listener.Addr().String(), Deadline: time.Now().Add(50 * time.Millisecond),
+	})
+	qt.Check(t, r.Reason(), qt.Equals, glade.ReasonTimeout)
+	qt.Assert(t, r.Rest(), qt.IsNotNil)
+	r.Rest().Wait(time.Now().Add(5 * time.Second))
+	qt.Check(t, len(e.requests), qt.Equals, 1)
+}
--- /dev/null
+++ b/serve/reply.go
@@ -0,0 +1,81 @@
+package serve
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	glade "indigoglade"
+)
+
+func (s *Server) reply(c echo.Context, w work, r result) error {
+	now := s.config.Clock.Now()
+	s.outcomes.Add(r.outcome.String(), 1)
+	if r.reason != glade.ReasonNone {
+		s.outcomes.Add(r.outcome.String()+"."+string(r.reason), 1)
+	}
+	if customer := w.contract.Customer(); customer != "" {
+		s.config.Meter.Record(customer, r.outcome, now.Sub(w.start), w.contract.Spec().Answer.Deadline.Duration())
+	}
+	h := c.Response().Header()
+	h.Set(IDHeader, w.id)
+	h.Set(OutcomeHeader, r.outcome.String())
+	h.Set(VersionHeader, strconv.FormatUint(w.contract.Version(), 10))
+	if age, confirmed := s.config.Book.Age(now); confirmed {
+		h.Set(AgeHeader, strconv.FormatInt(age.Milliseconds(), 10))
+	}
+	if r.outcome == glade.Answered {
+		return c.Blob(http.StatusOK, echo.MIMEOctetStream, r.body)
+	}
+	h.Set(ReasonHeader, string(r.reason))
+	if seconds := retryAfter(r); seconds > 0 {
+		h.Set(RetryHeader, strconv.Itoa(seconds))
+	}
+	return c.String(statusOf(r), r.outcome.String()+": "+string(r.reason)+"\n")
+}
+
+// statusOf maps an outcome to the HTTP status that callers see.
+func statusOf(r result) int {
+	switch r.outcome {
+	case glade.Failed:
+		return http.StatusBadGateway
+	case glade.Unknown:
+		return http.StatusGatewayTimeout
+	}
+	return RefusedStatus(r.reason)
+}
+
+// RefusedStatus maps the reason of a refusal to the HTTP status that callers
+// see.
+func RefusedStatus(reason glade.Reason) int {
+	switch reason {
+	case glade.ReasonCustomer, glade.ReasonService:
+		return http.StatusNotFound
+	case glade.ReasonMalformed:
+		return http.StatusBadRequest
+	case glade.ReasonLarge:
+		return http.StatusRequestEntityTooLarge
+	case glade.ReasonQueue, glade.ReasonLimit:
+		return http.StatusTooManyRequests
+	case glade.ReasonDuplicate, glade.ReasonHistory:
+		return http.StatusConflict
+	}
+	return http.StatusServiceUnavailable
+}
+
+// defaultRetry is the time to wait before sending again where no better
+// estimate is known.
+const defaultRetry = time.Second
+
+// retryAfter returns the seconds after which a request that was refused for
+// want of room or of a part of the system may be sent again, or 0.
+func retryAfter(r result) int {
+	status := statusOf(r)
+	if r.outcome != glade.Refused || (status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests) {
+		return 0
+	}
+	wait := max(r.retry, defaultRetry)
+	return int((wait + time.Second - 1) / time.Second)
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -7,6 +7,7 @@
 	"expvar"
 	"io"
 	"net/http"
+	"os"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -41,10 +42,6 @@
 // maxBody bounds the size of a request body, in bytes.
 const maxBody = 1 << 20
 
-// maxTries bounds the attempts of one request. Only attempts that wrote no byte
-// are followed by another.
-const maxTries = 3
-
 // Config configures a Server.
 type Config struct {
 	Book   *adopt.Book
@@ -54,6 +51,8 @@
 	Claimer *claim.Claimer
 	Meter   *burn.Meter
 	Clock   glade.Clock
+	// Counters receives the counts; a nil map is replaced by one of its own.
+	Counters *expvar.Map
 	// Routes add further routes for callers.
 	Routes []func(e *echo.Echo)
 }
@@ -63,11 +62,15 @@
 	config   Config
 	stopping atomic.Bool
 	outcomes *expvar.Map
+	budgets  budgets
 }
 
-// New returns a server that counts outcomes in the expvar map "outcomes".
+// New returns a server.
 func New(config Config) *Server {
-	return &Server{config: config, outcomes: expvar.NewMap("outcomes")}
+	if config.Counters == nil {
+		config.Counters = new(expvar.Map).Init()
+	}
+	return &Server{config: config, outcomes: config.Counters}
 }
 
 // Handler returns the callers' routes.
@@ -115,6 +118,8 @@
 	outcome glade.Outcome
 	reason  glade.Reason
 	body    []byte
+	// retry is the time after which a refused request may be sent again.
+	retry time.Duration
 }
 
 func refused(reason glade.Reason) result {
@@ -157,6 +162,7 @@
 		return w, reason
 	}
 	w.deadline = start.Add(left)
+	bound(c, w.deadline)
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBody))
 	if err != nil {
 		return w, BodyReason(err)
@@ -172,6 +178,18 @@
 	return glade.ReasonCustomer
 }
 
+// writeTime is how long a caller may take to read its answer after the
+// deadline.
+const writeTime = 5 * time.Second
+
+// bound ends the connection of a caller that sends its request or reads its
+// answer too slowly. Connections without deadlines, as in tests, stay so.
+func bound(c echo.Context, deadline time.Time) {
+	control := http.NewResponseController(c.Response())
+	_ = control.SetReadDeadline(deadline)
+	_ = control.SetWriteDeadline(deadline.Add(writeTime))
+}
+
 // deadlineOf returns the time left: the caller's, at most the contract's.
 func deadlineOf(c echo.Context, contract glade.Contract) (time.Duration, glade.Reason) {
 	promised := contract.Spec().Answer.Deadline.Duration()
@@ -191,101 +209,12 @@
 
 // BodyReason explains why a request body could not be read.
 func BodyReason(err error) glade.Reason {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return glade.ReasonDeadline
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return glade.ReasonLarge
 	}
 	return glade.ReasonMalformed
 }
-
-// runOnce runs the request. Keyed work that must not run twice is claimed
-// first. It goes on when its caller leaves, so that a resend gets its answer.
-func (s *Server) runOnce(ctx context.Context, w work) result {
-	if w.key == "" || w.pool.Repeatable {
-		return s.run(ctx, w)
-	}
-	answer := w.contract.Spec().Answer
-	ticket, known := s.config.Claimer.Claim(ctx, claim.Send{
-		Customer: w.contract.Customer(), Service: w.pool.Serve, Text: w.key, Resend: w.resend,
-		Window: answer.Window.Duration(), Promised: answer.Deadline.Duration(), Deadline: w.deadline,
-	})
-	if ticket == nil {
-		return result{outcome: known.Outcome, reason: known.Reason, body: known.Body}
-	}
-	r := s.run(context.WithoutCancel(ctx), w)
-	s.config.Claimer.Finish(ticket, claim.Answer{Outcome: r.outcome, Reason: r.reason, Body: r.body})
-	return r
-}
-
-// run makes attempts until one ends the request.
-func (s *Server) run(ctx context.Context, w work) result {
-	last := refused(glade.ReasonConnect)
-	for range maxTries {
-		answer := s.config.Desk.Acquire(ctx, desk.Ask{Contract: w.contract, Pool: w.pool, Deadline: w.deadline})
-		grant, ok := answer.Grant()
-		if !ok {
-			return refused(answer.Reason())
-		}
-		r := s.config.Sender.Do(ctx, send.Call{
-			ID: w.id, Service: w.pool.Serve, Address: grant.Address(), Body: w.body, Deadline: w.deadline,
-		})
-		s.config.Desk.Release(grant, w.pool.Serve, r.IsLeaving())
-		if r.Outcome() != glade.Refused {
-			return result{outcome: r.Outcome(), reason: r.Reason(), body: r.Body()}
-		}
-		last = refused(r.Reason())
-	}
-	return last
-}
-
-func (s *Server) reply(c echo.Context, w work, r result) error {
-	now := s.config.Clock.Now()
-	s.outcomes.Add(r.outcome.String(), 1)
-	if r.reason != glade.ReasonNone {
-		s.outcomes.Add(r.outcome.String()+"."+string(r.reason), 1)
-	}
-	if customer := w.contract.Customer(); customer != "" {
-		s.config.Meter.Record(customer, r.outcome, now.Sub(w.start), w.contract.Spec().Answer.Deadline.Duration())
-	}
-	h := c.Response().Header()
-	h.Set(IDHeader, w.id)
-	h.Set(OutcomeHeader, r.outcome.String())
-	h.Set(VersionHeader, strconv.FormatUint(w.contract.Version(), 10))
-	if age, confirmed := s.config.Book.Age(now); confirmed {
-		h.Set(AgeHeader, strconv.FormatInt(age.Milliseconds(), 10))
-	}
-	if r.outcome == glade.Answered {
-		return c.Blob(http.StatusOK, echo.MIMEOctetStream, r.body)
-	}
-	h.Set(ReasonHeader, string(r.reason))
-	return c.String(statusOf(r), r.outcome.String()+": "+string(r.reason)+"\n")
-}
-
-// statusOf maps an outcome to the HTTP status that callers see.
-func statusOf(r result) int {
-	switch r.outcome {
-	case glade.Failed:
-		return http.StatusBadGateway
-	case glade.Unknown:
-		return http.StatusGatewayTimeout
-	}
-	return RefusedStatus(r.reason)
-}
-
-// RefusedStatus maps the reason of a refusal to the HTTP status that callers
-// see.
-func RefusedStatus(reason glade.Reason) int {
-	switch reason {
-	case glade.ReasonCustomer, glade.ReasonService:
-		return http.StatusNotFound
-	case glade.ReasonMalformed:
-		return http.StatusBadRequest
-	case glade.ReasonLarge:
-		return http.StatusRequestEntityTooLarge
-	case glade.ReasonQueue, glade.ReasonLimit:
-		return http.StatusTooManyRequests
-	case glade.ReasonDuplicate, glade.ReasonHistory:
-		return http.StatusConflict
-	}
-	return http.StatusServiceUnavailable
-}
