--- a/keeper/internal/tasks/tasks.go
+++ b/keeper/internal/tasks/tasks.go
@@ -20,6 +20,7 @@
 	// second over all keepers.
 	writes   = 100
 	parallel = 16
+	stopTime = 2 * time.Second
 )
 
 // Config configures the Tasks.
@@ -58,7 +59,15 @@
 			t.config.Log.Info("jobs", "reachable", healthy)
 		}
 		if t.config.Clock.Sleep(ctx, period) != nil {
+			t.stop()
 			return nil
 		}
 	}
 }
+
+// stop hands the shards over, in a bounded time.
+func (t *Tasks) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTime)
+	defer cancel()
+	t.crew.Stop(ctx)
+}
