--- a/memory/workers.go
+++ b/memory/workers.go
@@ -234,9 +234,14 @@
 	})
 }
 
-// Stop ends a task.
+// Stop ends a task. The host's name stands for one unit of the work that
+// SetRunning counts.
 func (w *Workers) Stop(_ context.Context, host glade.Host, task string, withCheckpoint bool) error {
 	return w.do(host, func(h *worker, now time.Time) error {
+		if task == string(host) {
+			h.running = max(h.running-1, 0)
+			return nil
+		}
 		h.tasks.Stop(task, withCheckpoint, now)
 		return nil
 	})
@@ -250,11 +255,15 @@
 	})
 }
 
-// Tasks reports the tasks of a host.
+// Tasks reports the tasks of a host, and the work that SetRunning counts as
+// tasks with the host's name.
 func (w *Workers) Tasks(_ context.Context, host glade.Host) ([]glade.TaskState, error) {
 	var states []glade.TaskState
 	err := w.do(host, func(h *worker, now time.Time) error {
 		states = h.tasks.Report(now)
+		for range h.running {
+			states = append(states, glade.TaskState{ID: string(host), Phase: glade.TaskRunning})
+		}
 		return nil
 	})
 	return states, err
--- a/stand/internal/fleet/task.go
+++ b/stand/internal/fleet/task.go
@@ -4,6 +4,7 @@
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
+	"indigoglade/stand/internal/fault"
 )
 
 // ErrDraining refuses a task on a host that drains.
@@ -12,9 +13,6 @@
 // errBooting is the error of a call to a host that restarts.
 var errBooting = errors.New("host is booting")
 
-// FaultFailTasks makes a worker fail every task that it starts.
-const FaultFailTasks Fault = "failtasks"
-
 // StartTask starts a task under a lease.
 func (r *Runner) StartTask(epoch uint64, spec glade.Task) error {
 	r.mu.Lock()
@@ -26,7 +24,7 @@
 		return ErrDraining
 	}
 	r.epoch = epoch
-	r.tasks.SetFailing(r.fault == FaultFailTasks)
+	r.tasks.SetFailing(r.Fault() == fault.Fail)
 	begun, err := r.tasks.Start(spec, r.clock.Now())
 	if begun {
 		r.book.StartTask(spec.Job)
@@ -63,6 +61,6 @@
 	if r.isBooting() {
 		return nil, errBooting
 	}
-	r.tasks.SetFailing(r.fault == FaultFailTasks)
+	r.tasks.SetFailing(r.Fault() == fault.Fail)
 	return r.tasks.Report(r.clock.Now()), nil
 }
