Burn over windows, per promise, with what is missing

Cause: indigo burn knew one rate since the start of each entry host, for one promise; counts of replaced entry hosts were lost without a word.

Two promises, answers and capacity (from the pools' accounts), two alert levels of two windows each as shares of the contract's window, budget left; text, JSON and an HTML page with plots that loads nothing.

Figures: tests of replacement (graceful, killed, unreached, stopped, never seen), levels at 0, 10 and 40 minutes after a fault, late writes: pass. One row of each entry host every 30 s: 9 entry hosts write 0.3 rows a second of the some hundred that the table takes.

Conclusion: counts are exact over graceful replacement; a kill loses at most 30 s and the report says so.

--- a/burn/burn.go
+++ b/burn/burn.go
@@ -1,17 +1,13 @@
 // Package burn counts outcomes and works out how fast a customer's error
 // budget is spent.
+//
+// Counts belong to one incarnation of an entry host and only grow while it
+// lives, so that the counts of all incarnations add up without any being
+// counted twice. An incarnation that stops hands its last counts to the table
+// service; one that is killed leaves what it wrote there last.
 package burn
 
-import (
-	"sort"
-	"sync"
-	"time"
-
-	glade "indigoglade"
-)
-
-// Counts are the outcomes of one customer's requests on one entry host since
-// it started. Counts of different incarnations add up.
+// Counts are numbers of requests by outcome.
 type Counts struct {
 	Answered uint64 `json:"answered"`
 	Refused  uint64 `json:"refused"`
@@ -50,54 +46,3 @@
 	bad := float64(total-c.Good()) / float64(total)
 	return bad / (1 - target/100)
 }
-
-// Meter counts outcomes by customer.
-type Meter struct {
-	mu     sync.Mutex
-	counts map[glade.Customer]Counts
-}
-
-// New returns a meter without counts.
-func New() *Meter {
-	return &Meter{counts: make(map[glade.Customer]Counts)}
-}
-
-// Record counts one outcome. Late is set when a whole answer took more than
-// the contract's deadline.
-func (m *Meter) Record(customer glade.Customer, outcome glade.Outcome, took, deadline time.Duration) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	c := m.counts[customer]
-	switch outcome {
-	case glade.Answered:
-		c.Answered++
-		if took > deadline {
-			c.Late++
-		}
-	case glade.Refused:
-		c.Refused++
-	case glade.Failed:
-		c.Failed++
-	case glade.Unknown:
-		c.Unknown++
-	}
-	m.counts[customer] = c
-}
-
-// Row is the counts of one customer.
-type Row struct {
-	Customer glade.Customer `json:"customer"`
-	Counts   Counts         `json:"counts"`
-}
-
-// Rows returns the counts of every customer, ordered by customer.
-func (m *Meter) Rows() []Row {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	rows := make([]Row, 0, len(m.counts))
-	for customer, counts := range m.counts {
-		rows = append(rows, Row{Customer: customer, Counts: counts})
-	}
-	sort.Slice(rows, func(i, j int) bool { return rows[i].Customer < rows[j].Customer })
-	return rows
-}
--- /dev/null
+++ b/burn/burn_test.go
@@ -0,0 +1,191 @@
+package burn_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/frankban/quicktest"
+
+	glade "indigoglade"
+	"indigoglade/burn"
+	"indigoglade/clock"
+	"indigoglade/memory"
+	"indigoglade/owner"
+)
+
+func ExampleCounts_Rate() {
+	// 2 % of the requests missed a promise of 99 %: twice what it allows.
+	counts := burn.Counts{Answered: 990, Late: 10, Refused: 10}
+	fmt.Printf("%.1f\n", counts.Rate(99))
+	// Output: 2.0
+}
+
+var start = time.Date(2026, 3, 28, 12, 0, 0, 0, time.UTC)
+
+const deadline = 3 * time.Second
+
+// host is an entry host on a fake clock.
+type host struct {
+	clock *clock.Fake
+	meter *burn.Meter
+}
+
+func newHost(node glade.Node, at time.Time) host {
+	c := clock.NewFake(at)
+	return host{clock: c, meter: burn.New(burn.Config{Node: node, Clock: c})}
+}
+
+func (h host) answer(good, late int) {
+	for range good {
+		h.meter.Record("dealers", glade.Answered, time.Second, deadline)
+	}
+	for range late {
+		h.meter.Record("dealers", glade.Answered, 2*deadline, deadline)
+	}
+}
+
+func (h host) final() burn.Snapshot {
+	s := h.meter.Snapshot()
+	s.Final = true
+	return s
+}
+
+func reportOf(g burn.Gathered, now time.Time) burn.Report {
+	spec := glade.ContractSpec{
+		Customer: "dealers",
+		Answer:   glade.AnswerSpec{Target: 99},
+		Budget:   glade.BudgetSpec{Window: glade.Span(24 * time.Hour)},
+	}
+	return burn.NewReport(burn.Input{Contracts: []glade.ContractSpec{spec}, Gathered: g, Now: now})
+}
+
+func expectKept(t *testing.T, g burn.Gathered, now time.Time, good, total uint64) {
+	t.Helper()
+	counts := reportOf(g, now).Lines[0].Counts
+	quicktest.Assert(t, counts.Good(), quicktest.Equals, good)
+	quicktest.Assert(t, counts.Total(), quicktest.Equals, total)
+}
+
+func expectGaps(t *testing.T, g burn.Gathered, want ...burn.Gap) {
+	t.Helper()
+	quicktest.Assert(t, g.Gaps(), quicktest.DeepEquals, want)
+}
+
+func TestReplacedEntryHostsCountOnce(t *testing.T) {
+	old, young := newHost("e1", start), newHost("e1", start.Add(time.Minute))
+	old.answer(90, 10)
+	young.answer(50, 0)
+	now := start.Add(2 * time.Minute)
+	live := []burn.Snapshot{young.meter.Snapshot()}
+
+	t.Run("graceful", func(t *testing.T) {
+		g := burn.Gather(live, []burn.Snapshot{old.final()}, nil)
+		expectKept(t, g, now, 140, 150)
+		expectGaps(t, g)
+	})
+	t.Run("kept and live at once", func(t *testing.T) {
+		g := burn.Gather(live, []burn.Snapshot{old.final(), young.meter.Snapshot()}, nil)
+		expectKept(t, g, now, 140, 150)
+		expectGaps(t, g)
+	})
+	t.Run("killed", func(t *testing.T) {
+		g := burn.Gather(live, []burn.Snapshot{old.meter.Snapshot()}, nil)
+		expectKept(t, g, now, 140, 150)
+		expectGaps(t, g, burn.Gap{Node: "e1", Start: start.UnixMilli(), Until: start.UnixMilli(), Cause: burn.Killed})
+	})
+	t.Run("unreached", func(t *testing.T) {
+		g := burn.Gather(nil, []burn.Snapshot{old.meter.Snapshot()}, []glade.Node{"e1"})
+		expectKept(t, g, now, 90, 100)
+		expectGaps(t, g, burn.Gap{Node: "e1", Start: start.UnixMilli(), Until: start.UnixMilli(), Cause: burn.Unreached})
+	})
+	t.Run("stopped and not yet replaced", func(t *testing.T) {
+		expectGaps(t, burn.Gather(nil, []burn.Snapshot{old.final()}, []glade.Node{"e1"}))
+	})
+	t.Run("never seen", func(t *testing.T) {
+		expectGaps(t, burn.Gather(live, nil, []glade.Node{"e2"}), burn.Gap{Node: "e2", Cause: burn.Unreached})
+	})
+}
+
+func expectLevel(t *testing.T, h host, now time.Time, want burn.Level) {
+	t.Helper()
+	line := reportOf(burn.Gather([]burn.Snapshot{h.meter.Snapshot()}, nil, nil), now).Lines[0]
+	quicktest.Assert(t, line.Level, quicktest.Equals, want, quicktest.Commentf("%+v", line.Rates))
+}
+
+func TestLevels(t *testing.T) {
+	// A day without fault comes first, so that budget is left.
+	h := newHost("e1", start)
+	h.answer(100000, 0)
+	h.clock.Advance(20 * time.Hour)
+	h.answer(900, 100)
+	t.Run("fast", func(t *testing.T) { expectLevel(t, h, h.clock.Now(), burn.LevelFast) })
+	t.Run("fast ends with the short window", func(t *testing.T) {
+		expectLevel(t, h, h.clock.Now().Add(10*time.Minute), burn.LevelSlow)
+	})
+	t.Run("slow ends with the short window", func(t *testing.T) {
+		expectLevel(t, h, h.clock.Now().Add(40*time.Minute), burn.LevelNone)
+	})
+	t.Run("spent", func(t *testing.T) {
+		h.answer(0, 1000)
+		expectLevel(t, h, h.clock.Now(), burn.LevelSpent)
+	})
+}
+
+func TestSaveAndForget(t *testing.T) {
+	ctx := t.Context()
+	store := memory.NewTable()
+	h := newHost("e1", start)
+	h.answer(1, 0)
+	early := h.meter.Snapshot()
+	h.clock.Advance(time.Second)
+	h.answer(1, 0)
+	expectSaved := func(t *testing.T, s burn.Snapshot, total uint64) {
+		t.Helper()
+		result, err := burn.Save(ctx, store, s)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, result, quicktest.Equals, glade.Committed)
+		kept, err := burn.Kept(ctx, store)
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, kept, quicktest.HasLen, 1)
+		quicktest.Assert(t, kept[0].Rows[0].Total.Total(), quicktest.Equals, total)
+	}
+	t.Run("first", func(t *testing.T) { expectSaved(t, early, 1) })
+	t.Run("later", func(t *testing.T) { expectSaved(t, h.final(), 2) })
+	t.Run("late write of the first", func(t *testing.T) { expectSaved(t, early, 2) })
+	t.Run("forget only beyond the window", func(t *testing.T) {
+		n, err := burn.Forget(ctx, store, "e1", h.clock.Now().Add(burn.MaxWindow))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, n, quicktest.Equals, 0)
+		n, err = burn.Forget(ctx, store, "e1", h.clock.Now().Add(burn.MaxWindow+time.Second))
+		quicktest.Assert(t, err, quicktest.IsNil)
+		quicktest.Assert(t, n, quicktest.Equals, 1)
+	})
+}
+
+func TestDownTimeBurnsCapacity(t *testing.T) {
+	spec := glade.ContractSpec{
+		Customer: "dealers",
+		Pools:    []glade.PoolSpec{{Name: "quotes"}},
+		Answer:   glade.AnswerSpec{Target: 99},
+		Budget:   glade.BudgetSpec{Minutes: 60, Window: glade.Span(24 * time.Hour)},
+	}
+	now := start.Add(24 * time.Hour)
+	account := glade.AccountRow{
+		// 15 minutes that have ended, 15 that go on, and 10 before the window.
+		Spent: []glade.DownSpan{
+			{Host: "h1", From: now.Add(-2 * time.Hour).UnixMilli(), To: now.Add(-105 * time.Minute).UnixMilli()},
+			{Host: "h1", From: now.Add(-25 * time.Hour).UnixMilli(), To: now.Add(-1490 * time.Minute).UnixMilli()},
+		},
+		Down: map[glade.Host]int64{"h2": now.Add(-15 * time.Minute).UnixMilli()},
+	}
+	report := burn.NewReport(burn.Input{
+		Contracts: []glade.ContractSpec{spec},
+		Accounts:  map[string]glade.AccountRow{owner.AccountKey("dealers", "quotes"): account},
+		Now:       now,
+	})
+	line := report.Lines[1]
+	quicktest.Assert(t, line.Promise, quicktest.Equals, burn.PromiseCapacity)
+	quicktest.Assert(t, line.Left, quicktest.Equals, 50.0)
+	quicktest.Assert(t, line.Level, quicktest.Equals, burn.LevelFast)
+}
--- /dev/null
+++ b/burn/downtime.go
@@ -0,0 +1,76 @@
+package burn
+
+import (
+	"sort"
+	"time"
+
+	glade "indigoglade"
+	"indigoglade/owner"
+)
+
+// capacityPoints is the number of points in the plot of a pool's down time.
+const capacityPoints = 60
+
+func capacityLine(in Input, spec glade.ContractSpec, pool glade.PoolSpec) Line {
+	account := in.Accounts[owner.AccountKey(spec.Customer, pool.Name)]
+	allowed := time.Duration(spec.Budget.Minutes) * time.Minute
+	window := spec.Budget.Window.Duration()
+	line := Line{
+		Customer: spec.Customer,
+		Promise:  PromiseCapacity,
+		Pool:     pool.Name,
+		Target:   float64(spec.Budget.Minutes),
+		Window:   spec.Budget.Window,
+		Points:   downPoints(account, in.Now, window, allowed),
+	}
+	line.judge(window, func(length time.Duration) float64 {
+		return downRate(account, in.Now.Add(-length), in.Now, allowed, window)
+	})
+	return line
+}
+
+// downRate compares the down time between two times with what the budget allows
+// for a stretch of that length.
+func downRate(account glade.AccountRow, from, to time.Time, allowed, window time.Duration) float64 {
+	if allowed <= 0 || window <= 0 || !to.After(from) {
+		return 0
+	}
+	share := float64(allowed) * float64(to.Sub(from)) / float64(window)
+	return float64(downTime(account, from, to)) / share
+}
+
+// downTime returns the host time that an account was down between two times.
+func downTime(account glade.AccountRow, from, to time.Time) time.Duration {
+	var total time.Duration
+	for _, span := range account.Spent {
+		total += overlap(time.UnixMilli(span.From), time.UnixMilli(span.To), from, to)
+	}
+	for _, since := range account.Down {
+		total += overlap(time.UnixMilli(since), to, from, to)
+	}
+	return total
+}
+
+func overlap(from, to, low, high time.Time) time.Duration {
+	if from.Before(low) {
+		from = low
+	}
+	if to.After(high) {
+		to = high
+	}
+	return max(0, to.Sub(from))
+}
+
+func downPoints(account glade.AccountRow, now time.Time, window, allowed time.Duration) []Point {
+	step := window / 24 / capacityPoints
+	points := make([]Point, 0, capacityPoints)
+	for i := capacityPoints; i > 0; i-- {
+		from := now.Add(-time.Duration(i) * step)
+		points = append(points, Point{At: from.UnixMilli(), Rate: downRate(account, from, from.Add(step), allowed, window)})
+	}
+	return points
+}
+
+func sortPoints(points []Point) {
+	sort.Slice(points, func(i, j int) bool { return points[i].At < points[j].At })
+}
--- a/entry/main.go
+++ b/entry/main.go
@@ -55,7 +55,7 @@
 	system := clock.System{}
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	book := adopt.New()
-	meter := burn.New()
+	meter := burn.New(burn.Config{Node: spec.Node, Clock: system})
 	front := desk.New(desk.Config{Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
 	server := serve.New(serve.Config{Book: book, Desk: front, Sender: sender, Meter: meter, Clock: system})
@@ -76,6 +76,7 @@
 	group.Add(front.Run)
 	group.Add(duties.Contracts)
 	group.Add(duties.Endpoints)
+	group.Add(duties.Burn)
 	return group.Run()
 }
 
--- /dev/null
+++ b/indigo/internal/cmds/burn.go
@@ -0,0 +1,128 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	glade "indigoglade"
+	"indigoglade/burn"
+	"indigoglade/clock"
+	"indigoglade/indigo/internal/page"
+	"indigoglade/remote"
+	"indigoglade/table"
+)
+
+type burnCommand struct {
+	HTML string `name:"html" type:"path" placeholder:"FILE" help:"Also write a page with plots to this file; it needs nothing else."`
+}
+
+// Help shows examples.
+func (burnCommand) Help() string {
+	return `Examples:
+
+  indigo burn
+  indigo burn --output json
+  indigo burn --html burn.html
+
+"fast" would spend a quarter of a budget in a 24th of its window, "slow" half of it in a quarter; "spent" has none left.
+The last lines name the counts that are missing.`
+}
+
+// Run gathers the counts of every entry host and of those that were replaced.
+func (b burnCommand) Run(c *commands, e *env) error {
+	platform, err := c.load(e)
+	if err != nil {
+		return err
+	}
+	report, err := gatherBurn(context.Background(), platform, e)
+	if err != nil {
+		return err
+	}
+	if b.HTML != "" {
+		if err := writePage(b.HTML, report); err != nil {
+			return err
+		}
+	}
+	return e.print(report, func(w io.Writer) { printBurn(w, report) })
+}
+
+func gatherBurn(ctx context.Context, platform *remote.Client, e *env) (burn.Report, error) {
+	var live []burn.Snapshot
+	var unreached []glade.Node
+	for _, entry := range e.site.Entries {
+		node, err := fetchReport(ctx, entry.Status)
+		if err != nil {
+			unreached = append(unreached, entry.Node)
+			continue
+		}
+		live = append(live, node.Burn)
+	}
+	kept, err := burn.Kept(ctx, platform)
+	if err != nil {
+		return burn.Report{}, err
+	}
+	in := burn.Input{
+		Gathered: burn.Gather(live, kept, unreached),
+		Accounts: make(map[string]glade.AccountRow),
+		Now:      clock.System{}.Now(),
+	}
+	contracts, err := table.LoadAll[glade.ContractRow](ctx, platform, glade.PrefixContract)
+	if err != nil {
+		return burn.Report{}, err
+	}
+	for _, record := range contracts {
+		in.Contracts = append(in.Contracts, record.Data().Spec)
+	}
+	accounts, err := table.LoadAll[glade.AccountRow](ctx, platform, glade.PrefixAccount)
+	if err != nil {
+		return burn.Report{}, err
+	}
+	for _, record := range accounts {
+		in.Accounts[record.Key()] = record.Data()
+	}
+	return burn.NewReport(in), nil
+}
+
+func writePage(name string, report burn.Report) error {
+	file, err := os.Create(name)
+	if err != nil {
+		return errors.Wrap(err, "write page; choose another file with --html")
+	}
+	defer file.Close()
+	if err := page.Write(file, report); err != nil {
+		return err
+	}
+	return errors.Wrap(file.Close(), "write page")
+}
+
+func printBurn(w io.Writer, report burn.Report) {
+	for _, line := range report.Lines {
+		fmt.Fprintf(w, "%-10s %-9s %-10s %-6s budget left %7.2f %% of %s ", line.Customer, line.Promise, line.Pool, line.Level, line.Left, line.Window)
+		for _, rate := range line.Rates {
+			fmt.Fprintf(w, "  %s %.2f", rate.Length, rate.Rate)
+		}
+		if line.Promise == burn.PromiseAnswers {
+			fmt.Fprintf(w, "  kept %d of %d", line.Counts.Good(), line.Counts.Total())
+		}
+		fmt.Fprintln(w)
+	}
+	for _, gap := range report.Gaps {
+		fmt.Fprintln(w, gapText(gap))
+	}
+}
+
+func gapText(gap burn.Gap) string {
+	since := "all of its counts are missing"
+	if gap.Until > 0 {
+		since = "its counts since " + time.UnixMilli(gap.Until).UTC().Format(time.RFC3339) + " are missing"
+	}
+	if gap.Cause == burn.Killed {
+		return fmt.Sprintf("%s ended without a graceful stop: %s", gap.Node, since)
+	}
+	return fmt.Sprintf("%s was not reached: %s", gap.Node, since)
+}
--- a/indigo/internal/cmds/report.go
+++ b/indigo/internal/cmds/report.go
@@ -25,7 +25,7 @@
 		Customer glade.Customer `json:"customer"`
 		Version  uint64         `json:"version"`
 	} `json:"versions"`
-	Burn []burn.Row `json:"burn"`
+	Burn burn.Snapshot `json:"burn"`
 }
 
 const queryTimeout = time.Second
@@ -145,60 +145,3 @@
 	}
 	return rows, nil
 }
-
-type burnCommand struct{}
-
-// burnLine is the burn of one customer.
-type burnLine struct {
-	Customer glade.Customer `json:"customer"`
-	Target   float64        `json:"target"`
-	Counts   burn.Counts    `json:"counts"`
-	Rate     float64        `json:"rate"`
-}
-
-// burnReport is the burn of every customer, and which entry hosts it lacks.
-type burnReport struct {
-	Lines   []burnLine   `json:"lines"`
-	Missing []glade.Node `json:"missing"`
-}
-
-// Run gathers the counts of every entry host.
-func (burnCommand) Run(c *commands, e *env) error {
-	platform, err := c.load(e)
-	if err != nil {
-		return err
-	}
-	ctx := context.Background()
-	counts := make(map[glade.Customer]burn.Counts)
-	report := burnReport{}
-	for _, entry := range e.site.Entries {
-		node, err := fetchReport(ctx, entry.Status)
-		if err != nil {
-			report.Missing = append(report.Missing, entry.Node)
-			continue
-		}
-		for _, row := range node.Burn {
-			counts[row.Customer] = counts[row.Customer].Add(row.Counts)
-		}
-	}
-	records, err := table.LoadAll[glade.ContractRow](ctx, platform, glade.PrefixContract)
-	if err != nil {
-		return err
-	}
-	for _, record := range records {
-		spec := record.Data().Spec
-		n := counts[spec.Customer]
-		report.Lines = append(report.Lines, burnLine{Customer: spec.Customer, Target: spec.Answer.Target, Counts: n, Rate: n.Rate(spec.Answer.Target)})
-	}
-	return e.print(report, report.text)
-}
-
-func (r burnReport) text(w io.Writer) {
-	for _, line := range r.Lines {
-		fmt.Fprintf(w, "%-12s target %g %%  requests %d  kept %d  burn rate %.2f\n",
-			line.Customer, line.Target, line.Counts.Total(), line.Counts.Good(), line.Rate)
-	}
-	if len(r.Missing) > 0 {
-		fmt.Fprintln(w, "not reached, not counted:", r.Missing)
-	}
-}
