Apply all files or none; exit codes, completion and help with examples

Change: adopt.AcceptAll commits every offer in one transaction with its own change number; indigo apply uses it. Burn of capacity reads the members of the new accounts.

Conclusion: nothing is applied in part, and scripts can tell the cases apart.

--- a/burn/downtime.go
+++ b/burn/downtime.go
@@ -45,8 +45,10 @@
 	for _, span := range account.Spent {
 		total += overlap(time.UnixMilli(span.From), time.UnixMilli(span.To), from, to)
 	}
-	for _, since := range account.Down {
-		total += overlap(time.UnixMilli(since), to, from, to)
+	for _, member := range account.Members {
+		if member.Cause == glade.CausePlan || member.Cause == glade.CauseFail {
+			total += overlap(time.UnixMilli(member.Since), to, from, to)
+		}
 	}
 	return total
 }
--- a/burn/keep.go
+++ b/burn/keep.go
@@ -23,19 +23,6 @@
 	return batch.Commit(ctx, t)
 }
 
-// Kept returns the snapshots that the table service keeps.
-func Kept(ctx context.Context, t glade.Table) ([]Snapshot, error) {
-	records, err := table.LoadAll[Snapshot](ctx, t, PrefixBurn)
-	if err != nil {
-		return nil, err
-	}
-	snapshots := make([]Snapshot, 0, len(records))
-	for _, record := range records {
-		snapshots = append(snapshots, record.Data())
-	}
-	return snapshots, nil
-}
-
 // Forget removes the snapshots of a node that no window reaches any more, and
 // returns their number.
 func Forget(ctx context.Context, t glade.Table, node glade.Node, now time.Time) (int, error) {
--- a/indigo/internal/cmds/apply.go
+++ b/indigo/internal/cmds/apply.go
@@ -65,19 +65,47 @@
 
 type applyCommand struct {
 	Files   []string      `arg:"" type:"existingfile" help:"Contract files."`
-	Seen    int64         `default:"-1" help:"Version that the change was made from; -1 takes the newest."`
+	Seen    int64         `default:"-1" help:"Version that the change was made from; -1 takes the newest. Only with one file."`
 	Wait    bool          `help:"Wait until the contracts are in force at every entry host."`
 	Timeout time.Duration `default:"10s" help:"Longest wait."`
 }
 
+// Help shows examples.
+func (applyCommand) Help() string {
+	return `All files are applied in one transaction, or none of them.
+
+Examples:
+
+  indigo apply contracts/*.json
+  indigo apply --wait contracts/dealers.json
+  indigo apply --seen 4 contracts/dealers.json    # refused when another operator was first`
+}
+
 // Applied is the result of applying one contract.
 type Applied struct {
 	Customer glade.Customer `json:"customer"`
 	Version  uint64         `json:"version"`
 }
 
+// Force tells where contracts are in force.
+type Force struct {
+	At      int          `json:"at"`
+	Of      int          `json:"of"`
+	Seconds float64      `json:"seconds"`
+	Missing []glade.Node `json:"missing"`
+}
+
+// applyReport is the result of an apply.
+type applyReport struct {
+	Applied []Applied `json:"applied"`
+	Force   *Force    `json:"force,omitempty"`
+}
+
 // Run commits the contracts.
 func (a applyCommand) Run(c *commands, e *env) error {
+	if a.Seen >= 0 && len(a.Files) > 1 {
+		return errors.Wrap(errUsage, "--seen goes with one file; apply the files one by one")
+	}
 	specs, err := readAll(e, a.Files)
 	if err != nil {
 		return err
@@ -87,66 +115,97 @@
 		return err
 	}
 	ctx := context.Background()
-	var applied []Applied
-	for _, spec := range specs {
-		one, err := a.apply(ctx, platform, spec)
-		if err != nil {
-			return err
-		}
-		applied = append(applied, one)
+	report := applyReport{}
+	if report.Applied, err = a.apply(ctx, platform, specs); err != nil {
+		return err
 	}
-	err = e.print(applied, func(w io.Writer) {
-		for _, one := range applied {
-			fmt.Fprintf(w, "%s: version %d accepted\n", one.Customer, one.Version)
+	if !e.json {
+		for _, one := range report.Applied {
+			fmt.Fprintf(e.out, "%s: version %d accepted\n", one.Customer, one.Version)
 		}
-	})
-	if err != nil || !a.Wait {
+	}
+	if a.Wait {
+		force := a.wait(ctx, e, report.Applied)
+		report.Force = &force
+	}
+	if err := e.print(report, report.text); err != nil {
 		return err
 	}
-	return a.wait(ctx, e, applied)
+	if report.Force != nil && report.Force.At < report.Force.Of {
+		return errPending
+	}
+	return nil
+}
+
+func (r applyReport) text(w io.Writer) {
+	if r.Force == nil {
+		return
+	}
+	fmt.Fprintf(w, "in force at %d of %d entry hosts after %.1f s\n", r.Force.At, r.Force.Of, r.Force.Seconds)
+	if len(r.Force.Missing) > 0 {
+		fmt.Fprintln(w, "not yet, or not reached:", r.Force.Missing)
+	}
 }
 
-func (a applyCommand) apply(ctx context.Context, platform *remote.Client, spec glade.ContractSpec) (Applied, error) {
-	seen := uint64(a.Seen)
-	if a.Seen < 0 {
-		current, err := table.Load[glade.ContractRow](ctx, platform, glade.PrefixContract+string(spec.Customer))
+func (a applyCommand) apply(ctx context.Context, platform *remote.Client, specs []glade.ContractSpec) ([]Applied, error) {
+	offers := make([]adopt.Offer, len(specs))
+	for i, spec := range specs {
+		seen, err := a.seen(ctx, platform, spec.Customer)
 		if err != nil {
-			return Applied{}, err
+			return nil, err
 		}
-		seen = current.Data().Version
+		offers[i] = adopt.Offer{Spec: spec, Seen: seen}
 	}
-	acceptance, err := adopt.Accept(ctx, platform, spec, seen)
+	acceptance, err := adopt.AcceptAll(ctx, platform, offers)
 	if err != nil {
-		return Applied{}, err
+		return nil, errors.Wrapf(errPlatform, "nothing was applied: %v", err)
 	}
 	switch acceptance.Result() {
 	case glade.Committed:
-		return Applied{Customer: spec.Customer, Version: acceptance.Version()}, nil
+		return appliedOf(offers), nil
 	case glade.Conflicted:
-		return Applied{}, errors.Wrapf(errConflict, "%s is at version %d, not %d", spec.Customer, acceptance.Current().Version, seen)
+		return nil, errors.Wrapf(errConflict, "%s is at version %d now; nothing was applied; look at `indigo show contracts`",
+			acceptance.Customer(), acceptance.Current().Version)
+	case glade.Unavailable:
+		return nil, errors.Wrap(errPlatform, "the table service refused; nothing was applied")
+	}
+	return nil, errors.Wrap(errUnsure, "the table service lost its answer; see `indigo show contracts` before you apply again")
+}
+
+func appliedOf(offers []adopt.Offer) []Applied {
+	applied := make([]Applied, len(offers))
+	for i, offer := range offers {
+		applied[i] = Applied{Customer: offer.Spec.Customer, Version: offer.Seen + 1}
 	}
-	return Applied{}, errors.Errorf("%s: the table service gave the result %s; see `indigo show contracts` before you apply again", spec.Customer, acceptance.Result())
+	return applied
+}
+
+// seen returns the version that the change was made from.
+func (a applyCommand) seen(ctx context.Context, platform *remote.Client, customer glade.Customer) (uint64, error) {
+	if a.Seen >= 0 {
+		return uint64(a.Seen), nil
+	}
+	current, err := table.Load[glade.ContractRow](ctx, platform, glade.PrefixContract+string(customer))
+	if err != nil {
+		return 0, errors.Wrapf(errPlatform, "nothing was applied: %v", err)
+	}
+	return current.Data().Version, nil
 }
 
 const waitPeriod = 100 * time.Millisecond
 
-// wait polls the entry hosts until every one has the versions in force.
-func (a applyCommand) wait(ctx context.Context, e *env, applied []Applied) error {
+// wait polls the entry hosts until every one has the versions in force, or the
+// longest wait is over.
+func (a applyCommand) wait(ctx context.Context, e *env, applied []Applied) Force {
 	system := clock.System{}
 	start := system.Now()
 	for {
 		behind := lagging(ctx, e, applied)
 		took := system.Now().Sub(start)
-		if len(behind) == 0 {
-			fmt.Fprintf(e.out, "in force at %d of %d entry hosts after %.1f s\n", len(e.site.Entries), len(e.site.Entries), took.Seconds())
-			return nil
-		}
-		if took > a.Timeout {
-			n := len(e.site.Entries)
-			return errors.Errorf("in force at %d of %d entry hosts after %.1f s; not at %v", n-len(behind), n, took.Seconds(), behind)
-		}
-		if err := system.Sleep(ctx, waitPeriod); err != nil {
-			return err
+		n := len(e.site.Entries)
+		force := Force{At: n - len(behind), Of: n, Seconds: took.Seconds(), Missing: behind}
+		if len(behind) == 0 || took > a.Timeout || system.Sleep(ctx, waitPeriod) != nil {
+			return force
 		}
 	}
 }
--- a/indigo/internal/cmds/burn.go
+++ b/indigo/internal/cmds/burn.go
@@ -13,8 +13,8 @@
 	"indigoglade/burn"
 	"indigoglade/clock"
 	"indigoglade/indigo/internal/page"
+	"indigoglade/owner"
 	"indigoglade/remote"
-	"indigoglade/table"
 )
 
 type burnCommand struct {
@@ -62,7 +62,7 @@
 		}
 		live = append(live, node.Burn)
 	}
-	kept, err := burn.Kept(ctx, platform)
+	kept, err := loadRows[burn.Snapshot](ctx, platform, burn.PrefixBurn)
 	if err != nil {
 		return burn.Report{}, err
 	}
@@ -71,19 +71,19 @@
 		Accounts: make(map[string]glade.AccountRow),
 		Now:      clock.System{}.Now(),
 	}
-	contracts, err := table.LoadAll[glade.ContractRow](ctx, platform, glade.PrefixContract)
+	contracts, err := loadRows[glade.ContractRow](ctx, platform, glade.PrefixContract)
 	if err != nil {
 		return burn.Report{}, err
 	}
-	for _, record := range contracts {
-		in.Contracts = append(in.Contracts, record.Data().Spec)
+	for _, row := range contracts {
+		in.Contracts = append(in.Contracts, row.Spec)
 	}
-	accounts, err := table.LoadAll[glade.AccountRow](ctx, platform, glade.PrefixAccount)
+	accounts, err := loadRows[glade.AccountRow](ctx, platform, glade.PrefixAccount)
 	if err != nil {
 		return burn.Report{}, err
 	}
-	for _, record := range accounts {
-		in.Accounts[record.Key()] = record.Data()
+	for _, account := range accounts {
+		in.Accounts[owner.AccountKey(account.Customer, account.Pool)] = account
 	}
 	return burn.NewReport(in), nil
 }
--- a/indigo/internal/cmds/main.go
+++ b/indigo/internal/cmds/main.go
@@ -11,6 +11,7 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/pkg/errors"
+	"github.com/willabides/kongplete"
 
 	"indigoglade/config"
 	"indigoglade/remote"
@@ -23,13 +24,46 @@
 	exitUsage    = 2
 	exitInvalid  = 3
 	exitConflict = 4
+	exitPlatform = 5
+	exitUnsure   = 6
+	exitPending  = 7
 )
 
-// errInvalid marks a file with problems; they were printed already.
-var errInvalid = errors.New("the file has problems; nothing was applied")
+// Errors with an exit code of their own.
+var (
+	// errUsage marks a command line that makes no sense.
+	errUsage = errors.New("see --help")
+	// errInvalid marks a file with problems; they were printed already.
+	errInvalid = errors.New("the file has problems; nothing was applied")
+	// errConflict marks a contract that another operator changed first.
+	errConflict = errors.New("the contract has changed since the version that you saw")
+	// errPlatform marks a platform that can't be reached or refuses.
+	errPlatform = errors.New("the platform can't serve the call; try again")
+	// errUnsure marks a change that may have been made or not.
+	errUnsure = errors.New("it is not known whether the change was made")
+	// errPending marks contracts that were accepted and are not in force
+	// everywhere yet.
+	errPending = errors.New("accepted, and not yet in force everywhere; it comes in force where entry hosts are reached again")
+)
+
+var exitCodes = []struct {
+	err  error
+	code int
+}{
+	{errUsage, exitUsage},
+	{errInvalid, exitInvalid},
+	{errConflict, exitConflict},
+	{errPlatform, exitPlatform},
+	{errUnsure, exitUnsure},
+	{errPending, exitPending},
+}
+
+const description = `Operates indigoglade: contracts, pools, hosts and service-level burn.
+
+Exit codes: 0 done, 1 failed, 2 wrong usage, 3 a file has problems, 4 another operator was first, 5 the platform
+can't be reached or refuses, 6 it is not known whether the change was made, 7 accepted and not yet in force everywhere.
 
-// errConflict marks a contract that another operator changed first.
-var errConflict = errors.New("the contract has changed since the version that you saw")
+Completion in bash: complete -C indigo indigo`
 
 type commands struct {
 	Site   string `default:"site.json" env:"INDIGO_SITE" type:"path" help:"Site file: addresses of the platform and the entry hosts."`
@@ -57,10 +91,12 @@
 func Main(args []string, out, errOut io.Writer) int {
 	var c commands
 	parser, err := kong.New(&c, kong.Name("indigo"), kong.Writers(out, errOut),
-		kong.Description("Operates indigoglade: contracts, pools, hosts and service-level burn."))
+		kong.Description(description))
 	if err != nil {
 		panic(err)
 	}
+	// Answers a request for completion, if this is one, and ends the program.
+	kongplete.Complete(parser)
 	parsed, err := parser.Parse(args)
 	if err != nil {
 		fmt.Fprintln(errOut, "indigo:", err)
@@ -74,11 +110,10 @@
 }
 
 func exitOf(err error) int {
-	switch {
-	case errors.Is(err, errInvalid):
-		return exitInvalid
-	case errors.Is(err, errConflict):
-		return exitConflict
+	for _, e := range exitCodes {
+		if errors.Is(err, e.err) {
+			return e.code
+		}
 	}
 	return exitFailed
 }
--- a/indigo/internal/cmds/report.go
+++ b/indigo/internal/cmds/report.go
@@ -13,6 +13,7 @@
 
 	glade "indigoglade"
 	"indigoglade/burn"
+	"indigoglade/remote"
 	"indigoglade/table"
 )
 
@@ -63,15 +64,10 @@
 	if err != nil {
 		return err
 	}
-	ctx := context.Background()
-	records, err := table.LoadAll[glade.ContractRow](ctx, platform, glade.PrefixContract)
+	rows, err := loadRows[glade.ContractRow](context.Background(), platform, glade.PrefixContract)
 	if err != nil {
 		return err
 	}
-	rows := make([]glade.ContractRow, 0, len(records))
-	for _, record := range records {
-		rows = append(rows, record.Data())
-	}
 	return e.print(rows, func(w io.Writer) {
 		for _, row := range rows {
 			fmt.Fprintf(w, "%-12s version %d, change %d\n", row.Spec.Customer, row.Version, row.Change)
@@ -135,11 +131,16 @@
 	if err != nil {
 		return nil, err
 	}
-	records, err := table.LoadAll[glade.HostRow](context.Background(), platform, glade.PrefixHost)
+	return loadRows[glade.HostRow](context.Background(), platform, glade.PrefixHost)
+}
+
+// loadRows reads the data of every row under prefix.
+func loadRows[T any](ctx context.Context, platform *remote.Client, prefix string) ([]T, error) {
+	records, err := table.LoadAll[T](ctx, platform, prefix)
 	if err != nil {
-		return nil, err
+		return nil, errors.Wrap(errPlatform, err.Error())
 	}
-	rows := make([]glade.HostRow, 0, len(records))
+	rows := make([]T, 0, len(records))
 	for _, record := range records {
 		rows = append(rows, record.Data())
 	}
