--- a/entry/main.go
+++ b/entry/main.go
@@ -67,7 +67,7 @@
 	system := clock.System{}
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	book := adopt.New()
-	meter := burn.New()
+	meter := burn.New(burn.Config{Node: spec.Node, Clock: system})
 	front := desk.New(desk.Config{Node: spec.Node, Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
 	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
@@ -95,6 +95,7 @@
 	group.Add(claimer.Run)
 	group.Add(duties.Contracts)
 	group.Add(duties.Endpoints)
+	group.Add(duties.Burn)
 	return group.Run()
 }
 
