--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -13,7 +13,7 @@
 	glade "indigoglade"
 	"indigoglade/adopt"
 	"indigoglade/burn"
-	"indigoglade/entry/internal/desk"
+	"indigoglade/desk"
 	"indigoglade/remote"
 )
 
@@ -65,12 +65,12 @@
 
 // Report is what an entry host says of itself.
 type Report struct {
-	Node     glade.Node   `json:"node"`
-	Change   uint64       `json:"change"`
-	Age      int64        `json:"age"` // milliseconds; -1 when never confirmed
-	Versions []Version    `json:"versions"`
-	Live     []glade.Node `json:"live"` // entry hosts believed to be up
-	Burn     []burn.Row   `json:"burn"`
+	Node     glade.Node    `json:"node"`
+	Change   uint64        `json:"change"`
+	Age      int64         `json:"age"` // milliseconds; -1 when never confirmed
+	Versions []Version     `json:"versions"`
+	Live     []glade.Node  `json:"live"` // entry hosts believed to be up
+	Burn     burn.Snapshot `json:"burn"`
 }
 
 // Status answers operators' queries.
@@ -79,7 +79,7 @@
 }
 
 func (d *Duties) report() Report {
-	r := Report{Node: d.config.Node, Change: d.config.Book.Change(), Age: -1, Burn: d.config.Meter.Rows()}
+	r := Report{Node: d.config.Node, Change: d.config.Book.Change(), Age: -1, Burn: d.config.Meter.Snapshot()}
 	r.Live = d.config.Roster.Live()
 	if age, confirmed := d.config.Book.Age(d.config.Clock.Now()); confirmed {
 		r.Age = age.Milliseconds()
--- a/indigo/internal/cmds/report.go
+++ b/indigo/internal/cmds/report.go
@@ -13,6 +13,7 @@
 
 	glade "indigoglade"
 	"indigoglade/burn"
+	"indigoglade/remote"
 	"indigoglade/table"
 )
 
@@ -25,7 +26,7 @@
 		Customer glade.Customer `json:"customer"`
 		Version  uint64         `json:"version"`
 	} `json:"versions"`
-	Burn []burn.Row `json:"burn"`
+	Burn burn.Snapshot `json:"burn"`
 }
 
 const queryTimeout = time.Second
@@ -63,15 +64,10 @@
 	if err != nil {
 		return err
 	}
-	ctx := context.Background()
-	records, err := table.LoadAll[glade.ContractRow](ctx, platform, glade.PrefixContract)
+	rows, err := loadRows[glade.ContractRow](context.Background(), platform, glade.PrefixContract)
 	if err != nil {
 		return err
 	}
-	rows := make([]glade.ContractRow, 0, len(records))
-	for _, record := range records {
-		rows = append(rows, record.Data())
-	}
 	return e.print(rows, func(w io.Writer) {
 		for _, row := range rows {
 			fmt.Fprintf(w, "%-12s version %d, change %d\n", row.Spec.Customer, row.Version, row.Change)
@@ -135,70 +131,18 @@
 	if err != nil {
 		return nil, err
 	}
-	records, err := table.LoadAll[glade.HostRow](context.Background(), platform, glade.PrefixHost)
-	if err != nil {
-		return nil, err
-	}
-	rows := make([]glade.HostRow, 0, len(records))
-	for _, record := range records {
-		rows = append(rows, record.Data())
-	}
-	return rows, nil
-}
-
-type burnCommand struct{}
-
-// burnLine is the burn of one customer.
-type burnLine struct {
-	Customer glade.Customer `json:"customer"`
-	Target   float64        `json:"target"`
-	Counts   burn.Counts    `json:"counts"`
-	Rate     float64        `json:"rate"`
-}
-
-// burnReport is the burn of every customer, and which entry hosts it lacks.
-type burnReport struct {
-	Lines   []burnLine   `json:"lines"`
-	Missing []glade.Node `json:"missing"`
+	return loadRows[glade.HostRow](context.Background(), platform, glade.PrefixHost)
 }
 
-// Run gathers the counts of every entry host.
-func (burnCommand) Run(c *commands, e *env) error {
-	platform, err := c.load(e)
-	if err != nil {
-		return err
-	}
-	ctx := context.Background()
-	counts := make(map[glade.Customer]burn.Counts)
-	report := burnReport{}
-	for _, entry := range e.site.Entries {
-		node, err := fetchReport(ctx, entry.Status)
-		if err != nil {
-			report.Missing = append(report.Missing, entry.Node)
-			continue
-		}
-		for _, row := range node.Burn {
-			counts[row.Customer] = counts[row.Customer].Add(row.Counts)
-		}
-	}
-	records, err := table.LoadAll[glade.ContractRow](ctx, platform, glade.PrefixContract)
+// loadRows reads the data of every row under prefix.
+func loadRows[T any](ctx context.Context, platform *remote.Client, prefix string) ([]T, error) {
+	records, err := table.LoadAll[T](ctx, platform, prefix)
 	if err != nil {
-		return err
+		return nil, errors.Wrap(errPlatform, err.Error())
 	}
+	rows := make([]T, 0, len(records))
 	for _, record := range records {
-		spec := record.Data().Spec
-		n := counts[spec.Customer]
-		report.Lines = append(report.Lines, burnLine{Customer: spec.Customer, Target: spec.Answer.Target, Counts: n, Rate: n.Rate(spec.Answer.Target)})
-	}
-	return e.print(report, report.text)
-}
-
-func (r burnReport) text(w io.Writer) {
-	for _, line := range r.Lines {
-		fmt.Fprintf(w, "%-12s target %g %%  requests %d  kept %d  burn rate %.2f\n",
-			line.Customer, line.Target, line.Counts.Total(), line.Counts.Good(), line.Rate)
-	}
-	if len(r.Missing) > 0 {
-		fmt.Fprintln(w, "not reached, not counted:", r.Missing)
+		rows = append(rows, record.Data())
 	}
+	return rows, nil
 }
--- a/jobs/crew.go
+++ b/jobs/crew.go
@@ -92,6 +92,12 @@
 	return err
 }
 
+// Stop gives up what the crew leads, so that others take it over at once.
+func (c *Crew) Stop(ctx context.Context) {
+	c.leads.stop(ctx)
+	clear(c.desks)
+}
+
 // read brings everything up to date with the table service and the host list.
 func (c *Crew) read(ctx context.Context, now time.Time) error {
 	if err := c.lead(ctx, now); err != nil {
--- a/keeper/main.go
+++ b/keeper/main.go
@@ -49,13 +49,13 @@
 	group := daemon.New(daemon.Config{Name: "keeper." + string(spec.Node), Output: os.Stderr, Grace: grace, Status: spec.Status})
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	system := clock.System{}
+	sender := send.New(send.Config{Links: 1, MaxReply: maxProbeReply, Connect: dialBound})
 	book := adopt.New()
 	peers := peer.New(peer.Config{Spec: spec, Book: book, Table: platform, Clock: system, Log: group.Log()})
 	group.OnStop(peers.Leave)
 	if err := peers.Join(group); err != nil {
 		return err
 	}
-	sender := send.New(send.Config{Links: 1, MaxReply: maxProbeReply, Connect: dialBound})
 	duties := fleet.New(fleet.Config{
 		Table: platform, Hosts: platform, Workers: platform, Prober: fleet.NewProber(sender, system),
 		Book: book, Roster: peers, Clock: system, Log: group.Log(),
--- a/stand/internal/server/server.go
+++ b/stand/internal/server/server.go
@@ -84,7 +84,7 @@
 		switch {
 		case errors.Is(err, memory.ErrDown):
 			return c.String(http.StatusServiceUnavailable, err.Error())
-		case errors.Is(err, fleet.ErrEpoch), errors.Is(err, fleet.ErrDraining), errors.Is(err, fleet.ErrEnded):
+		case errors.Is(err, fleet.ErrEpoch), errors.Is(err, glade.ErrRefused):
 			return c.String(http.StatusConflict, err.Error())
 		case err != nil:
 			return c.String(http.StatusBadGateway, err.Error())
