Mutual TLS between the processes, with keys reloaded

Cause: any process that reached the link port could speak as a peer; keys in the settings were read and not used. Change: package trust (server and client settings that read changed files at each handshake; a certificate must name the node that is called), link.Server handshakes before it reads and counts refused peers, indigo keys issues keys, make demo runs with them.

--- a/demo/run.sh
+++ b/demo/run.sh
@@ -24,6 +24,14 @@
   pids+=($!)
 }
 
+start_node() { # PROGRAM FILE: the settings, with keys for mutual TLS added
+  local name
+  name=$(basename "$2" .json)
+  sed "s#^{#{ \"keys\": { \"cert\": \"$logs/keys/$name.crt\", \"key\": \"$logs/keys/$name.key\", \"trust\": \"$logs/keys/trust.crt\" },#" \
+    "$2" >"$logs/$name.json"
+  start "$name" "$bin/$1" "$logs/$name.json"
+}
+
 indigo() { "$bin/indigo" --site "$deploy/site.json" "$@"; }
 
 wait_for_hosts() {
@@ -35,8 +43,9 @@
 
 start stand "$bin/stand" "$deploy/stand.json"
 until indigo show contracts >/dev/null 2>&1; do sleep 0.1; done
-for file in "$deploy"/e*.json; do start "$(basename "$file" .json)" "$bin/entry" "$file"; done
-for file in "$deploy"/k*.json; do start "$(basename "$file" .json)" "$bin/keeper" "$file"; done
+indigo keys "$logs/keys"
+for file in "$deploy"/e[0-9]*.json; do start_node entry "$file"; done
+for file in "$deploy"/k[0-9]*.json; do start_node keeper "$file"; done
 
 indigo apply --wait "$deploy"/contracts/*.json
 wait_for_hosts
--- a/entry/main.go
+++ b/entry/main.go
@@ -30,6 +30,7 @@
 	"indigoglade/remote"
 	"indigoglade/send"
 	"indigoglade/serve"
+	"indigoglade/trust"
 )
 
 type flags struct {
@@ -64,6 +65,10 @@
 	if err != nil {
 		return err
 	}
+	keys, err := trust.New(spec.Keys)
+	if err != nil {
+		return err
+	}
 	group := daemon.New(daemon.Config{Name: "entry." + string(spec.Node), Output: os.Stderr, Grace: grace, Status: spec.Status})
 	system := clock.System{}
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
@@ -72,10 +77,10 @@
 	front := desk.New(desk.Config{Node: spec.Node, Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
 	peers := peer.New(peer.Config{
-		Spec: spec, Book: book, Table: platform, Clock: system, Log: group.Log(), End: front.Leave,
+		Spec: spec, Keys: keys, Book: book, Table: platform, Clock: system, Log: group.Log(), End: front.Leave,
 	})
 	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
-	claimer := newClaimer(spec, system)
+	claimer := newClaimer(spec, keys, system)
 	lent := loans.New(loans.Config{Peers: peers, Book: book, Clock: system, Counters: expvar.NewMap("loans")})
 	server := serve.New(serve.Config{
 		Book: book, Desk: front, Sender: sender, Claimer: claimer, Loans: lent, End: peers.End, Meter: meter, Clock: system,
@@ -107,12 +112,14 @@
 }
 
 // newClaimer returns the claimer over every entry host in the settings.
-func newClaimer(spec config.NodeSpec, system glade.Clock) *claim.Claimer {
+func newClaimer(spec config.NodeSpec, keys *trust.Keys, system glade.Clock) *claim.Claimer {
 	members := []once.Member{once.NewMember(spec.Node, spec.Zone)}
 	peers := make(map[glade.Node]*link.Client)
 	for _, peer := range spec.Peers {
 		members = append(members, once.NewMember(peer.Node, peer.Zone))
-		peers[peer.Node] = link.NewClient(link.Config{Address: peer.Address, Timeout: peerBound})
+		peers[peer.Node] = link.NewClient(link.Config{
+			Address: peer.Address, TLS: keys.Client(peer.Node), Timeout: peerBound,
+		})
 	}
 	seed := uint64(system.Now().UnixNano())
 	return claim.New(claim.Config{
--- a/keeper/main.go
+++ b/keeper/main.go
@@ -19,6 +19,7 @@
 	"indigoglade/peer"
 	"indigoglade/remote"
 	"indigoglade/send"
+	"indigoglade/trust"
 )
 
 type flags struct {
@@ -46,12 +47,16 @@
 	if err != nil {
 		return err
 	}
+	keys, err := trust.New(spec.Keys)
+	if err != nil {
+		return err
+	}
 	group := daemon.New(daemon.Config{Name: "keeper." + string(spec.Node), Output: os.Stderr, Grace: grace, Status: spec.Status})
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	system := clock.System{}
 	sender := send.New(send.Config{Links: 1, MaxReply: maxProbeReply, Connect: dialBound})
 	book := adopt.New()
-	peers := peer.New(peer.Config{Spec: spec, Book: book, Table: platform, Clock: system, Log: group.Log()})
+	peers := peer.New(peer.Config{Spec: spec, Keys: keys, Book: book, Table: platform, Clock: system, Log: group.Log()})
 	group.OnStop(peers.Leave)
 	if err := peers.Join(group); err != nil {
 		return err
--- a/link/link.go
+++ b/link/link.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -53,14 +54,18 @@
 type Server struct {
 	listener net.Listener
 	mux      *Mux
+	refused  atomic.Int64
 }
 
-// NewServer returns a server on listener. A TLS listener refuses peers without
-// a valid certificate before any message is read.
+// NewServer returns a server on listener. With a TLS listener it refuses and
+// counts peers without a valid certificate before any message is read.
 func NewServer(listener net.Listener, mux *Mux) *Server {
 	return &Server{listener: listener, mux: mux}
 }
 
+// Refused returns the number of peers that were refused.
+func (s *Server) Refused() int64 { return s.refused.Load() }
+
 // Run accepts peers until ctx ends.
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
@@ -74,8 +79,32 @@
 		if err != nil {
 			return errors.Wrap(err, "accept peer")
 		}
-		jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(raw), handler, jsonrpc2.SetLogger(quiet{}))
+		g := &guest{server: s, raw: raw, handler: handler}
+		go g.run(ctx)
+	}
+}
+
+// guest is a connection that a peer opened.
+type guest struct {
+	server  *Server
+	raw     net.Conn
+	handler jsonrpc2.Handler
+}
+
+// handshakeTimeout bounds how long a peer may take to prove who it is.
+const handshakeTimeout = 2 * time.Second
+
+func (g *guest) run(ctx context.Context) {
+	if secure, ok := g.raw.(*tls.Conn); ok {
+		bounded, cancel := context.WithTimeout(ctx, handshakeTimeout)
+		defer cancel()
+		if err := secure.HandshakeContext(bounded); err != nil {
+			g.server.refused.Add(1)
+			g.raw.Close()
+			return
+		}
 	}
+	jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(g.raw), g.handler, jsonrpc2.SetLogger(quiet{}))
 }
 
 // Config configures a Client.
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -18,6 +18,7 @@
 	"indigoglade/daemon"
 	"indigoglade/link"
 	"indigoglade/member"
+	"indigoglade/trust"
 )
 
 // Config configures the Peers.
@@ -27,8 +28,8 @@
 	Table glade.Table
 	Clock glade.Clock
 	Log   logr.Logger
-	// TLS secures calls to peers when it is not nil.
-	TLS *tls.Config
+	// Keys secure the connections when they are not nil.
+	Keys *trust.Keys
 	// End takes up an endpoint incarnation that is leaving. It may be nil.
 	End func(endpoint glade.Endpoint)
 }
@@ -68,7 +69,7 @@
 	var others []member.Peer
 	for _, spec := range c.Spec.Peers {
 		others = append(others, member.Peer{Node: spec.Node, Zone: spec.Zone})
-		p.clients[spec.Node] = link.NewClient(link.Config{Address: spec.Address, TLS: c.TLS, Timeout: callTimeout})
+		p.clients[spec.Node] = link.NewClient(link.Config{Address: spec.Address, TLS: c.Keys.Client(spec.Node), Timeout: callTimeout})
 	}
 	p.node = NewNode(NodeConfig{
 		Self:        member.Peer{Node: c.Spec.Node, Zone: c.Spec.Zone},
@@ -114,9 +115,14 @@
 	if err != nil {
 		return errors.Wrap(err, "listen for peers")
 	}
+	if secure := p.config.Keys.Server(); secure != nil {
+		listener = tls.NewListener(listener, secure)
+	}
+	server := link.NewServer(listener, p.mux)
+	p.counters.Set("peer.refused", expvar.Func(func() any { return server.Refused() }))
 	expvar.Publish("peers", p.counters)
 	p.Register(p.mux)
-	group.Add(link.NewServer(listener, p.mux).Run)
+	group.Add(server.Run)
 	group.Add(p.Run)
 	group.Add(p.Contracts)
 	return nil
