--- a/keeper/main.go
+++ b/keeper/main.go
@@ -16,6 +16,7 @@
 	"indigoglade/config"
 	"indigoglade/daemon"
 	"indigoglade/fleet"
+	"indigoglade/keeper/internal/tasks"
 	"indigoglade/remote"
 	"indigoglade/send"
 )
@@ -48,13 +49,20 @@
 	group := daemon.New(daemon.Config{Name: "keeper." + string(spec.Node), Output: os.Stderr, Grace: grace, Status: spec.Status})
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	system := clock.System{}
+	book := adopt.New()
+	roster := glade.NewStaticRoster(spec.Node, nodesOf(spec))
 	sender := send.New(send.Config{Links: 1, MaxReply: maxProbeReply, Connect: dialBound})
 	duties := fleet.New(fleet.Config{
 		Table: platform, Hosts: platform, Workers: platform, Prober: fleet.NewProber(sender, system),
-		Book: adopt.New(), Roster: glade.NewStaticRoster(spec.Node, nodesOf(spec)), Clock: system, Log: group.Log(),
+		Book: book, Roster: roster, Clock: system, Log: group.Log(),
+	})
+	work := tasks.New(tasks.Config{
+		Table: platform, Objects: remote.NewObjects(platform), Hosts: platform, Workers: platform,
+		Book: book, Roster: roster, Clock: system, Log: group.Log(),
 	})
 	expvar.Publish("fleet", duties.Counters())
 	group.Add(duties.Run)
+	group.Add(work.Run)
 	return group.Run()
 }
 
--- a/stand/internal/fleet/config.go
+++ b/stand/internal/fleet/config.go
@@ -3,8 +3,11 @@
 package fleet
 
 import (
+	"fmt"
+
 	glade "indigoglade"
 	"indigoglade/config"
+	"indigoglade/stand/internal/relay"
 )
 
 // Config configures the stand-in fleet.
@@ -27,6 +30,14 @@
 	Lag   glade.Span `json:"lag"`
 	Slots int        `json:"slots"`
 	Links int        `json:"links"`
+	// Relays join processes of different zones.
+	Relays []relay.Spec `json:"relays"`
+	// Task is the time of a task that doesn't say how long it takes.
+	Task glade.Span `json:"task"`
+	// Usage is how long the usage of a task stays unknown.
+	Usage glade.Span `json:"usage"`
+	// Lease is how long tasks run on when nobody asks for them; 0 is for ever.
+	Lease glade.Span `json:"lease"`
 }
 
 // ReadConfig reads and checks the settings of the stand-in fleet.
@@ -50,5 +61,10 @@
 	if c.Slots < 1 || c.Links < c.Slots {
 		f.Add("/slots", "expected at least 1 slot and no more than the %d connections, found %d", c.Links, c.Slots)
 	}
+	for i, r := range c.Relays {
+		at := fmt.Sprintf("/relays/%d", i)
+		f.CheckAddress(at+"/listen", r.Listen)
+		f.CheckAddress(at+"/address", r.Address)
+	}
 	return f
 }
