--- a/entry/main.go
+++ b/entry/main.go
@@ -24,6 +24,7 @@
 	"indigoglade/entry/internal/duty"
 	"indigoglade/entry/internal/ticket"
 	"indigoglade/link"
+	"indigoglade/loans"
 	"indigoglade/once"
 	"indigoglade/peer"
 	"indigoglade/remote"
@@ -75,8 +76,9 @@
 	})
 	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
 	claimer := newClaimer(spec, system)
+	lent := loans.New(loans.Config{Peers: peers, Book: book, Clock: system, Counters: expvar.NewMap("loans")})
 	server := serve.New(serve.Config{
-		Book: book, Desk: front, Sender: sender, Claimer: claimer, Meter: meter, Clock: system, End: peers.End,
+		Book: book, Desk: front, Sender: sender, Claimer: claimer, Loans: lent, End: peers.End, Meter: meter, Clock: system,
 		Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
 	})
 	duties := duty.New(duty.Config{
@@ -85,17 +87,20 @@
 	stop := func(ctx context.Context) {
 		peers.Leave(ctx)
 		server.Stop(ctx)
+		lent.Leave(ctx)
 	}
 	if err := group.Serve(spec.Listen, server.Handler(), stop); err != nil {
 		return err
 	}
 	claimer.Register(peers.Mux())
+	lent.Register(peers.Mux())
 	if err := peers.Join(group); err != nil {
 		return err
 	}
 	group.Status().GET("/status", duties.Status)
 	group.Add(front.Run)
 	group.Add(claimer.Run)
+	group.Add(lent.Run)
 	group.Add(duties.Endpoints)
 	group.Add(duties.Burn)
 	return group.Run()
