Relay to a peer with a free slot, and bound slow callers

Cause: an entry host without a free slot queued or refused while a peer of the same or another zone had one; a caller could trickle its body past the deadline, and the bound on writing would have outlived its request on a kept connection. Deadlines on reading and writing belong to one request. The check of what ran waits until runs that outlive their callers have ended. Lending of slots was not tried: a loan that ends by itself can end while its request is in flight, a relay can't.

--- a/bench/internal/calls/drive.go
+++ b/bench/internal/calls/drive.go
@@ -45,10 +45,14 @@
 	config driveConfig
 	next   atomic.Int64
 	tally  tally
+	keys   map[string][]string
 	wait   sync.WaitGroup
 	client *http.Client
 }
 
+// restTime is how long a run may still begin after its callers have gone.
+const restTime = 2 * deadline
+
 // drive sends every request, waits for the last of them to end at the
 // endpoints, and compares what callers saw with what ran.
 func drive(s *site, config driveConfig) *tally {
@@ -57,6 +61,7 @@
 		Transport: &http.Transport{MaxIdleConnsPerHost: config.callers},
 	}}
 	l.tally.outcomes = make(map[string]int)
+	l.keys = make(map[string][]string)
 	for i := range config.callers {
 		c := &caller{load: l, random: rand.New(rand.NewPCG(s.config.seed, uint64(i)))}
 		l.wait.Add(1)
@@ -64,6 +69,10 @@
 	}
 	l.wait.Wait()
 	l.client.CloseIdleConnections()
+	time.Sleep(restTime)
+	for key, outcomes := range l.keys {
+		l.check(key, outcomes)
+	}
 	return &l.tally
 }
 
@@ -84,7 +93,7 @@
 	}
 }
 
-// request sends a key until it is answered or given up, and checks it.
+// request sends a key until it is answered or given up.
 func (c *caller) request(key string) {
 	var outcomes []string
 	if c.random.Float64() < c.load.config.resend {
@@ -98,7 +107,7 @@
 		}
 		outcomes = append(outcomes, c.send(key, true))
 	}
-	c.load.check(key, outcomes)
+	c.load.keep(key, outcomes)
 }
 
 // both sends a key to two entry hosts at once.
@@ -187,11 +196,16 @@
 	}
 }
 
-// check compares the outcomes of a key with the ledger.
-func (l *load) check(key string, outcomes []string) {
-	runs := l.site.ledger.count(key)
+func (l *load) keep(key string, outcomes []string) {
 	l.tally.mu.Lock()
 	defer l.tally.mu.Unlock()
+	l.keys[key] = outcomes
+}
+
+// check compares the outcomes of a key with the ledger, when all runs have
+// ended.
+func (l *load) check(key string, outcomes []string) {
+	runs := l.site.ledger.count(key)
 	refused := true
 	for _, outcome := range outcomes {
 		l.tally.sent++
--- a/bench/internal/calls/site.go
+++ b/bench/internal/calls/site.go
@@ -160,24 +160,37 @@
 	claimer := e.claimer(start)
 	book := adopt.New()
 	book.Adopt(e.site.contract)
-	handler := serve.New(serve.Config{
+	server := serve.New(serve.Config{
 		Book: book, Desk: front, Claimer: claimer, Meter: burn.New(), Clock: clock.System{},
 		Sender: send.New(send.Config{Links: 64, MaxReply: maxReply, Connect: deadline}),
-	}).Handler()
+		Peers:  e.others(),
+	})
 	mux := link.NewMux()
 	claimer.Register(mux)
+	server.Register(mux)
 	e.mu.Lock()
-	e.cancel, e.server = cancel, &http.Server{Handler: handler}
+	e.cancel, e.server = cancel, &http.Server{Handler: server.Handler()}
 	e.mu.Unlock()
 	go duty{func() error { return link.NewServer(peers, mux).Run(ctx) }}.run()
 	go duty{func() error { return claimer.Run(ctx) }}.run()
 	// The desk outlives a kill, as work that was sent already would.
 	go duty{func() error { return front.Run(context.Background()) }}.run()
-	server := e.server
-	go duty{func() error { return server.Serve(callers) }}.run()
+	callersServer := e.server
+	go duty{func() error { return callersServer.Serve(callers) }}.run()
 	front.Update(e.site.listed)
 }
 
+func (e *entry) others() []serve.Peer {
+	var peers []serve.Peer
+	for _, other := range e.site.entries {
+		if other != e {
+			client := link.NewClient(link.Config{Address: other.peers.address(), Timeout: 2 * deadline})
+			peers = append(peers, serve.Peer{Node: other.node, Near: other.zone == e.zone, Client: client})
+		}
+	}
+	return peers
+}
+
 func (e *entry) neighbours() []glade.Node {
 	var nodes []glade.Node
 	for _, other := range e.site.entries {
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -32,6 +32,8 @@
 	Deadline time.Time
 	// Avoid is the endpoint of an earlier attempt.
 	Avoid glade.Endpoint
+	// Instant asks for a slot that is free now.
+	Instant bool
 }
 
 // Answer is the decision on an Ask.
@@ -157,9 +159,13 @@
 
 func (a *ask) apply(d *Desk, now time.Time) {
 	spec := a.Contract.Spec().Answer
+	depth := spec.Queue
+	if a.Instant {
+		depth = 0
+	}
 	decision := d.gate.Ask(now, admit.Ask{
 		Customer: a.Contract.Customer(), Service: a.Pool.Serve, Deadline: a.Deadline,
-		Depth: spec.Queue, Weight: spec.Rate, Avoid: a.Avoid,
+		Depth: depth, Weight: spec.Rate, Avoid: a.Avoid,
 	}, a)
 	if a.ticket = decision.Ticket(); a.ticket == nil {
 		a.answer(now, decision)
--- a/entry/main.go
+++ b/entry/main.go
@@ -44,6 +44,8 @@
 	ringLength = 4096
 	// peerBound bounds one call to a peer.
 	peerBound = 300 * time.Millisecond
+	// relayBound bounds a request relayed to a peer, besides its deadline.
+	relayBound = time.Minute
 	// maxKeys bounds the keys remembered, heldAnswers the answers, in bytes.
 	maxKeys     = 200_000
 	heldAnswers = 8 << 20
@@ -74,7 +76,7 @@
 	claimer := newClaimer(spec, system)
 	server := serve.New(serve.Config{
 		Book: book, Desk: front, Sender: sender, Claimer: claimer, Meter: meter, Clock: system,
-		Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
+		Peers: newPeers(spec), Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
 	})
 	duties := duty.New(duty.Config{
 		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Clock: system, Log: group.Log(),
@@ -89,6 +91,7 @@
 	mux := link.NewMux()
 	duties.Register(mux)
 	claimer.Register(mux)
+	server.Register(mux)
 	group.Status().GET("/status", duties.Status)
 	group.Add(link.NewServer(peers, mux).Run)
 	group.Add(front.Run)
@@ -113,6 +116,19 @@
 	})
 }
 
+// newPeers returns the entry hosts to ask for room, over connections of their
+// own, so that bodies don't hold up other messages.
+func newPeers(spec config.NodeSpec) []serve.Peer {
+	var peers []serve.Peer
+	for _, peer := range spec.Peers {
+		peers = append(peers, serve.Peer{
+			Node: peer.Node, Near: peer.Zone == spec.Zone,
+			Client: link.NewClient(link.Config{Address: peer.Address, Timeout: relayBound}),
+		})
+	}
+	return peers
+}
+
 // zoneNodes lists the entry hosts of the own availability zone.
 func zoneNodes(spec config.NodeSpec) []glade.Node {
 	nodes := []glade.Node{spec.Node}
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -74,16 +74,45 @@
 	return r
 }
 
-// run makes attempts until one ends the request. An attempt that wrote no byte
-// is followed by another; one that may have run only where the pool is
-// repeatable and the budget allows.
+// waiting tells whether a request may wait for a slot.
+type waiting bool
+
+const (
+	instant waiting = false
+	queued  waiting = true
+)
+
+// run gets a request answered: by an endpoint with a free slot, by a peer that
+// has one, or after waiting.
 func (s *Server) run(ctx context.Context, w work) result {
 	s.budgets.fresh(w)
+	if len(s.config.Peers) == 0 {
+		return s.attempt(ctx, w, queued)
+	}
+	r := s.attempt(ctx, w, instant)
+	if !isForRoom(r) {
+		return r
+	}
+	if relayed, ok := s.relay(context.WithoutCancel(ctx), w); ok {
+		return relayed
+	}
+	return s.attempt(ctx, w, queued)
+}
+
+// isForRoom tells whether a request was refused because no slot is free here.
+func isForRoom(r result) bool {
+	return r.outcome == glade.Refused && (r.reason == glade.ReasonQueue || r.reason == glade.ReasonEndpoints)
+}
+
+// attempt makes attempts until one ends the request. An attempt that wrote no
+// byte is followed by another; one that may have run only where the pool is
+// repeatable and the budget allows.
+func (s *Server) attempt(ctx context.Context, w work, wait waiting) result {
 	last := refused(glade.ReasonConnect)
 	var avoid glade.Endpoint
 	for range maxTries {
 		answer := s.config.Desk.Acquire(ctx, desk.Ask{
-			Contract: w.contract, Pool: w.pool, Deadline: w.deadline, Avoid: avoid,
+			Contract: w.contract, Pool: w.pool, Deadline: w.deadline, Avoid: avoid, Instant: wait == instant,
 		})
 		grant, ok := answer.Grant()
 		if !ok {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -51,6 +51,8 @@
 	Claimer *claim.Claimer
 	Meter   *burn.Meter
 	Clock   glade.Clock
+	// Peers are asked for room when no slot is free here.
+	Peers []Peer
 	// Counters receives the counts; a nil map is replaced by one of its own.
 	Counters *expvar.Map
 	// Routes add further routes for callers.
@@ -63,6 +65,7 @@
 	stopping atomic.Bool
 	outcomes *expvar.Map
 	budgets  budgets
+	rooms    rooms
 }
 
 // New returns a server.
@@ -76,6 +79,7 @@
 // Handler returns the callers' routes.
 func (s *Server) Handler() http.Handler {
 	e := daemon.NewEcho()
+	e.Use(unbound)
 	e.GET("/ready", s.ready)
 	e.POST("/v1/:customer/:service", s.request)
 	for _, add := range s.config.Routes {
@@ -167,6 +171,7 @@
 	if err != nil {
 		return w, BodyReason(err)
 	}
+	unboundRead(c)
 	w.body = body
 	return w, glade.ReasonNone
 }
@@ -190,6 +195,21 @@
 	_ = control.SetWriteDeadline(deadline.Add(writeTime))
 }
 
+// unbound ends the bounds of an earlier request on the same connection.
+func unbound(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		_ = http.NewResponseController(c.Response()).SetWriteDeadline(time.Time{})
+		unboundRead(c)
+		return next(c)
+	}
+}
+
+// unboundRead ends the bound on reading once the body is whole: the server goes
+// on reading to notice that the caller leaves.
+func unboundRead(c echo.Context) {
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+}
+
 // deadlineOf returns the time left: the caller's, at most the contract's.
 func deadlineOf(c echo.Context, contract glade.Contract) (time.Duration, glade.Reason) {
 	promised := contract.Spec().Answer.Deadline.Duration()
