--- a/job.go
+++ b/job.go
@@ -173,6 +173,8 @@
 // of that keeper on a job is conditional on this row's version.
 type LeadRow struct {
 	Node Node `json:"node"`
+	// Want names a keeper that asks to take over.
+	Want Node `json:"want,omitempty"`
 	// Term rises with each change of the keeper.
 	Term uint64 `json:"term"`
 	// Beat rises while the keeper is alive.
