--- a/claim/claim.go
+++ b/claim/claim.go
@@ -60,12 +60,11 @@
 	token uint64
 }
 
-// Claimer claims keys. It needs Run to reach its peers.
+// Claimer claims keys.
 type Claimer struct {
 	config   Config
 	ring     *once.Ring
 	counters *expvar.Map
-	askers   map[glade.Node]*asker
 
 	mu     sync.Mutex
 	store  *once.Store
@@ -83,7 +82,7 @@
 		config.Start = config.Clock.Now()
 	}
 	start := config.Start
-	c := &Claimer{
+	return &Claimer{
 		config:   config,
 		ring:     ring,
 		counters: config.Counters,
@@ -93,12 +92,7 @@
 		}),
 		active: make(map[sendID]*run),
 		ended:  newCache(config.Bytes),
-		askers: make(map[glade.Node]*asker),
 	}
-	for node, client := range config.Peers {
-		c.askers[node] = newAsker(c, client)
-	}
-	return c
 }
 
 // Claim returns a ticket when the send may run. Otherwise it returns the
@@ -161,7 +155,7 @@
 	return c.store.Expect()
 }
 
-// poll asks for votes until they decide, none is missing, or ctx ends.
+// poll asks for votes until they decide, or none is missing.
 func (c *Claimer) poll(ctx context.Context, attempt *once.Attempt) once.Verdict {
 	asks := attempt.Asks()
 	votes := make(chan once.Vote, len(asks))
@@ -170,15 +164,15 @@
 			votes <- c.vote(attempt.Claim())
 			continue
 		}
-		c.askers[node].ask(question{claim: attempt.Claim(), votes: votes})
+		q := question{claimer: c, node: node, claim: attempt.Claim(), votes: votes}
+		go q.run(context.WithoutCancel(ctx))
 	}
 	for range asks {
-		select {
-		case <-ctx.Done():
-			return attempt.Verdict()
-		case v := <-votes:
-			attempt.Add(v)
+		v := <-votes
+		if v.Node == "" {
+			continue
 		}
+		attempt.Add(v)
 		if verdict := attempt.Verdict(); verdict != once.Open {
 			return verdict
 		}
@@ -186,6 +180,26 @@
 	return attempt.Verdict()
 }
 
+// question asks one peer for its vote.
+type question struct {
+	claimer *Claimer
+	node    glade.Node
+	claim   once.Claim
+	votes   chan<- once.Vote
+}
+
+// run sends the vote, or an empty one when the peer can't be reached.
+func (q question) run(ctx context.Context) {
+	vote, err := link.Call[once.Claim, once.Vote](ctx, q.claimer.config.Peers[q.node], "claim", q.claim)
+	if err != nil {
+		q.claimer.counters.Add("unreached", 1)
+		vote = once.Vote{}
+	} else {
+		q.claimer.learn(vote)
+	}
+	q.votes <- vote
+}
+
 func (c *Claimer) learn(v once.Vote) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -25,14 +25,6 @@
 
 func (s serving) run() { _ = s.server.Run(s.ctx) }
 
-// asking runs a claimer.
-type asking struct {
-	claimer *claim.Claimer
-	ctx     context.Context
-}
-
-func (a asking) run() { _ = a.claimer.Run(a.ctx) }
-
 // newClaimers starts entry hosts that know each other. The first down ones
 // have an address where nobody listens.
 func newClaimers(t *testing.T, n, down int) []*claim.Claimer {
@@ -58,7 +50,6 @@
 			Start: start.Add(-claim.MaxWindow), Random: rand.New(rand.NewPCG(1, uint64(i))), Records: 100, Bytes: 1 << 16,
 		})
 		claimers = append(claimers, c)
-		go asking{c, ctx}.run()
 		if i < down {
 			listeners[i].Close()
 			continue
--- a/claim/copy.go
+++ b/claim/copy.go
@@ -13,14 +13,9 @@
 // answer, or whose own history is not whole.
 const copyPeriod = time.Second
 
-// Run asks peers for votes until ctx ends. It first copies the records of all
-// other entry hosts, so that the history becomes whole.
+// Run copies the records of all other entry hosts, so that the history becomes
+// whole, then waits until ctx ends.
 func (c *Claimer) Run(ctx context.Context) error {
-	for _, a := range c.askers {
-		for range askLoops {
-			go a.loop(ctx)
-		}
-	}
 	left := c.others()
 	for len(left) > 0 {
 		left = c.copyAll(ctx, left)
--- a/claim/follow.go
+++ b/claim/follow.go
@@ -34,7 +34,7 @@
 
 // Register adds the methods that peers call.
 func (c *Claimer) Register(mux *link.Mux) {
-	link.Handle(mux, "claim", c.voteAll)
+	link.Handle(mux, "claim", func(_ context.Context, in once.Claim) (once.Vote, error) { return c.vote(in), nil })
 	link.Handle(mux, "await", c.await)
 	link.Handle(mux, "release", func(_ context.Context, in Release) (bool, error) { return c.forget(in), nil })
 	link.Handle(mux, "copy", func(_ context.Context, in once.CopyAsk) (once.CopyPage, error) { return c.page(in), nil })
