--- a/bench/internal/calls/site.go
+++ b/bench/internal/calls/site.go
@@ -161,7 +161,8 @@
 	book := adopt.New()
 	book.Adopt(e.site.contract)
 	server := serve.New(serve.Config{
-		Book: book, Desk: front, Claimer: claimer, Meter: burn.New(), Clock: clock.System{},
+		Book: book, Desk: front, Claimer: claimer, Clock: clock.System{},
+		Meter:  burn.New(burn.Config{Node: e.node, Clock: clock.System{}}),
 		Sender: send.New(send.Config{Links: 64, MaxReply: maxReply, Connect: deadline}),
 		Peers:  e.others(),
 	})
--- a/once/store.go
+++ b/once/store.go
@@ -13,11 +13,11 @@
 	Token uint64 `json:"token"`
 	// Node is the entry host that claims.
 	Node glade.Node `json:"node"`
-	// Window is how long the key is remembered.
-	Window glade.Span `json:"window"`
+	// Window is how long the key is remembered, in milliseconds.
+	Window int64 `json:"window"`
 	// Settle is the time after which a send that was made before an entry host
-	// started is no longer under way.
-	Settle glade.Span `json:"settle"`
+	// started is no longer under way, in milliseconds.
+	Settle int64 `json:"settle"`
 	// Expect holds the incarnations of the entry hosts that the claim rests on.
 	Expect map[glade.Node]uint64 `json:"expect"`
 }
@@ -141,14 +141,14 @@
 		vote.State = Full
 		return vote
 	}
-	s.put(Record{Key: c.Key, Token: c.Token, Node: c.Node, Expiry: now.Add(c.Window.Duration()).UnixMilli()})
-	age := now.Sub(s.config.Start)
-	if s.IsWhole(now) || age >= c.Window.Duration() {
+	s.put(Record{Key: c.Key, Token: c.Token, Node: c.Node, Expiry: now.UnixMilli() + c.Window})
+	age := now.Sub(s.config.Start).Milliseconds()
+	if s.IsWhole(now) || age >= c.Window {
 		vote.State = Granted
 		return vote
 	}
 	vote.State = Blank
-	vote.Settled = age >= c.Settle.Duration()
+	vote.Settled = age >= c.Settle
 	return vote
 }
 
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -50,7 +50,7 @@
 		Answer:   glade.AnswerSpec{Deadline: glade.Span(10 * time.Second), Queue: 10, Window: glade.Span(time.Minute)},
 	}, 7))
 	h.server = serve.New(serve.Config{
-		Book: book, Desk: h.desk, Meter: burn.New(), Clock: system, Peers: peers,
+		Book: book, Desk: h.desk, Meter: burn.New(burn.Config{Node: node, Clock: system}), Clock: system, Peers: peers,
 		Sender: send.New(send.Config{Links: 1, MaxReply: 1 << 10, Connect: time.Second}),
 		Claimer: claim.New(claim.Config{
 			Self: node, Members: []once.Member{once.NewMember(node, "z")}, Clock: system,
