--- /dev/null
+++ b/bench/internal/hosts/days/deploy.go
@@ -0,0 +1,66 @@
+package days
+
+import (
+	"time"
+
+	glade "indigoglade"
+)
+
+// Deployment is one of the users' fleets.
+type Deployment struct {
+	name     string
+	weights  glade.WeightSpec
+	deadline time.Duration
+	// refill is how long the fleet waits for one failed host to come back.
+	refill time.Duration
+	humps  [][]hump
+}
+
+// Gunescati prices quotes during site visits, and weighs roll-out time most.
+func Gunescati() Deployment {
+	return Deployment{
+		name:     "gunescati",
+		weights:  glade.WeightSpec{Rollout: 3, Moves: 1},
+		deadline: 3 * time.Second,
+		refill:   time.Minute,
+		humps: [][]hump{
+			{{hour: 10.5, width: 1.3, share: 0.9}, {hour: 15, width: 1.6, share: 0.7}},
+			{{hour: 11, width: 1.5, share: 0.8}, {hour: 16, width: 1.2, share: 0.9}},
+			{{hour: 14, width: 2.2, share: 0.9}},
+			{{hour: 17.5, width: 1.6, share: 0.9}},
+		},
+	}
+}
+
+// Monsoon gathers readings and publishes bulletins, and weighs moves most.
+func Monsoon() Deployment {
+	return Deployment{
+		name:     "monsoon",
+		weights:  glade.WeightSpec{Rollout: 1, Moves: 3},
+		deadline: 2 * time.Second,
+		refill:   10 * time.Minute,
+		humps: [][]hump{
+			{{hour: 6.5, width: 1.4, share: 0.9}},
+			{{hour: 7.5, width: 1.4, share: 0.9}, {hour: 18, width: 1.2, share: 0.5}},
+			{{hour: 9, width: 1.5, share: 0.9}},
+			{{hour: 18.5, width: 1.8, share: 0.9}},
+		},
+	}
+}
+
+// Sizes of both fleets.
+const (
+	hostCount  = 50
+	rackHosts  = 4
+	zoneCount  = 3
+	slots      = 8
+	floor      = 2
+	ceiling    = 14
+	promised   = 10
+	baseShare  = 0.08
+	spareFloor = 4
+)
+
+func (d Deployment) pool() glade.PoolSpec {
+	return glade.PoolSpec{Hosts: promised, Floor: floor, Ceiling: ceiling, Slots: slots}
+}
--- a/bench/internal/hosts/hosts.go
+++ b/bench/internal/hosts/hosts.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"indigoglade/bench/internal/gauge"
+	"indigoglade/bench/internal/hosts/days"
 	"indigoglade/bench/internal/hosts/sched"
 )
 
@@ -14,13 +15,26 @@
 // Measures returns the measures of this package.
 func Measures() []gauge.Measure {
 	runs := &shared[sched.Report]{make: func(seed uint64) sched.Report { return sched.Many(seed, schedules) }}
-	return []gauge.Measure{
+	all := []gauge.Measure{
 		runs.measure("hosts.schedules", "schedules", func(r sched.Report) float64 { return float64(r.Schedules) }),
 		runs.measure("hosts.twopools", "hosts", func(r sched.Report) float64 { return float64(r.Twice) }),
 		runs.measure("hosts.overspent", "steps", func(r sched.Report) float64 { return float64(r.Overspent) }),
 		runs.measure("hosts.cut", "requests", func(r sched.Report) float64 { return float64(r.Cut) }),
 		runs.measure("hosts.staleepochs", "rows", func(r sched.Report) float64 { return float64(r.Stale) }),
 	}
+	all = append(all, sizes("gunescati", days.Gunescati())...)
+	return append(all, sizes("monsoon", days.Monsoon())...)
+}
+
+// sizes measures the pool sizes of a deployment over virtual days, beside sizes
+// fixed at the peak and sizes that follow the load.
+func sizes(name string, d days.Deployment) []gauge.Measure {
+	runs := &shared[days.Comparison]{make: func(seed uint64) days.Comparison { return days.Compare(d, seed) }}
+	return []gauge.Measure{
+		runs.measure("hosts.buffer."+name, "of fixed", days.Comparison.Buffer),
+		runs.measure("hosts.broken."+name, "over fixed", days.Comparison.Broken),
+		runs.measure("hosts.moves."+name, "of follow", days.Comparison.Moves),
+	}
 }
 
 // shared is an experiment from which several measures take their value. It runs
--- a/bench/main.go
+++ b/bench/main.go
@@ -7,11 +7,13 @@
 
 	"github.com/alecthomas/kong"
 
+	"indigoglade/bench/internal/hosts/days"
 	"indigoglade/bench/internal/load"
 )
 
 type commands struct {
 	Measure measureCommand `cmd:"" default:"withargs" help:"Run every measure that has a bound and print one row each."`
+	Day     days.Command   `cmd:"" help:"Draw demand, pool size and moves around a clock change."`
 	Load    load.Command   `cmd:"" help:"Send work to running entry hosts and check each outcome against the endpoints' ledger."`
 }
 
--- a/budget/budget.go
+++ b/budget/budget.go
@@ -170,6 +170,10 @@
 	return WaitNone
 }
 
+// Largest returns the greatest number of serving hosts that share a failure
+// domain.
+func (r Rule) Largest(account glade.AccountRow) int { return r.largest(account, "") }
+
 // largest returns the greatest number of serving hosts, beside host, that share
 // a failure domain. Example: with the domain "rack", serving hosts a and b in
 // r1 and c in r2, the largest domain beside a holds 1 host.
--- a/entry/internal/serve/serve.go
+++ b/entry/internal/serve/serve.go
@@ -19,6 +19,7 @@
 	"indigoglade/adopt"
 	"indigoglade/burn"
 	"indigoglade/daemon"
+	"indigoglade/demand"
 	"indigoglade/entry/internal/desk"
 	"indigoglade/send"
 )
@@ -46,6 +47,7 @@
 	Desk   *desk.Desk
 	Sender *send.Sender
 	Meter  *burn.Meter
+	Demand *demand.Meter
 	Clock  glade.Clock
 	// Routes add further routes for callers.
 	Routes []func(e *echo.Echo)
@@ -208,6 +210,7 @@
 		s.outcomes.Add(r.outcome.String()+"."+string(r.reason), 1)
 	}
 	if customer := w.contract.Customer(); customer != "" {
+		s.config.Demand.Record(w.pool.Serve, r.outcome, now.Sub(w.start))
 		s.config.Meter.Record(customer, r.outcome, now.Sub(w.start), w.contract.Spec().Answer.Deadline.Duration())
 	}
 	h := c.Response().Header()
--- a/entry/main.go
+++ b/entry/main.go
@@ -17,6 +17,7 @@
 	"indigoglade/clock"
 	"indigoglade/config"
 	"indigoglade/daemon"
+	"indigoglade/demand"
 	"indigoglade/entry/internal/desk"
 	"indigoglade/entry/internal/duty"
 	"indigoglade/entry/internal/serve"
@@ -58,6 +59,8 @@
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	book := adopt.New()
 	meter := burn.New()
+	asked := demand.NewMeter(system.Now())
+	post := demand.NewPost(demand.Config{Node: spec.Node, Table: platform, Meter: asked, Clock: system})
 	front := desk.New(desk.Config{Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
 	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
@@ -81,6 +84,7 @@
 	group.Add(front.Run)
 	group.Add(duties.Contracts)
 	group.Add(duties.Endpoints)
+	group.Add(post.Run)
 	return group.Run()
 }
 
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -12,6 +12,7 @@
 	glade "indigoglade"
 	"indigoglade/adopt"
 	"indigoglade/budget"
+	"indigoglade/demand"
 	"indigoglade/owner"
 	"indigoglade/shard"
 	"indigoglade/table"
@@ -44,6 +45,10 @@
 	accounts  *table.Cache[glade.AccountRow]
 	contracts *table.Cache[glade.ContractRow]
 
+	sizings  map[string]*sizing
+	demand   demand.Total
+	demandAt time.Time
+
 	listed     map[glade.Host]glade.Listed
 	listedAt   time.Time
 	assignedAt time.Time
@@ -61,6 +66,7 @@
 		counters:  new(expvar.Map),
 		accounts:  table.NewCache[glade.AccountRow](config.Table),
 		contracts: table.NewCache[glade.ContractRow](config.Table),
+		sizings:   make(map[string]*sizing),
 		suspects:  make(map[glade.Host]time.Time),
 		retries:   make(map[glade.Host]time.Time),
 	}
@@ -169,6 +175,9 @@
 	if err := f.wave(ctx, v); err != nil {
 		return err
 	}
+	if err := f.size(ctx, v); err != nil {
+		return err
+	}
 	return f.refill(ctx, v)
 }
 
--- a/fleet/moves.go
+++ b/fleet/moves.go
@@ -26,27 +26,31 @@
 	want := wanted(v.contract.Spec(), v.pool, account)
 	lack := budget.Lacks(account, want, v.now)
 	if lack == 0 {
-		return f.release(ctx, v)
+		if err := f.release(ctx, v); err != nil {
+			return err
+		}
+		return f.shrink(ctx, v)
 	}
-	if v.pool.Spare || !f.mayRefill(v) {
+	if v.pool.Spare || !mayRefill(v) {
 		return nil
 	}
 	return f.borrow(ctx, v, want)
 }
 
-// mayRefill tells whether the pool may ask for a host now: it has no failed
-// member, or one has been failed for long.
-func (f *Fleet) mayRefill(v poolView) bool {
-	oldest := v.now.UnixMilli()
-	failed := false
-	for _, member := range v.account.Data().Members {
+// mayRefill tells whether the pool may ask for a host now: none of its members
+// has failed, more failed than the one that its size has to spare, or one has
+// been failed for long.
+func mayRefill(v poolView) bool {
+	account := v.account.Data()
+	oldest, failed := v.now.UnixMilli(), 0
+	for _, member := range account.Members {
 		if member.Cause == glade.CauseFail {
-			failed = true
+			failed++
 			oldest = min(oldest, member.Since)
 		}
 	}
 	bound := refillTime(v.contract.Spec().Weights).Milliseconds()
-	return !failed || v.now.UnixMilli()-oldest >= bound
+	return failed != 1 || v.now.UnixMilli()-oldest >= bound
 }
 
 // release takes one failed host out of a pool that has its size without it.
@@ -67,14 +71,21 @@
 	return nil
 }
 
+// place names a pool of a customer.
+type place struct {
+	customer glade.Customer
+	pool     glade.PoolSpec
+}
+
 // borrow begins to move one host from a spare pool.
 func (f *Fleet) borrow(ctx context.Context, v poolView, want int) error {
+	move := owner.Move{Customer: v.contract.Customer(), Pool: v.pool, Want: want}
 	for _, contract := range f.config.Book.All() {
 		for _, pool := range contract.Spec().Pools {
 			if !pool.Spare {
 				continue
 			}
-			done, err := f.take(ctx, v, contract.Customer(), pool, want)
+			done, err := f.take(ctx, v.now, place{contract.Customer(), pool}, move)
 			if err != nil || done {
 				return err
 			}
@@ -83,21 +94,21 @@
 	return nil
 }
 
-// take begins to move one host of a pool to v's pool, and tells whether it did.
-func (f *Fleet) take(ctx context.Context, v poolView, customer glade.Customer, pool glade.PoolSpec, want int) (bool, error) {
-	contract, err := f.contract(ctx, customer)
+// take begins to move one host out of a pool, and tells whether it did.
+func (f *Fleet) take(ctx context.Context, now time.Time, source place, move owner.Move) (bool, error) {
+	contract, err := f.contract(ctx, source.customer)
 	if err != nil {
 		return false, err
 	}
-	from, err := f.account(ctx, customer, pool.Name)
+	from, err := f.account(ctx, source.customer, source.pool.Name)
 	if err != nil {
 		return false, err
 	}
-	to, err := f.account(ctx, v.contract.Customer(), v.pool.Name)
+	to, err := f.account(ctx, move.Customer, move.Pool.Name)
 	if err != nil {
 		return false, err
 	}
-	host, ok := pick(budget.NewRule(contract.Data().Spec, pool), from.Data(), to.Data())
+	host, ok := pick(budget.NewRule(contract.Data().Spec, source.pool), from.Data(), to.Data())
 	if !ok {
 		return false, nil
 	}
@@ -105,8 +116,7 @@
 	if err != nil {
 		return false, err
 	}
-	move := owner.Move{Customer: v.contract.Customer(), Pool: v.pool, Want: want}
-	result, err := owner.BeginMove(ctx, f.config.Table, contract, record, from, to, move, v.now)
+	result, err := owner.BeginMove(ctx, f.config.Table, contract, record, from, to, move, now)
 	f.counters.Add("move."+result.String(), 1)
 	return result.IsDone(), err
 }
--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -134,15 +134,6 @@
 	return best, bestLack > 0
 }
 
-// wanted returns the number of hosts that a pool should have. A spare pool
-// takes free hosts up to its promise.
-func wanted(spec glade.ContractSpec, pool glade.PoolSpec, account glade.AccountRow) int {
-	if pool.Spare {
-		return pool.Hosts
-	}
-	return budget.NewRule(spec, pool).Size(account)
-}
-
 func countRack(account glade.AccountRow, listed glade.Listed) int {
 	n := 0
 	for _, member := range account.Members {
--- a/rows.go
+++ b/rows.go
@@ -13,6 +13,10 @@
 	PrefixHost = "host/"
 	// PrefixAccount is followed by the pool: the availability account.
 	PrefixAccount = "account/"
+	// PrefixDemand is followed by the entry host's node: its demand.
+	PrefixDemand = "demand/"
+	// PrefixShape is followed by the customer and the pool: the learnt day.
+	PrefixShape = "shape/"
 	// PrefixJob is followed by the job's ticket.
 	PrefixJob = "job/"
 )
@@ -159,3 +163,27 @@
 	To    int64     `json:"to"`
 	Cause DownCause `json:"cause"`
 }
+
+// DemandRow is the demand that one entry host saw in its last period.
+type DemandRow struct {
+	Node Node `json:"node"`
+	// At is the end of the period, in milliseconds since 1970.
+	At int64 `json:"at"`
+	// Busy maps each service to the mean number of slots that its requests
+	// asked for.
+	Busy map[Service]float64 `json:"busy"`
+}
+
+// ShapeRow is the learnt day of a pool's demand, in slots by bins of the day.
+type ShapeRow struct {
+	// Bin is the number of the newest closed bin since 1970.
+	Bin int64 `json:"bin"`
+	// Recent holds the demand of the newest bins, the newest last.
+	Recent []float64 `json:"recent"`
+	// Profile is the demand of an ordinary day.
+	Profile []float64 `json:"profile"`
+	// Days counts how often each bin of the profile was learnt.
+	Days []int `json:"days"`
+	// Shift is how many bins later than in the profile the day is.
+	Shift int `json:"shift"`
+}
--- /dev/null
+++ b/shape/shape_test.go
@@ -0,0 +1,71 @@
+package shape_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	glade "indigoglade"
+	"indigoglade/shape"
+)
+
+// demand is a day with one peak at noon of the wall clock.
+func demand(hour float64) float64 {
+	away := (hour - 12) / 2
+	return 1 + 20*math.Exp(-away*away/2)
+}
+
+// learn folds days whose wall clock is shifted by some hours. first is the
+// number of the first bin.
+func learn(row glade.ShapeRow, first int64, bins int, shift float64) glade.ShapeRow {
+	for i := range bins {
+		bin := first + int64(i)
+		hour := math.Mod(float64(bin%shape.Bins)/4+shift+24, 24)
+		row = shape.Fold(row, bin, demand(hour))
+	}
+	return row
+}
+
+// expectPeak checks the greatest demand expected within half an hour.
+func expectPeak(t *testing.T, row glade.ShapeRow, want float64) {
+	t.Helper()
+	got, known := shape.Peak(row, 30*time.Minute)
+	qt.Assert(t, known, qt.IsTrue)
+	qt.Check(t, math.Abs(got-want) < 0.15*want, qt.IsTrue, qt.Commentf("got %.2f, want %.2f", got, want))
+}
+
+func TestNothingIsExpectedBeforeADayWasLearnt(t *testing.T) {
+	row := learn(glade.ShapeRow{}, 96, 90, 0)
+	_, known := shape.Peak(row, time.Hour)
+	qt.Check(t, known, qt.IsFalse)
+}
+
+func TestClockChangesMoveTheDay(t *testing.T) {
+	const days = 3 * shape.Bins
+	row := learn(glade.ShapeRow{}, shape.Bins, days, 0)
+	qt.Check(t, row.Shift, qt.Equals, 0)
+	// A day of 23 hours: the wall clock is an hour ahead, the peak comes at 11.
+	spring := learn(row, shape.Bins+days, shape.Bins, 1)
+	qt.Check(t, spring.Shift, qt.Equals, -4)
+	morning := learn(spring, shape.Bins+days+shape.Bins, 10*4, 1)
+	expectPeak(t, morning, demand(11.5))
+	// A day of 25 hours brings the peak back to noon.
+	autumn := learn(spring, shape.Bins+days+shape.Bins, shape.Bins, 0)
+	qt.Check(t, autumn.Shift, qt.Equals, 0)
+}
+
+func TestShiftIsFoundBeforeThePeak(t *testing.T) {
+	const days = 3 * shape.Bins
+	row := learn(glade.ShapeRow{}, shape.Bins, days, 0)
+	row = learn(row, shape.Bins+days, 9*4+2, 1)
+	qt.Check(t, row.Shift, qt.Equals, -4, qt.Commentf("at 9:30, with the peak at 11"))
+}
+
+func TestMissedBinsAreFilled(t *testing.T) {
+	row := learn(glade.ShapeRow{}, shape.Bins, 2*shape.Bins, 0)
+	next := shape.Fold(row, row.Bin+5, 3)
+	qt.Check(t, next.Bin, qt.Equals, row.Bin+5)
+	qt.Check(t, shape.Fold(next, next.Bin, 9), qt.DeepEquals, next)
+}
--- a/wave/wave.go
+++ b/wave/wave.go
@@ -62,6 +62,16 @@
 	return budget.WaitNone
 }
 
+// IsRunning tells whether the contract's wave has hosts left in a pool and may
+// go on.
+func IsRunning(spec glade.ContractSpec, account glade.AccountRow) bool {
+	if declared(spec.Wave) != budget.WaitNone {
+		return false
+	}
+	done, total := Progress(account, spec.Wave.Name)
+	return done < total
+}
+
 // Progress returns how many members the wave has maintained and how many there
 // are. A member that is being maintained is not done.
 func Progress(account glade.AccountRow, wave string) (done, total int) {
