--- a/bench/internal/hosts/days/run.go
+++ b/bench/internal/hosts/days/run.go
@@ -255,13 +255,16 @@
 // way. Every policy replaces failed hosts in the same way.
 func (r *run) resize(since time.Duration, pool, size int) {
 	held, lost := r.lost(since, pool)
-	for have := held - lost; have < size && r.move(since, spare, pool); have++ {
+	have := held - lost
+	for have < size && r.move(since, spare, pool) {
+		have++
 		if lost > 0 {
 			r.letGo(since, pool)
 			lost--
 		}
 	}
-	for have := held - lost; have > size && r.move(since, pool, spare); have-- {
+	for have > size && r.move(since, pool, spare) {
+		have--
 	}
 }
 
--- a/jobs/lead.go
+++ b/jobs/lead.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	glade "indigoglade"
+	"indigoglade/shard"
 	"indigoglade/table"
 )
 
@@ -31,7 +32,7 @@
 	return int(xxhash.Sum64String(string(customer)) % Shards)
 }
 
-func leadKey(shard int) string { return fmt.Sprintf("%s%02d", glade.PrefixLead, shard) }
+func leadKey(number int) string { return fmt.Sprintf("%s%02d", glade.PrefixLead, number) }
 
 // leads tracks who leads each shard. A lead saves work only: each transaction
 // on a job is conditional on the lead row, so a keeper that was paused can't
@@ -69,67 +70,84 @@
 	for _, record := range records {
 		byKey[record.Key()] = record
 	}
-	for shard := range Shards {
-		record, exists := byKey[leadKey(shard)]
+	for number := range Shards {
+		record, exists := byKey[leadKey(number)]
 		if !exists {
-			record = table.Absent[glade.LeadRow](leadKey(shard))
+			record = table.Absent[glade.LeadRow](leadKey(number))
 		}
-		before, had := l.held[shard]
-		l.look(ctx, shard, record, now)
-		after, has := l.held[shard]
+		before, had := l.held[number]
+		l.look(ctx, number, record, now)
+		after, has := l.held[number]
 		switch {
 		case has && (!had || before.Data().Term != after.Data().Term):
-			gained = append(gained, shard)
+			gained = append(gained, number)
 		case had && !has:
-			lost = append(lost, shard)
+			lost = append(lost, number)
 		}
 	}
 	return gained, lost, nil
 }
 
 // look handles one shard.
-func (l *leads) look(ctx context.Context, shard int, record Lead, now time.Time) {
-	w := l.watched[shard]
+func (l *leads) look(ctx context.Context, number int, record Lead, now time.Time) {
+	w := l.watched[number]
 	if w.version != record.Version() || w.since.IsZero() {
 		w.version = record.Version()
 		w.since = now
 	}
-	l.watched[shard] = w
+	l.watched[number] = w
 	row := record.Data()
-	if mine, ok := l.held[shard]; ok && mine.Data().Term == row.Term && row.Node == l.config.Roster.Self() {
-		l.held[shard] = record
-		l.renew(ctx, shard, record, now)
+	if mine, ok := l.held[number]; ok && mine.Data().Term == row.Term && row.Node == l.config.Roster.Self() {
+		l.held[number] = record
+		l.renew(ctx, number, record, now)
 		return
 	}
-	delete(l.held, shard)
-	if l.mayClaim(shard, row, now.Sub(w.since)) {
-		row.Node = l.config.Roster.Self()
+	delete(l.held, number)
+	self := l.config.Roster.Self()
+	switch {
+	case l.mayClaim(number, row, now.Sub(w.since)):
+		row.Node = self
+		row.Want = ""
 		row.Term++
-		l.write(ctx, shard, record, row, now)
+		l.write(ctx, number, record, row, now)
+	case row.Want == "" && shard.IsMine(leadKey(number), l.config.Roster):
+		row.Want = self
+		l.put(ctx, record, row)
 	}
 }
 
-// renew gives a sign of life, or gives the shard up to the node that should
-// lead it.
-func (l *leads) renew(ctx context.Context, shard int, record Lead, now time.Time) {
+// renew gives a sign of life, or hands the shard over to the node that asks for
+// it and should lead it. A node that does not ask may be dead.
+func (l *leads) renew(ctx context.Context, number int, record Lead, now time.Time) {
 	row := record.Data()
-	if winner(shard, l.config.Roster.Live()) != l.config.Roster.Self() {
-		row.Node = ""
-		delete(l.held, shard)
-		l.write(ctx, shard, record, row, now)
-		delete(l.held, shard)
-		return
-	}
-	if now.Sub(l.watched[shard].beaten) >= beatPeriod {
+	self := l.config.Roster.Self()
+	switch {
+	case row.Want != "" && row.Want != self && row.Want == shard.Owner(leadKey(number), l.config.Roster.Live()):
+		row.Node = row.Want
+		row.Want = ""
+		delete(l.held, number)
+		l.put(ctx, record, row)
+	case row.Want != "" || now.Sub(l.watched[number].beaten) >= beatPeriod:
+		row.Want = ""
 		row.Beat++
-		l.write(ctx, shard, record, row, now)
+		l.write(ctx, number, record, row, now)
+	}
+}
+
+// stop gives every shard up, so that others need not wait for a lapse.
+func (l *leads) stop(ctx context.Context) {
+	for number, record := range l.held {
+		row := record.Data()
+		row.Node = ""
+		delete(l.held, number)
+		l.put(ctx, record, row)
 	}
 }
 
 // mayClaim tells whether to take a shard that stood still for a time.
-func (l *leads) mayClaim(shard int, row glade.LeadRow, still time.Duration) bool {
+func (l *leads) mayClaim(number int, row glade.LeadRow, still time.Duration) bool {
 	live := l.config.Roster.Live()
-	preferred := winner(shard, live) == l.config.Roster.Self()
+	preferred := shard.Owner(leadKey(number), live) == l.config.Roster.Self()
 	switch {
 	case row.Node == "" || row.Node == l.config.Roster.Self():
 		return preferred || still >= lapseTime
@@ -148,35 +166,28 @@
 	return false
 }
 
-// write writes a lead row and reads it back, so that its version is known.
-func (l *leads) write(ctx context.Context, shard int, record Lead, row glade.LeadRow, now time.Time) {
+// put writes a lead row. It returns the operation id and whether the row was
+// written.
+func (l *leads) put(ctx context.Context, record Lead, row glade.LeadRow) (string, bool) {
 	batch := table.NewBatch()
 	table.Replace(batch, record, row)
 	result, err := batch.Commit(ctx, l.config.Table)
-	if err != nil || result != glade.Committed {
-		delete(l.held, shard)
+	return batch.Op(), err == nil && result == glade.Committed
+}
+
+// write writes a lead row that names the own node, and reads it back, so that
+// its version is known.
+func (l *leads) write(ctx context.Context, number int, record Lead, row glade.LeadRow, now time.Time) {
+	op, ok := l.put(ctx, record, row)
+	if !ok {
+		delete(l.held, number)
 		return
 	}
 	written, err := table.Load[glade.LeadRow](ctx, l.config.Table, record.Key())
-	if err != nil || !written.HasOp(batch.Op()) || written.Data().Term != row.Term {
-		delete(l.held, shard)
+	if err != nil || !written.HasOp(op) || written.Data().Term != row.Term {
+		delete(l.held, number)
 		return
 	}
-	l.held[shard] = written
-	l.watched[shard] = watch{version: written.Version(), since: now, beaten: now}
-}
-
-// winner returns the node that should lead a shard: the one with the highest
-// hash of its name and the shard, so that few shards move when a node comes or
-// goes.
-func winner(shard int, nodes []glade.Node) glade.Node {
-	var best glade.Node
-	var most uint64
-	for _, node := range nodes {
-		if hash := xxhash.Sum64String(fmt.Sprintf("%s/%d", node, shard)); best == "" || hash > most {
-			best = node
-			most = hash
-		}
-	}
-	return best
+	l.held[number] = written
+	l.watched[number] = watch{version: written.Version(), since: now, beaten: now}
 }
--- a/memory/workers.go
+++ b/memory/workers.go
@@ -15,7 +15,8 @@
 // Errors of the in-memory workers.
 var (
 	ErrUnreachable = errors.New("worker can't be reached")
-	ErrEpoch       = errors.New("epoch is stale")
+	ErrEpoch       = errors.Wrap(glade.ErrRefused, "epoch is stale")
+	ErrDraining    = errors.Wrap(glade.ErrRefused, "host drains")
 	ErrProbe       = errors.New("endpoint failed the request")
 )
 
@@ -29,6 +30,10 @@
 	Dead
 	// Bad comes up and fails what it starts.
 	Bad
+	// Silent is on the host list and gets no command; its tasks run on.
+	Silent
+	// Mute carries out commands on tasks and loses the answers.
+	Mute
 )
 
 // Workers is an in-memory fleet of worker hosts with the platform's host list.
@@ -39,6 +44,7 @@
 	hosts map[glade.Host]*worker
 	names []glade.Host
 	cuts  int
+	onRun func(host glade.Host, epoch uint64, task glade.Task)
 }
 
 type worker struct {
@@ -46,6 +52,7 @@
 	epoch   uint64
 	fault   Fault
 	running int
+	tasks   *Tasks
 	upAt    time.Time
 }
 
@@ -56,14 +63,18 @@
 	Boot time.Duration
 	// Hosts are the workers; they run no service yet.
 	Hosts []glade.Listed
+	// Tasks configures the tasks of each worker.
+	Tasks TasksConfig
+	// OnRun is called when the work of a task begins. It may be nil.
+	OnRun func(host glade.Host, epoch uint64, task glade.Task)
 }
 
 // NewWorkers returns healthy workers without running work.
 func NewWorkers(config WorkersConfig) *Workers {
-	w := &Workers{clock: config.Clock, boot: config.Boot, hosts: make(map[glade.Host]*worker, len(config.Hosts))}
+	w := &Workers{clock: config.Clock, boot: config.Boot, hosts: make(map[glade.Host]*worker, len(config.Hosts)), onRun: config.OnRun}
 	for _, listed := range config.Hosts {
 		listed.Incarnation = max(listed.Incarnation, 1)
-		w.hosts[listed.Host] = &worker{listed: listed}
+		w.hosts[listed.Host] = &worker{listed: listed, tasks: NewTasks(config.Tasks)}
 		w.names = append(w.names, listed.Host)
 	}
 	slices.Sort(w.names)
@@ -80,8 +91,10 @@
 		h.listed.Incarnation++
 		h.listed.Leaving = false
 		h.running = 0
+		h.tasks.Drop(w.clock.Now())
 	}
 	h.fault = fault
+	h.tasks.SetFailing(fault == Bad)
 }
 
 // SetRunning sets the number of requests and tasks that run on a host that
@@ -123,7 +136,7 @@
 // find returns a worker that is up. The caller holds the lock.
 func (w *Workers) find(host glade.Host) (*worker, error) {
 	h, ok := w.hosts[host]
-	if !ok || !w.isUp(h) {
+	if !ok || !w.isUp(h) || h.fault == Silent {
 		return nil, ErrUnreachable
 	}
 	return h, nil
@@ -141,7 +154,7 @@
 		Host:        host,
 		Incarnation: h.listed.Incarnation,
 		Draining:    h.listed.Leaving,
-		Running:     h.running,
+		Running:     h.running + h.tasks.Running(w.clock.Now()),
 		Service:     h.listed.Service,
 		Epoch:       h.epoch,
 	}, nil
@@ -178,7 +191,7 @@
 	if epoch == h.epoch && !h.listed.Leaving && h.listed.Service == service {
 		return nil
 	}
-	w.cuts += h.running
+	w.cuts += h.running + h.tasks.Drop(w.clock.Now())
 	h.running = 0
 	h.epoch = epoch
 	h.listed.Incarnation++
@@ -188,36 +201,79 @@
 	return nil
 }
 
-// Start is not kept: in-memory workers count work by SetRunning.
-func (w *Workers) Start(context.Context, glade.Host, uint64, glade.Task) error {
-	return ErrUnreachable
-}
-
-// Stop ends one unit of the running work of a host.
-func (w *Workers) Stop(_ context.Context, host glade.Host, _ string, _ bool) error {
+// do carries out a command on a worker's tasks; a mute worker's answer is lost.
+func (w *Workers) do(host glade.Host, command func(h *worker, now time.Time) error) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	h, err := w.find(host)
 	if err != nil {
 		return err
 	}
-	h.running = max(h.running-1, 0)
-	return nil
+	err = command(h, w.clock.Now())
+	if h.fault == Mute {
+		return ErrUnreachable
+	}
+	return err
 }
 
-// Tasks reports the running work of a host as tasks.
+// Start runs a task.
+func (w *Workers) Start(_ context.Context, host glade.Host, epoch uint64, task glade.Task) error {
+	return w.do(host, func(h *worker, now time.Time) error {
+		if epoch < h.epoch {
+			return ErrEpoch
+		}
+		if h.listed.Leaving {
+			return ErrDraining
+		}
+		h.epoch = epoch
+		begun, err := h.tasks.Start(task, now)
+		if begun && w.onRun != nil {
+			w.onRun(host, epoch, task)
+		}
+		return err
+	})
+}
+
+// Stop ends a task. The host's name stands for one unit of the work that
+// SetRunning counts.
+func (w *Workers) Stop(_ context.Context, host glade.Host, task string, withCheckpoint bool) error {
+	return w.do(host, func(h *worker, now time.Time) error {
+		if task == string(host) {
+			h.running = max(h.running-1, 0)
+			return nil
+		}
+		h.tasks.Stop(task, withCheckpoint, now)
+		return nil
+	})
+}
+
+// Throttle limits a running task to a number of cores.
+func (w *Workers) Throttle(_ context.Context, host glade.Host, task string, cores int) error {
+	return w.do(host, func(h *worker, now time.Time) error {
+		h.tasks.Throttle(task, cores, now)
+		return nil
+	})
+}
+
+// Tasks reports the tasks of a host, and the work that SetRunning counts as
+// tasks with the host's name.
 func (w *Workers) Tasks(_ context.Context, host glade.Host) ([]glade.TaskState, error) {
+	var states []glade.TaskState
+	err := w.do(host, func(h *worker, now time.Time) error {
+		states = h.tasks.Report(now)
+		for range h.running {
+			states = append(states, glade.TaskState{ID: string(host), Phase: glade.TaskRunning})
+		}
+		return nil
+	})
+	return states, err
+}
+
+// Memory returns the memory that the tasks of a host use, in bytes.
+func (w *Workers) Memory(host glade.Host) int64 {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	h, err := w.find(host)
-	if err != nil {
-		return nil, err
-	}
-	tasks := make([]glade.TaskState, h.running)
-	for i := range tasks {
-		tasks[i] = glade.TaskState{ID: string(host), Phase: glade.TaskRunning}
-	}
-	return tasks, nil
+	return w.hosts[host].tasks.Memory(w.clock.Now())
 }
 
 // Probe runs one request at an endpoint; the address is the host's name.
