--- a/entry/main.go
+++ b/entry/main.go
@@ -20,6 +20,7 @@
 	"indigoglade/clock"
 	"indigoglade/config"
 	"indigoglade/daemon"
+	"indigoglade/demand"
 	"indigoglade/desk"
 	"indigoglade/entry/internal/duty"
 	"indigoglade/entry/internal/ticket"
@@ -71,6 +72,8 @@
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	book := adopt.New()
 	meter := burn.New(burn.Config{Node: spec.Node, Clock: system})
+	asked := demand.NewMeter(system.Now())
+	post := demand.NewPost(demand.Config{Node: spec.Node, Table: platform, Meter: asked, Clock: system})
 	front := desk.New(desk.Config{Node: spec.Node, Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
 	peers := peer.New(peer.Config{
@@ -80,7 +83,7 @@
 	claimer := newClaimer(spec, system)
 	lent := loans.New(loans.Config{Peers: peers, Book: book, Clock: system, Counters: expvar.NewMap("loans")})
 	server := serve.New(serve.Config{
-		Book: book, Desk: front, Sender: sender, Claimer: claimer, Loans: lent, End: peers.End, Meter: meter, Clock: system,
+		Book: book, Desk: front, Sender: sender, Claimer: claimer, Loans: lent, End: peers.End, Meter: meter, Demand: asked, Clock: system,
 		Peers: newPeers(spec), Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
 	})
 	duties := duty.New(duty.Config{
@@ -106,6 +109,7 @@
 	group.Add(lent.Run)
 	group.Add(duties.Endpoints)
 	group.Add(duties.Burn)
+	group.Add(post.Run)
 	return group.Run()
 }
 
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -21,6 +21,7 @@
 	"indigoglade/burn"
 	"indigoglade/claim"
 	"indigoglade/daemon"
+	"indigoglade/demand"
 	"indigoglade/desk"
 	"indigoglade/loans"
 	"indigoglade/once"
@@ -58,6 +59,8 @@
 	Clock glade.Clock
 	// Peers are asked for room when no slot is free here.
 	Peers []Peer
+	// Demand measures what callers ask for; nil measures nothing.
+	Demand *demand.Meter
 	// Counters receives the counts; a nil map is replaced by one of its own.
 	Counters *expvar.Map
 	// Routes add further routes for callers.
