Ask a peer for room before relaying; count what is in flight across lists

Change: a peer is asked whether a slot is free, which also proves that it can be reached, and left alone for 5 s when it can't; endpoints with work in flight stay known. TestFlightCountsWhenARowComesBack failed before.

--- a/route/route.go
+++ b/route/route.go
@@ -82,6 +82,11 @@
 	for endpoint, t := range r.known {
 		if known[endpoint] == nil {
 			t.group = nil
+			// A row can be missing from one list and back in the next: what is
+			// in flight must still count then.
+			if t.flight > 0 {
+				known[endpoint] = t
+			}
 		}
 	}
 	r.known = known
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -67,6 +67,14 @@
 	qt.Check(t, drain(r, start), qt.HasLen, 1)
 }
 
+func TestFlightCountsWhenARowComesBack(t *testing.T) {
+	r := newRouter(1, 8)
+	qt.Check(t, drain(r, start)["h0"], qt.HasLen, 8)
+	r.Update(start, nil)
+	r.Update(start, rows(1))
+	qt.Check(t, drain(r, start)["h0"], qt.HasLen, 0)
+}
+
 // fail fails every attempt on the hosts until nothing changes.
 func fail(r *route.Router, now time.Time, bad func(glade.Host) bool) {
 	for range 200 {
--- a/serve/relay.go
+++ b/serve/relay.go
@@ -10,7 +10,9 @@
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
+	"indigoglade/desk"
 	"indigoglade/link"
+	"indigoglade/route"
 )
 
 // Peer is another entry host that may have room for a request.
@@ -44,6 +46,10 @@
 const (
 	// relayPause is how long a peer without room is not asked again.
 	relayPause = 100 * time.Millisecond
+	// relayRest is how long a peer that can't be reached is not asked again.
+	relayRest = 5 * time.Second
+	// roomTime bounds the question whether a peer has room.
+	roomTime = 200 * time.Millisecond
 	// relayAsks bounds the peers asked for one request.
 	relayAsks = 2
 )
@@ -55,8 +61,9 @@
 }
 
 type roomKey struct {
-	node    glade.Node
-	service glade.Service
+	node     glade.Node
+	customer glade.Customer
+	service  glade.Service
 }
 
 func (r *rooms) mayAsk(now time.Time, key roomKey) bool {
@@ -65,13 +72,13 @@
 	return !now.Before(r.full[key])
 }
 
-func (r *rooms) close(now time.Time, key roomKey) {
+func (r *rooms) close(until time.Time, key roomKey) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.full == nil {
 		r.full = make(map[roomKey]time.Time)
 	}
-	r.full[key] = now.Add(relayPause)
+	r.full[key] = until
 }
 
 // relay offers a request to peers, those of the own availability zone first.
@@ -82,22 +89,62 @@
 		start := rand.IntN(len(s.config.Peers) + 1)
 		for i := range s.config.Peers {
 			peer := s.config.Peers[(start+i)%len(s.config.Peers)]
-			key := roomKey{peer.Node, w.pool.Serve}
+			key := roomKey{peer.Node, w.contract.Customer(), w.pool.Serve}
 			if peer.Near != near || asked == relayAsks || !s.rooms.mayAsk(s.config.Clock.Now(), key) {
 				continue
 			}
 			asked++
-			r := s.relayTo(ctx, peer, w)
-			if r.outcome != glade.Refused {
+			if !s.hasRoom(ctx, peer, key) {
+				continue
+			}
+			if r := s.relayTo(ctx, peer, w); r.outcome != glade.Refused {
 				s.outcomes.Add("relayed", 1)
 				return r, true
 			}
-			s.rooms.close(s.config.Clock.Now(), key)
 		}
 	}
 	return result{}, false
 }
 
+// Room asks whether a slot is free for a service.
+type Room struct {
+	Customer glade.Customer `json:"customer"`
+	Service  glade.Service  `json:"service"`
+}
+
+// hasRoom asks a peer whether it has a slot free now. The question proves that
+// the peer can be reached, too: a request sent into a cut would be unknown.
+func (s *Server) hasRoom(ctx context.Context, peer Peer, key roomKey) bool {
+	ctx, cancel := context.WithTimeout(ctx, roomTime)
+	defer cancel()
+	room, err := link.Call[Room, bool](ctx, peer.Client, "room", Room{Customer: key.customer, Service: key.service})
+	now := s.config.Clock.Now()
+	switch {
+	case err != nil:
+		s.rooms.close(now.Add(relayRest), key)
+	case !room:
+		s.rooms.close(now.Add(relayPause), key)
+	}
+	return room && err == nil
+}
+
+// takeRoom answers whether a slot is free now. It takes the slot and gives it
+// back.
+func (s *Server) takeRoom(ctx context.Context, in Room) (bool, error) {
+	contract, _ := s.config.Book.Find(in.Customer)
+	pool, ok := contract.PoolFor(in.Service)
+	if !ok {
+		return false, nil
+	}
+	answer := s.config.Desk.Acquire(ctx, desk.Ask{
+		Contract: contract, Pool: pool, Deadline: s.config.Clock.Now().Add(roomTime), Instant: true,
+	})
+	if _, ok = answer.Grant(); ok {
+		s.config.Desk.Release(answer, desk.Attempt{Service: in.Service, Result: route.Unused})
+	}
+	return ok, nil
+}
+
 func (s *Server) relayTo(ctx context.Context, peer Peer, w work) result {
 	ctx, cancel := context.WithDeadline(ctx, w.deadline)
 	defer cancel()
@@ -117,6 +164,7 @@
 
 // Register adds the methods that peers call.
 func (s *Server) Register(mux *link.Mux) {
+	link.Handle(mux, "room", s.takeRoom)
 	link.Handle(mux, "relay", s.takeRelay)
 }
 
