--- a/serve/serve.go
+++ b/serve/serve.go
@@ -53,6 +53,9 @@
 	Clock   glade.Clock
 	// Peers are asked for room when no slot is free here.
 	Peers []Peer
+	// End is told of endpoint incarnations that said they are leaving. It may
+	// be nil.
+	End func(endpoint glade.Endpoint)
 	// Counters receives the counts; a nil map is replaced by one of its own.
 	Counters *expvar.Map
 	// Routes add further routes for callers.
@@ -92,6 +95,9 @@
 	if s.stopping.Load() {
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
 	}
+	if !s.config.Book.IsConfirmed() {
+		return c.String(http.StatusServiceUnavailable, "cold\n")
+	}
 	return c.String(http.StatusOK, "ready\n")
 }
 
