Bound the requests under way; test each rule of the records by itself

Cause: bodies of any number of slow callers could be held at once; a refusal for want of history was a 409 without Retry-After; two rules of package once were not told apart by the state machine. Change: 2,048 requests under way at most, further ones are refused before their body is read; history is 503 with Retry-After; a test for each rule.

--- /dev/null
+++ b/once/store_test.go
@@ -0,0 +1,77 @@
+package once_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	glade "indigoglade"
+	"indigoglade/once"
+)
+
+var (
+	now = time.Unix(5000, 0)
+	key = once.Key{1}
+)
+
+func newStore(node glade.Node, inc uint64, limit int) *once.Store {
+	return once.NewStore(once.StoreConfig{
+		Self: node, Inc: inc, Nodes: []glade.Node{"a", "b", "c"}, Start: now, Window: window, Limit: limit,
+	})
+}
+
+func newClaim(k once.Key, token uint64, expect map[glade.Node]uint64) once.Claim {
+	return once.Claim{Key: k, Token: token, Node: "a", Window: window.Milliseconds(), Expect: expect}
+}
+
+// expectVote claims and checks the state of the vote.
+func expectVote(t *testing.T, s *once.Store, at time.Time, c once.Claim, state once.State) {
+	t.Helper()
+	qt.Check(t, s.Claim(at, c).State, qt.Equals, state)
+}
+
+func TestGrantFromBeforeACopyIsVoid(t *testing.T) {
+	b := newStore("b", 1, 10)
+	b.Copy(now, once.CopyAsk{Node: "a", Inc: 2})
+	expectVote(t, b, now, newClaim(key, 7, map[glade.Node]uint64{"a": 1, "b": 1}), once.Stale)
+	expectVote(t, b, now, newClaim(key, 7, map[glade.Node]uint64{"a": 2, "b": 1}), once.Blank)
+}
+
+func TestVoteOfAnotherIncarnationDoesNotCount(t *testing.T) {
+	attempt := once.NewAttempt(once.AttemptConfig{
+		Self: "b", Order: []glade.Node{"a", "b", "c"}, Claim: newClaim(key, 7, map[glade.Node]uint64{"a": 1, "b": 1}),
+	})
+	attempt.Add(once.Vote{Node: "b", Inc: 1, State: once.Granted})
+	attempt.Add(once.Vote{Node: "a", Inc: 2, State: once.Granted})
+	qt.Check(t, attempt.Verdict(), qt.Equals, once.Open)
+	attempt.Add(once.Vote{Node: "a", Inc: 1, State: once.Granted})
+	qt.Check(t, attempt.Verdict(), qt.Equals, once.Won)
+}
+
+// expectHeld lets a copy meet an own record of the same key, releases one of
+// the two sends, and checks that the key stays recorded.
+func expectHeld(t *testing.T, own, copied, released uint64) {
+	t.Helper()
+	a := newStore("a", 2, 10)
+	expectVote(t, a, now, newClaim(key, own, nil), once.Blank)
+	a.Merge(now, once.CopyPage{Node: "b", Inc: 1, Records: []once.Record{
+		{Key: key, Token: copied, Node: "b", Expiry: now.Add(window).UnixMilli()},
+	}})
+	a.Release(key, released)
+	expectVote(t, a, now, newClaim(key, 9, nil), once.Seen)
+}
+
+func TestReleaseOfOneOfTwoSends(t *testing.T) {
+	expectHeld(t, 1, 2, 1)
+	expectHeld(t, 1, 2, 2)
+}
+
+func TestRecordsExpire(t *testing.T) {
+	a := newStore("a", 1, 1)
+	expectVote(t, a, now, newClaim(key, 1, nil), once.Blank)
+	expectVote(t, a, now.Add(window-time.Second), newClaim(key, 2, nil), once.Seen)
+	expectVote(t, a, now, newClaim(once.Key{2}, 3, nil), once.Full)
+	expectVote(t, a, now.Add(window+2*time.Second), newClaim(once.Key{2}, 3, nil), once.Granted)
+	qt.Check(t, a.Len(), qt.Equals, 1)
+}
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -59,7 +59,7 @@
 		return http.StatusRequestEntityTooLarge
 	case glade.ReasonQueue, glade.ReasonLimit:
 		return http.StatusTooManyRequests
-	case glade.ReasonDuplicate, glade.ReasonHistory:
+	case glade.ReasonDuplicate:
 		return http.StatusConflict
 	}
 	return http.StatusServiceUnavailable
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -42,6 +42,10 @@
 // maxBody bounds the size of a request body, in bytes.
 const maxBody = 1 << 20
 
+// maxCalls bounds the requests under way at once, those whose body is still
+// coming included.
+const maxCalls = 2048
+
 // Config configures a Server.
 type Config struct {
 	Book   *adopt.Book
@@ -69,6 +73,8 @@
 	outcomes *expvar.Map
 	budgets  budgets
 	rooms    rooms
+	// calls holds a place for each request under way.
+	calls chan struct{}
 }
 
 // New returns a server.
@@ -76,7 +82,7 @@
 	if config.Counters == nil {
 		config.Counters = new(expvar.Map).Init()
 	}
-	return &Server{config: config, outcomes: config.Counters}
+	return &Server{config: config, outcomes: config.Counters, calls: make(chan struct{}, maxCalls)}
 }
 
 // Handler returns the callers' routes.
@@ -138,6 +144,12 @@
 
 func (s *Server) request(c echo.Context) error {
 	start := s.config.Clock.Now()
+	select {
+	case s.calls <- struct{}{}:
+		defer s.leave()
+	default:
+		return s.reply(c, work{id: uuid.NewString(), start: start}, refused(glade.ReasonQueue))
+	}
 	w, bad := s.parse(c, start)
 	if bad != glade.ReasonNone {
 		return s.reply(c, w, refused(bad))
@@ -145,6 +157,11 @@
 	return s.reply(c, w, s.runOnce(c.Request().Context(), w))
 }
 
+func (s *Server) leave() { <-s.calls }
+
+// UnderWay returns the number of requests under way.
+func (s *Server) UnderWay() int { return len(s.calls) }
+
 func (s *Server) parse(c echo.Context, start time.Time) (work, glade.Reason) {
 	w := work{id: c.Request().Header.Get(IDHeader), start: start}
 	w.key = c.Request().Header.Get(KeyHeader)
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -7,8 +7,10 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -133,6 +135,44 @@
 	qt.Check(t, reply.Header().Get(serve.RetryHeader), qt.Equals, "1")
 }
 
+// slowBody never ends until it is released.
+type slowBody struct{ release chan struct{} }
+
+func (b slowBody) Read([]byte) (int, error) {
+	<-b.release
+	return 0, io.EOF
+}
+
+// holding is a request whose body doesn't come.
+type holding struct {
+	host *host
+	body slowBody
+	done *sync.WaitGroup
+}
+
+func (h holding) run() {
+	defer h.done.Done()
+	request := httptest.NewRequest(http.MethodPost, "/v1/dealers/quotes", h.body)
+	h.host.server.Handler().ServeHTTP(httptest.NewRecorder(), request)
+}
+
+func TestRequestsUnderWayAreBounded(t *testing.T) {
+	h := newHost(t, "e1", nil)
+	var done sync.WaitGroup
+	body := slowBody{release: make(chan struct{})}
+	for range 2048 {
+		done.Add(1)
+		go holding{host: h, body: body, done: &done}.run()
+	}
+	for h.server.UnderWay() < 2048 {
+		runtime.Gosched()
+	}
+	expectReply(t, h.call("/v1/dealers/quotes", "roof"), 429, "refused", "queue")
+	close(body.release)
+	done.Wait()
+	expectReply(t, h.call("/v1/dealers/quotes", "roof"), 503, "refused", "endpoints")
+}
+
 // peering is the server for peers of a host.
 type peering struct {
 	server *link.Server
