Measure what relays do for the wait

Cause: shares alone and shares with relays had not been compared. Change: the trial in virtual time takes both; the peak is measured with relays, as the programs run.

--- a/bench/internal/calls/calls.go
+++ b/bench/internal/calls/calls.go
@@ -18,6 +18,7 @@
 		{Name: "calls.peak.7", Unit: "of slots", Run: runPeak(7)},
 		{Name: "calls.peak.9", Unit: "of slots", Run: runPeak(9)},
 		{Name: "calls.peak.gain", Unit: "of baseline", Run: runPeakGain},
+		{Name: "calls.relay.wait", Unit: "of none", Run: runRelay},
 		{Name: "calls.allocs", Unit: "a decision", Run: runAllocs},
 		{Name: "calls.cost.2600", Unit: "of 10", Run: runCost},
 	}
--- a/bench/internal/calls/peak.go
+++ b/bench/internal/calls/peak.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	glade "indigoglade"
@@ -22,7 +23,8 @@
 	peakTime     = 8 * time.Second
 	peakLead     = 4 * time.Second
 	peakLoad     = 2.0
-	quietLoad    = peakLoad / 100
+	peakDepth    = 200
+	quietShare   = 0.01
 	// failTime is how fast the one failing endpoint fails.
 	failTime = 2 * time.Millisecond
 )
@@ -32,13 +34,24 @@
 
 const (
 	byGate chooser = iota
+	// byRelay is byGate with relays to entry hosts that have a slot free.
+	byRelay
 	byRandom
 	byLeast
 )
 
+// trialConfig configures a trial.
+type trialConfig struct {
+	seed    uint64
+	way     chooser
+	entries int
+	// load is the load in the peak over what the pool's slots can do.
+	load float64
+}
+
 // trial runs one service through a peak in virtual time.
 type trial struct {
-	way     chooser
+	trialConfig
 	random  *rand.Rand
 	now     time.Time
 	start   time.Time
@@ -47,6 +60,7 @@
 	gates   []*admit.Gate
 	local   [][]int
 	useful  time.Duration
+	waits   []time.Duration
 }
 
 // runner is an endpoint with slots, and connections that wait for them.
@@ -59,7 +73,10 @@
 
 // visit is one request.
 type visit struct {
-	entry    int
+	entry int
+	// gate is the entry host that sends the request.
+	gate     int
+	arrived  time.Time
 	deadline time.Time
 	work     time.Duration
 	began    time.Time
@@ -92,10 +109,9 @@
 	heap.Push(&t.events, timed{at: t.now.Add(d), act: act})
 }
 
-// runTrial returns the share of the pool's slot time in the peak that went into
-// answers within their deadline.
-func runTrial(seed uint64, way chooser, entries int) float64 {
-	t := &trial{way: way, random: rand.New(rand.NewPCG(seed, 1)), start: time.Unix(1000, 0)}
+// runTrial runs one service through a peak.
+func runTrial(c trialConfig) *trial {
+	t := &trial{trialConfig: c, random: rand.New(rand.NewPCG(c.seed, 1)), start: time.Unix(1000, 0)}
 	t.now = t.start
 	var list []glade.Listed
 	for i := range peakRunners {
@@ -104,8 +120,8 @@
 			Host: glade.Host(fmt.Sprint("h", i)), Zone: zoneOf(i), Incarnation: 1, Service: service, Address: fmt.Sprint(i),
 		})
 	}
-	for i := range entries {
-		t.gates = append(t.gates, t.gate(i, entries, list, seed))
+	for i := range c.entries {
+		t.gates = append(t.gates, t.gate(i, list))
 		t.local = append(t.local, make([]int, peakRunners))
 	}
 	t.after(0, t.arrive)
@@ -114,13 +130,25 @@
 		t.now = next.at
 		next.act()
 	}
+	return t
+}
+
+// used returns the share of the healthy slots' time in the peak that went into
+// answers within their deadline.
+func (t *trial) used() float64 {
 	slots := (peakRunners - 1) * peakSlots
 	return float64(t.useful) / float64(peakTime) / float64(slots)
 }
 
-func (t *trial) gate(own, entries int, list []glade.Listed, seed uint64) *admit.Gate {
+// wait returns a quantile of the time that requests waited for a slot.
+func (t *trial) wait(q float64) time.Duration {
+	slices.Sort(t.waits)
+	return t.waits[int(q*float64(len(t.waits)-1))]
+}
+
+func (t *trial) gate(own int, list []glade.Listed) *admit.Gate {
 	var nodes []glade.Node
-	for i := range entries {
+	for i := range t.entries {
 		if i%zones == own%zones {
 			nodes = append(nodes, glade.Node(fmt.Sprint("e", i)))
 		}
@@ -131,7 +159,7 @@
 		}
 		return route.Share(row.Host, peakSlots, glade.Node(fmt.Sprint("e", own)), nodes)
 	}
-	gate := admit.New(route.New(route.Config{Share: share, Random: rand.New(rand.NewPCG(seed, uint64(own)))}))
+	gate := admit.New(route.New(route.Config{Share: share, Random: rand.New(rand.NewPCG(t.seed, uint64(own)))}))
 	gate.Update(t.now, list)
 	return gate
 }
@@ -155,34 +183,54 @@
 	}
 	// Requests come at the peak's rate throughout; outside the peak only some
 	// of them are sent.
-	rate := peakLoad * peakRunners * peakSlots / peakWork.Seconds()
+	rate := t.load * peakRunners * peakSlots / peakWork.Seconds()
 	t.after(time.Duration(t.random.ExpFloat64()/rate*float64(time.Second)), t.arrive)
-	if elapsed < peakLead && t.random.Float64() > quietLoad/peakLoad {
+	if elapsed < peakLead && t.random.Float64() > quietShare {
 		return
 	}
 	v := &visit{
-		entry: t.random.IntN(len(t.gates)), deadline: t.now.Add(peakDeadline),
+		entry: t.random.IntN(len(t.gates)), arrived: t.now, deadline: t.now.Add(peakDeadline),
 		work: time.Duration((0.5 + t.random.Float64()) * float64(peakWork)),
 	}
-	if t.way == byGate {
-		t.ask(v)
-		return
+	switch t.way {
+	case byGate:
+		t.ask(v, v.entry, peakDepth)
+	case byRelay:
+		t.relay(v)
+	default:
+		t.place(v)
 	}
-	t.place(v)
 }
 
-// ask lets the gate decide.
-func (t *trial) ask(v *visit) {
-	decision := t.gates[v.entry].Ask(t.now, admit.Ask{
-		Customer: customer, Service: service, Deadline: v.deadline, Depth: 200, Weight: 1,
+// ask lets a gate decide, and tells whether the request began.
+func (t *trial) ask(v *visit, gate, depth int) bool {
+	v.gate = gate
+	decision := t.gates[gate].Ask(t.now, admit.Ask{
+		Customer: customer, Service: service, Deadline: v.deadline, Depth: depth, Weight: 1,
 	}, v)
-	if grant, ok := decision.Grant(); ok {
+	grant, ok := decision.Grant()
+	if ok {
 		t.begin(v, grant)
 	}
+	return ok
+}
+
+// relay asks the own gate, then two others, for a slot that is free now.
+func (t *trial) relay(v *visit) {
+	if t.ask(v, v.entry, 0) {
+		return
+	}
+	for range 2 {
+		if t.ask(v, t.random.IntN(len(t.gates)), 0) {
+			return
+		}
+	}
+	t.ask(v, v.entry, peakDepth)
 }
 
 func (t *trial) begin(v *visit, grant route.Grant) {
 	v.grant = grant
+	t.waits = append(t.waits, t.now.Sub(v.arrived))
 	fmt.Sscan(grant.Address(), &v.runner)
 	t.enter(v)
 }
@@ -237,7 +285,7 @@
 		r.waiting = r.waiting[1:]
 		t.work(next)
 	}
-	if t.way != byGate {
+	if t.way != byGate && t.way != byRelay {
 		t.local[v.entry][v.runner]--
 		return
 	}
@@ -245,7 +293,7 @@
 	if r.broken {
 		result = route.Bad
 	}
-	gate := t.gates[v.entry]
+	gate := t.gates[v.gate]
 	for _, decision := range gate.Done(t.now, service, v.grant, result, took) {
 		waiting := decision.Ticket().Owner().(*visit)
 		if grant, ok := decision.Grant(); ok {
@@ -257,13 +305,28 @@
 
 // runPeak returns the useful share of the pool's slots.
 func runPeak(entries int) func(seed uint64) (float64, error) {
-	return func(seed uint64) (float64, error) { return runTrial(seed, byGate, entries), nil }
+	return func(seed uint64) (float64, error) {
+		return runTrial(trialConfig{seed: seed, way: byRelay, entries: entries, load: peakLoad}).used(), nil
+	}
 }
 
 // runPeakGain returns the useful share over that of the better baseline: a
 // random choice, and the least outstanding by local counts.
 func runPeakGain(seed uint64) (float64, error) {
-	const entries = 7
-	baseline := max(runTrial(seed, byRandom, entries), runTrial(seed, byLeast, entries))
-	return runTrial(seed, byGate, entries) / baseline, nil
+	used := func(way chooser) float64 {
+		return runTrial(trialConfig{seed: seed, way: way, entries: 7, load: peakLoad}).used()
+	}
+	return used(byRelay) / max(used(byRandom), used(byLeast)), nil
+}
+
+// busyLoad is a load that the pool's slots can do, with little to spare.
+const busyLoad = 0.75
+
+// runRelay returns the 99th percentile of the wait for a slot with relays over
+// that without, at a load that the pool can do.
+func runRelay(seed uint64) (float64, error) {
+	wait := func(way chooser) time.Duration {
+		return runTrial(trialConfig{seed: seed, way: way, entries: 7, load: busyLoad}).wait(0.99)
+	}
+	return float64(wait(byRelay)) / float64(wait(byGate)), nil
 }
