--- a/entry/main.go
+++ b/entry/main.go
@@ -20,10 +20,12 @@
 	"indigoglade/clock"
 	"indigoglade/config"
 	"indigoglade/daemon"
+	"indigoglade/demand"
 	"indigoglade/desk"
 	"indigoglade/entry/internal/duty"
 	"indigoglade/entry/internal/ticket"
 	"indigoglade/link"
+	"indigoglade/loans"
 	"indigoglade/once"
 	"indigoglade/peer"
 	"indigoglade/remote"
@@ -70,6 +72,8 @@
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	book := adopt.New()
 	meter := burn.New(burn.Config{Node: spec.Node, Clock: system})
+	asked := demand.NewMeter(system.Now())
+	post := demand.NewPost(demand.Config{Node: spec.Node, Table: platform, Meter: asked, Clock: system})
 	front := desk.New(desk.Config{Node: spec.Node, Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
 	peers := peer.New(peer.Config{
@@ -77,8 +81,9 @@
 	})
 	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
 	claimer := newClaimer(spec, system)
+	lent := loans.New(loans.Config{Peers: peers, Book: book, Clock: system, Counters: expvar.NewMap("loans")})
 	server := serve.New(serve.Config{
-		Book: book, Desk: front, Sender: sender, Claimer: claimer, Meter: meter, Clock: system, End: peers.End,
+		Book: book, Desk: front, Sender: sender, Claimer: claimer, Loans: lent, End: peers.End, Meter: meter, Demand: asked, Clock: system,
 		Peers: newPeers(spec), Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
 	})
 	duties := duty.New(duty.Config{
@@ -87,11 +92,13 @@
 	stop := func(ctx context.Context) {
 		peers.Leave(ctx)
 		server.Stop(ctx)
+		lent.Leave(ctx)
 	}
 	if err := group.Serve(spec.Listen, server.Handler(), stop); err != nil {
 		return err
 	}
 	claimer.Register(peers.Mux())
+	lent.Register(peers.Mux())
 	server.Register(peers.Mux())
 	if err := peers.Join(group); err != nil {
 		return err
@@ -99,8 +106,10 @@
 	group.Status().GET("/status", duties.Status)
 	group.Add(front.Run)
 	group.Add(claimer.Run)
+	group.Add(lent.Run)
 	group.Add(duties.Endpoints)
 	group.Add(duties.Burn)
+	group.Add(post.Run)
 	return group.Run()
 }
 
--- a/peer/peers.go
+++ b/peer/peers.go
@@ -92,6 +92,15 @@
 // Self returns the process's own node.
 func (p *Peers) Self() glade.Node { return p.config.Spec.Node }
 
+// All returns every node of the settings, the own one included.
+func (p *Peers) All() []glade.Node {
+	nodes := []glade.Node{p.Self()}
+	for _, spec := range p.config.Spec.Peers {
+		nodes = append(nodes, spec.Node)
+	}
+	return nodes
+}
+
 // Live returns the nodes that are believed to be up and not leaving.
 func (p *Peers) Live() []glade.Node {
 	p.mu.Lock()
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -17,6 +17,7 @@
 		s.outcomes.Add(r.outcome.String()+"."+string(r.reason), 1)
 	}
 	if customer := w.contract.Customer(); customer != "" {
+		s.config.Demand.Record(w.pool.Serve, r.outcome, now.Sub(w.start))
 		s.config.Meter.Record(customer, r.outcome, now.Sub(w.start), w.contract.Spec().Answer.Deadline.Duration())
 	}
 	h := c.Response().Header()
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -21,7 +21,9 @@
 	"indigoglade/burn"
 	"indigoglade/claim"
 	"indigoglade/daemon"
+	"indigoglade/demand"
 	"indigoglade/desk"
+	"indigoglade/loans"
 	"indigoglade/once"
 	"indigoglade/send"
 )
@@ -53,13 +55,16 @@
 	Sender *send.Sender
 	// Claimer claims keyed work of pools that are not repeatable.
 	Claimer *claim.Claimer
-	Meter   *burn.Meter
-	Clock   glade.Clock
+	// Loans keeps the contract's limits; without it there are none.
+	Loans *loans.Loans
+	// End is told of endpoint incarnations that said they are leaving.
+	End   func(endpoint glade.Endpoint)
+	Meter *burn.Meter
+	Clock glade.Clock
 	// Peers are asked for room when no slot is free here.
 	Peers []Peer
-	// End is told of endpoint incarnations that said they are leaving. It may
-	// be nil.
-	End func(endpoint glade.Endpoint)
+	// Demand measures what callers ask for; nil measures nothing.
+	Demand *demand.Meter
 	// Counters receives the counts; a nil map is replaced by one of its own.
 	Counters *expvar.Map
 	// Routes add further routes for callers.
@@ -82,6 +87,9 @@
 	if config.Counters == nil {
 		config.Counters = new(expvar.Map).Init()
 	}
+	if config.End == nil {
+		config.End = func(glade.Endpoint) {}
+	}
 	return &Server{config: config, outcomes: config.Counters, calls: make(chan struct{}, maxCalls)}
 }
 
