--- a/entry/main.go
+++ b/entry/main.go
@@ -3,16 +3,15 @@
 package main
 
 import (
+	"context"
 	"expvar"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"os"
 	"time"
 
 	"github.com/alecthomas/kong"
 	"github.com/labstack/echo/v4"
-	"github.com/pkg/errors"
 
 	glade "indigoglade"
 	"indigoglade/adopt"
@@ -26,7 +25,9 @@
 	"indigoglade/entry/internal/duty"
 	"indigoglade/entry/internal/ticket"
 	"indigoglade/link"
+	"indigoglade/loans"
 	"indigoglade/once"
+	"indigoglade/peer"
 	"indigoglade/remote"
 	"indigoglade/send"
 	"indigoglade/serve"
@@ -68,36 +69,43 @@
 	system := clock.System{}
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	book := adopt.New()
-	meter := burn.New()
+	meter := burn.New(burn.Config{Node: spec.Node, Clock: system})
 	asked := demand.NewMeter(system.Now())
 	post := demand.NewPost(demand.Config{Node: spec.Node, Table: platform, Meter: asked, Clock: system})
 	front := desk.New(desk.Config{Node: spec.Node, Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
+	peers := peer.New(peer.Config{
+		Spec: spec, Book: book, Table: platform, Clock: system, Log: group.Log(), End: front.Leave,
+	})
 	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
 	claimer := newClaimer(spec, system)
+	lent := loans.New(loans.Config{Peers: peers, Book: book, Clock: system, Counters: expvar.NewMap("loans")})
 	server := serve.New(serve.Config{
-		Book: book, Desk: front, Sender: sender, Claimer: claimer, Meter: meter, Demand: asked, Clock: system,
+		Book: book, Desk: front, Sender: sender, Claimer: claimer, Loans: lent, End: peers.End, Meter: meter, Demand: asked, Clock: system,
 		Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
 	})
 	duties := duty.New(duty.Config{
-		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Clock: system, Log: group.Log(),
+		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Roster: peers, Clock: system,
 	})
-	if err := group.Serve(spec.Listen, server.Handler(), server.Stop); err != nil {
+	stop := func(ctx context.Context) {
+		peers.Leave(ctx)
+		server.Stop(ctx)
+		lent.Leave(ctx)
+	}
+	if err := group.Serve(spec.Listen, server.Handler(), stop); err != nil {
 		return err
 	}
-	peers, err := net.Listen("tcp", spec.Link)
-	if err != nil {
-		return errors.Wrap(err, "listen for peers")
+	claimer.Register(peers.Mux())
+	lent.Register(peers.Mux())
+	if err := peers.Join(group); err != nil {
+		return err
 	}
-	mux := link.NewMux()
-	duties.Register(mux)
-	claimer.Register(mux)
 	group.Status().GET("/status", duties.Status)
-	group.Add(link.NewServer(peers, mux).Run)
 	group.Add(front.Run)
 	group.Add(claimer.Run)
-	group.Add(duties.Contracts)
+	group.Add(lent.Run)
 	group.Add(duties.Endpoints)
+	group.Add(duties.Burn)
 	group.Add(post.Run)
 	return group.Run()
 }
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -23,6 +23,7 @@
 	"indigoglade/daemon"
 	"indigoglade/demand"
 	"indigoglade/desk"
+	"indigoglade/loans"
 	"indigoglade/once"
 	"indigoglade/send"
 )
@@ -50,7 +51,11 @@
 	Sender *send.Sender
 	// Claimer claims keyed work of pools that are not repeatable.
 	Claimer *claim.Claimer
-	Meter   *burn.Meter
+	// Loans keeps the contract's limits; without it there are none.
+	Loans *loans.Loans
+	// End is told of endpoint incarnations that said they are leaving.
+	End   func(endpoint glade.Endpoint)
+	Meter *burn.Meter
 	// Demand measures what callers ask for; nil measures nothing.
 	Demand *demand.Meter
 	Clock  glade.Clock
@@ -73,6 +78,9 @@
 	if config.Counters == nil {
 		config.Counters = new(expvar.Map).Init()
 	}
+	if config.End == nil {
+		config.End = func(glade.Endpoint) {}
+	}
 	return &Server{config: config, outcomes: config.Counters}
 }
 
@@ -91,6 +99,9 @@
 	if s.stopping.Load() {
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
 	}
+	if !s.config.Book.IsConfirmed() {
+		return c.String(http.StatusServiceUnavailable, "cold\n")
+	}
 	return c.String(http.StatusOK, "ready\n")
 }
 
