Race cancels, drains, pauses and faults against two keepers

Cause: nothing showed that a lead, a host row or a cancel mark protects. Change: a random schedule over two keepers and in-memory twins; others act right before each transaction and each start; placements are checked at commit. With the host condition taken out the test fails at once; with cancels acknowledged while a run may start it fails too. Taking the lead condition out went unseen at light load, so the schedule now fills the hosts. Conclusion: kept, 6 schedules a run, as the race detector needs 1.5 s for each.

--- /dev/null
+++ b/jobs/crew_test.go
@@ -0,0 +1,372 @@
+package jobs_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"pgregory.net/rapid"
+
+	glade "indigoglade"
+	"indigoglade/adopt"
+	"indigoglade/clock"
+	"indigoglade/jobs"
+	"indigoglade/memory"
+	"indigoglade/owner"
+	"indigoglade/seeds"
+	"indigoglade/table"
+)
+
+var ctx = context.Background()
+
+const gigabyte = 1 << 30
+
+// rig is two keepers over in-memory twins, with a check of every start against
+// the rows.
+type rig struct {
+	clock   *clock.Fake
+	table   *memory.Table
+	objects *memory.Objects
+	workers *memory.Workers
+	crews   []*jobs.Crew
+	tickets []glade.Ticket
+	// cancelled holds jobs whose cancellation was acknowledged.
+	cancelled map[glade.Ticket]bool
+	broken    []string
+	// active is the keeper that takes a step.
+	active int
+	// meddle is called between what a keeper read and what it writes or
+	// commands. It may be nil.
+	meddle func()
+}
+
+// racedTable lets others act right before each transaction of a keeper, and
+// checks every placement when it is committed.
+type racedTable struct {
+	*memory.Table
+	rig *rig
+}
+
+func (t racedTable) Commit(ctx context.Context, txn glade.Txn) glade.Commit {
+	t.rig.interfere()
+	result := t.Table.Commit(ctx, txn)
+	t.rig.checkPlacements(txn, result)
+	return result
+}
+
+// racedWorkers lets others act right before each start.
+type racedWorkers struct {
+	*memory.Workers
+	rig *rig
+}
+
+func (w racedWorkers) Start(ctx context.Context, host glade.Host, epoch uint64, task glade.Task) error {
+	w.rig.interfere()
+	return w.Workers.Start(ctx, host, epoch, task)
+}
+
+func (r *rig) interfere() {
+	if meddle := r.meddle; meddle != nil {
+		r.meddle = nil
+		meddle()
+		r.meddle = meddle
+	}
+}
+
+// checkPlacements checks that each job that a transaction placed is on a
+// serving host, under its epoch, and that the host has the cores.
+func (r *rig) checkPlacements(txn glade.Txn, result glade.Commit) {
+	if result != glade.Committed {
+		return
+	}
+	for _, write := range txn.Writes {
+		record, _ := table.Load[glade.JobRow](ctx, r.table, write.Key)
+		row := record.Data()
+		if !strings.HasPrefix(write.Key, glade.PrefixJob) || row.Phase != glade.JobPlaced || row.Cancel {
+			continue
+		}
+		host, _ := owner.LoadHost(ctx, r.table, row.Host)
+		if host.Data().Epoch != row.Epoch || host.Data().Phase != glade.HostServing {
+			r.broken = append(r.broken, "placed by a stale epoch: "+write.Key)
+		}
+		if used := r.coresOn(row.Host); used > 8 {
+			r.broken = append(r.broken, fmt.Sprintf("%d cores placed on host %s", used, row.Host))
+		}
+	}
+}
+
+func (r *rig) coresOn(host glade.Host) int {
+	cores := 0
+	all, _ := table.LoadAll[glade.JobRow](ctx, r.table, glade.PrefixJob)
+	for _, record := range all {
+		if row := record.Data(); row.Host == host && (row.Phase == glade.JobPlaced || row.Phase == glade.JobRunning) {
+			cores += row.Size.Cores
+		}
+	}
+	return cores
+}
+
+func listedHosts(n int) []glade.Listed {
+	var hosts []glade.Listed
+	for i := range n {
+		hosts = append(hosts, glade.Listed{
+			Host: glade.Host(fmt.Sprintf("h%02d", i)), Zone: glade.Zone(fmt.Sprintf("z%d", i%3)), Rack: glade.Rack(fmt.Sprintf("r%d", i/2)),
+			Service: "study", Cores: 8, Memory: 32 * gigabyte,
+		})
+	}
+	return hosts
+}
+
+func newRig(hosts int, repeatable bool) *rig {
+	r := &rig{
+		clock: clock.NewFake(start), table: memory.NewTable(), objects: memory.NewObjects(),
+		cancelled: make(map[glade.Ticket]bool),
+	}
+	list := listedHosts(hosts)
+	r.workers = memory.NewWorkers(memory.WorkersConfig{
+		Clock: r.clock, Hosts: list, OnRun: r.onRun,
+		Tasks: memory.TasksConfig{Work: 5 * time.Second, Usage: time.Second, Lease: 10 * time.Second},
+	})
+	for _, listed := range list {
+		batch := table.NewBatch()
+		table.Replace(batch, table.Absent[glade.HostRow](owner.HostKey(listed.Host)), glade.HostRow{
+			Host: listed.Host, Zone: listed.Zone, Rack: listed.Rack, Customer: "c", Pool: "p", Service: "study", Epoch: 1, Phase: glade.HostServing,
+		})
+		_, _ = batch.Commit(ctx, r.table)
+	}
+	book := adopt.New()
+	spec := glade.ContractSpec{Customer: "c", Pools: []glade.PoolSpec{{Name: "p", Serve: "study", Repeatable: repeatable}}}
+	book.Adopt(glade.NewContract(spec, 1))
+	for _, node := range []glade.Node{"k1", "k2"} {
+		r.crews = append(r.crews, jobs.New(jobs.Config{
+			Table: racedTable{r.table, r}, Objects: r.objects, Workers: racedWorkers{r.workers, r}, Hosts: r.workers, Book: book,
+			Roster: glade.NewStaticRoster(node, []glade.Node{"k1", "k2"}), Writes: 400, Parallel: 1,
+		}))
+	}
+	return r
+}
+
+// onRun checks that no job starts after its cancellation was acknowledged.
+func (r *rig) onRun(_ glade.Host, _ uint64, task glade.Task) {
+	if r.cancelled[glade.Ticket(task.Job)] {
+		r.broken = append(r.broken, "started after an acknowledged cancel: "+task.ID)
+	}
+}
+
+func (r *rig) accept(priority glade.Priority, payload string) glade.Ticket {
+	ticket := jobs.TicketFor("c", "study", fmt.Sprint(len(r.tickets)))
+	row := glade.JobRow{
+		Ticket: ticket, Customer: "c", Kind: "study", Priority: priority, Repeatable: true,
+		Size: glade.Size{Cores: 2, Memory: gigabyte}, Payload: []byte(payload),
+	}
+	result := jobs.Accept(ctx, r.table, []glade.JobRow{row}, r.clock.Now())[ticket]
+	if result == glade.Committed {
+		r.tickets = append(r.tickets, ticket)
+	}
+	return ticket
+}
+
+func (r *rig) cancel(ticket glade.Ticket) {
+	row, result := jobs.Cancel(ctx, r.table, ticket, r.clock.Now())
+	if result == glade.Committed && row.Phase == glade.JobCancelled {
+		r.cancelled[ticket] = true
+	}
+}
+
+func (r *rig) step(crews ...int) {
+	r.clock.Advance(250 * time.Millisecond)
+	for _, i := range crews {
+		r.active = i
+		_ = r.crews[i].Step(ctx, r.clock.Now())
+	}
+}
+
+// run lets both keepers take steps for a time.
+func (r *rig) run(d time.Duration) {
+	for end := r.clock.Now().Add(d); r.clock.Now().Before(end); {
+		r.step(0, 1)
+	}
+}
+
+func (r *rig) phase(ticket glade.Ticket) glade.JobPhase {
+	record, _ := jobs.Find(ctx, r.table, ticket)
+	return record.Data().Phase
+}
+
+// drain changes the row of a host as the start of a planned stop does.
+func (r *rig) drain(host glade.Host) {
+	record, err := owner.LoadHost(ctx, r.table, host)
+	if err != nil {
+		return
+	}
+	row := record.Data()
+	row.Epoch++
+	row.Phase = glade.HostDraining
+	batch := table.NewBatch()
+	table.Replace(batch, record, row)
+	_, _ = batch.Commit(ctx, r.table)
+}
+
+func (r *rig) serve(host glade.Host) {
+	record, err := owner.LoadHost(ctx, r.table, host)
+	if err != nil {
+		return
+	}
+	row := record.Data()
+	row.Phase = glade.HostServing
+	batch := table.NewBatch()
+	table.Replace(batch, record, row)
+	_, _ = batch.Commit(ctx, r.table)
+	_ = r.workers.Reboot(ctx, host, row.Epoch, "study")
+}
+
+// problems lists every promise that is broken.
+func (r *rig) problems() []string {
+	problems := r.broken
+	for _, ticket := range r.tickets {
+		switch phase := r.phase(ticket); {
+		case phase == "":
+			problems = append(problems, "lost: "+string(ticket))
+		case r.cancelled[ticket] && phase != glade.JobCancelled:
+			problems = append(problems, "cancelled and then "+string(phase)+": "+string(ticket))
+		case phase.IsOpen():
+			problems = append(problems, "still "+string(phase)+": "+string(ticket))
+		}
+	}
+	return problems
+}
+
+func TestJobRunsToItsResult(t *testing.T) {
+	r := newRig(4, true)
+	ticket := r.accept(glade.Normal, "")
+	r.run(30 * time.Second)
+	record, _ := jobs.Find(ctx, r.table, ticket)
+	qt.Assert(t, record.Data().Phase, qt.Equals, glade.JobDone)
+	result, found, _ := r.objects.Get(ctx, record.Data().Result)
+	qt.Check(t, found, qt.IsTrue)
+	qt.Check(t, string(result), qt.Equals, "result of "+string(ticket))
+}
+
+func TestDrainTakesACheckpointAndGoesOnElsewhere(t *testing.T) {
+	r := newRig(2, true)
+	ticket := r.accept(glade.Normal, `{"work":"40s"}`)
+	r.run(25 * time.Second)
+	record, _ := jobs.Find(ctx, r.table, ticket)
+	qt.Assert(t, record.Data().Phase, qt.Equals, glade.JobRunning)
+	r.drain(record.Data().Host)
+	r.run(30 * time.Second)
+	moved, _ := jobs.Find(ctx, r.table, ticket)
+	qt.Check(t, moved.Data().Host, qt.Not(qt.Equals), record.Data().Host)
+	qt.Check(t, moved.Data().Phase, qt.Equals, glade.JobDone)
+}
+
+func TestCancelledWaveEnds(t *testing.T) {
+	r := newRig(2, true)
+	var items []glade.InboxItem
+	for range 20 {
+		items = append(items, glade.InboxItem{Ticket: r.accept(glade.Bulk, `{"work":"1h"}`), Priority: glade.Bulk})
+	}
+	r.run(15 * time.Second)
+	for range 2 {
+		_, result := jobs.CancelAll(ctx, r.table, "c", items, r.clock.Now())
+		qt.Assert(t, result, qt.Equals, glade.Committed)
+	}
+	r.run(10 * time.Second)
+	for _, item := range items {
+		qt.Check(t, r.phase(item.Ticket), qt.Equals, glade.JobCancelled)
+	}
+	left, _ := table.LoadAll[glade.InboxRow](ctx, r.table, glade.PrefixInbox)
+	qt.Check(t, left, qt.HasLen, 0)
+}
+
+// TestRunningWorkGoesOnWithoutTheTable also shows that leases are renewed then.
+func TestRunningWorkGoesOnWithoutTheTable(t *testing.T) {
+	r := newRig(2, true)
+	ticket := r.accept(glade.Normal, `{"work":"40s"}`)
+	r.run(15 * time.Second)
+	r.table.SetMode(memory.Down)
+	r.run(60 * time.Second)
+	r.table.SetMode(memory.Up)
+	r.run(15 * time.Second)
+	record, _ := jobs.Find(ctx, r.table, ticket)
+	qt.Check(t, record.Data().Phase, qt.Equals, glade.JobDone)
+	qt.Check(t, record.Data().Fence, qt.Equals, uint64(1))
+}
+
+// TestRaces lets events meet in any order and checks what must always hold.
+func TestRaces(t *testing.T) {
+	seeds.Check(t, 6, func(t *rapid.T) {
+		r := newRig(4, true)
+		r.run(10 * time.Second)
+		r.meddle = func() { r.interrupt(t) }
+		for range 60 {
+			r.act(t)
+		}
+		r.meddle = nil
+		r.table.SetMode(memory.Up)
+		for i := range 4 {
+			host := glade.Host(fmt.Sprintf("h%02d", i))
+			r.workers.SetFault(host, memory.Healthy)
+			r.serve(host)
+		}
+		r.run(2 * time.Minute)
+		if problems := r.problems(); len(problems) > 0 {
+			t.Fatal(problems)
+		}
+	})
+}
+
+// interrupt is what others may do while a keeper is in the middle of a step.
+func (r *rig) interrupt(t *rapid.T) {
+	host := glade.Host(fmt.Sprintf("h%02d", rapid.IntRange(0, 3).Draw(t, "host")))
+	switch rapid.IntRange(0, 24).Draw(t, "interruption") {
+	case 0:
+		r.drain(host)
+	case 1:
+		if len(r.tickets) > 0 {
+			r.cancel(rapid.SampledFrom(r.tickets).Draw(t, "ticket"))
+		}
+	case 2:
+		// The keeper is paused for so long that the other takes over.
+		paused := r.active
+		for range 45 {
+			r.step(1 - paused)
+		}
+		r.active = paused
+	}
+}
+
+// act takes one random action.
+func (r *rig) act(t *rapid.T) {
+	host := glade.Host(fmt.Sprintf("h%02d", rapid.IntRange(0, 3).Draw(t, "host")))
+	switch rapid.IntRange(0, 9).Draw(t, "action") {
+	case 0, 1:
+		priority := rapid.SampledFrom([]glade.Priority{glade.Urgent, glade.Normal, glade.Bulk}).Draw(t, "priority")
+		for range 3 {
+			r.accept(priority, "")
+		}
+	case 2:
+		if len(r.tickets) > 0 {
+			r.cancel(rapid.SampledFrom(r.tickets).Draw(t, "ticket"))
+		}
+	case 3:
+		r.table.SetMode(rapid.SampledFrom([]memory.Mode{memory.Up, memory.Up, memory.Lossy, memory.Down}).Draw(t, "mode"))
+	case 4:
+		r.workers.SetFault(host, rapid.SampledFrom([]memory.Fault{memory.Healthy, memory.Healthy, memory.Bad, memory.Silent, memory.Mute, memory.Dead}).Draw(t, "fault"))
+	case 5:
+		r.drain(host)
+	case 6:
+		r.serve(host)
+	case 7:
+		// One keeper is paused past its leads while the other goes on.
+		awake := rapid.IntRange(0, 1).Draw(t, "awake")
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			r.step(awake)
+		}
+	default:
+		r.run(time.Duration(rapid.IntRange(1, 8).Draw(t, "quarters")) * 250 * time.Millisecond)
+	}
+}
