--- /dev/null
+++ b/bench/internal/jobs/schedule.go
@@ -0,0 +1,188 @@
+package jobs
+
+import (
+	"strings"
+	"time"
+
+	glade "indigoglade"
+	"indigoglade/jobs"
+	"indigoglade/memory"
+	"indigoglade/owner"
+	"indigoglade/table"
+)
+
+// scheduleRun counts broken promises over random schedules of two keepers with
+// faults of the table, of workers and of the keepers, measured once for each
+// seed.
+type scheduleRun struct {
+	seed uint64
+	done bool
+	// lost counts accepted jobs without a row or without an end.
+	lost int
+	// twice counts jobs that became done more than once.
+	twice int
+	// late counts runs that began after their cancellation was acknowledged.
+	late int
+	// stale counts placements on a host whose row had another epoch.
+	stale int
+}
+
+// Sizes of a schedule.
+const (
+	schedules     = 10
+	scheduleSteps = 400
+	scheduleHosts = 60
+)
+
+func (r *scheduleRun) measure(seed uint64) {
+	if r.done && r.seed == seed {
+		return
+	}
+	*r = scheduleRun{seed: seed, done: true}
+	for i := range uint64(schedules) {
+		r.one(seed*schedules + i)
+	}
+}
+
+// get returns a measure of one count.
+func (r *scheduleRun) get(count func() int) func(uint64) (float64, error) {
+	return func(seed uint64) (float64, error) {
+		r.measure(seed)
+		return float64(count()), nil
+	}
+}
+
+// one runs one schedule, lets the faults end, and counts.
+func (r *scheduleRun) one(seed uint64) {
+	s := newSim(seed, fleetSpec{hosts: scheduleHosts, pools: 2, cores: 16, memory: 32 * gigabyte}, 2)
+	a := &actors{sim: s, run: r, cancelled: make(map[glade.Ticket]bool), published: make(map[glade.Ticket]int)}
+	s.onRun = a.started
+	s.onCommit = a.committed
+	s.warm()
+	for range scheduleSteps {
+		a.act()
+		if s.rand.IntN(8) == 0 {
+			s.step(s.rand.IntN(2))
+			continue
+		}
+		s.step(0, 1)
+	}
+	s.table.SetMode(memory.Up)
+	for _, listed := range s.hosts {
+		s.workers.SetFault(listed.Host, memory.Healthy)
+		a.serve(listed.Host)
+	}
+	for range 600 {
+		s.step(0, 1)
+	}
+	for _, ticket := range a.accepted {
+		if phase := s.row(ticket).Phase; phase == "" || phase.IsOpen() {
+			r.lost++
+		}
+	}
+	for _, n := range a.published {
+		r.twice += n - 1
+	}
+}
+
+// actors are the callers, operators and faults of a schedule.
+type actors struct {
+	sim       *sim
+	run       *scheduleRun
+	accepted  []glade.Ticket
+	cancelled map[glade.Ticket]bool
+	published map[glade.Ticket]int
+}
+
+func (a *actors) act() {
+	s := a.sim
+	host := s.hosts[s.rand.IntN(len(s.hosts))].Host
+	switch s.rand.IntN(12) {
+	case 0, 1, 2:
+		a.accept()
+	case 3:
+		if len(a.accepted) > 0 {
+			a.cancel(a.accepted[s.rand.IntN(len(a.accepted))])
+		}
+	case 4:
+		s.table.SetMode([]memory.Mode{memory.Up, memory.Up, memory.Lossy, memory.Down}[s.rand.IntN(4)])
+	case 5:
+		s.workers.SetFault(host, []memory.Fault{memory.Healthy, memory.Healthy, memory.Bad, memory.Silent, memory.Mute, memory.Dead}[s.rand.IntN(6)])
+	case 6:
+		a.drain(host)
+	case 7, 8:
+		a.serve(host)
+	}
+}
+
+func (a *actors) accept() {
+	s := a.sim
+	priority := []glade.Priority{glade.Urgent, glade.Normal, glade.Bulk}[s.rand.IntN(3)]
+	size := glade.Size{Cores: 1 + s.rand.IntN(8), Memory: gigabyte}
+	truth := memory.Truth{Work: glade.Span(time.Duration(1+s.rand.IntN(20)) * time.Second), Memory: gigabyte}
+	tickets, result := s.acceptSeen(offer{kind: s.rand.IntN(2), priority: priority, declared: size, truth: truth})
+	if result == glade.Committed {
+		a.accepted = append(a.accepted, tickets...)
+	}
+}
+
+func (a *actors) cancel(ticket glade.Ticket) {
+	row, result := jobs.Cancel(ctx, a.sim.table, ticket, a.sim.clock.Now())
+	if result == glade.Committed && row.Phase == glade.JobCancelled {
+		a.cancelled[ticket] = true
+	}
+}
+
+// drain begins a planned stop of a host.
+func (a *actors) drain(host glade.Host) {
+	a.change(host, func(row *glade.HostRow) {
+		row.Epoch++
+		row.Phase = glade.HostDraining
+	})
+}
+
+// serve ends a planned stop with a reboot.
+func (a *actors) serve(host glade.Host) {
+	a.change(host, func(row *glade.HostRow) {
+		row.Phase = glade.HostServing
+		_ = a.sim.workers.Reboot(ctx, host, row.Epoch, row.Service)
+	})
+}
+
+func (a *actors) change(host glade.Host, edit func(row *glade.HostRow)) {
+	record, err := owner.LoadHost(ctx, a.sim.table, host)
+	if err != nil {
+		return
+	}
+	row := record.Data()
+	edit(&row)
+	batch := table.NewBatch()
+	table.Replace(batch, record, row)
+	_, _ = batch.Commit(ctx, a.sim.table)
+}
+
+func (a *actors) started(ticket glade.Ticket) {
+	if a.cancelled[ticket] {
+		a.run.late++
+	}
+}
+
+// committed sees every write that took effect.
+func (a *actors) committed(txn glade.Txn) {
+	for _, write := range txn.Writes {
+		if !strings.HasPrefix(write.Key, glade.PrefixJob) {
+			continue
+		}
+		record, _ := table.Decode[glade.JobRow](glade.Row{Key: write.Key, Version: 1, Value: write.Value})
+		row := record.Data()
+		switch {
+		case row.Phase == glade.JobDone:
+			a.published[row.Ticket]++
+		case row.Phase == glade.JobPlaced && !row.Cancel:
+			value := a.sim.peek(owner.HostKey(row.Host))
+			if value.Epoch != row.Epoch || value.Phase != glade.HostServing {
+				a.run.stale++
+			}
+		}
+	}
+}
--- a/jobs/crew.go
+++ b/jobs/crew.go
@@ -26,9 +26,9 @@
 	maxDrops = 10
 )
 
-// cancelBoost is the factor by which the rate of writes rises during a wave of
-// cancellations.
-const cancelBoost = 2
+// burstTime is the time whose share of the write rate may be used at once. It
+// covers a step that comes late.
+const burstTime = 300 * time.Millisecond
 
 // Config configures a Crew.
 type Config struct {
@@ -41,6 +41,9 @@
 	// Writes is the number of rows that the crews of all keepers together may
 	// write in a second.
 	Writes int
+	// Wave is the same for one crew that carries out a large wave of
+	// cancellations.
+	Wave int
 	// Parallel is the number of calls to workers at once.
 	Parallel int
 	// Counters receives what happened. It may be nil.
@@ -242,18 +245,20 @@
 }
 
 // setRate takes the share of the write rate that the held shards give. A large
-// wave of cancellations has the whole rate, and more: it frees room and each job
-// is written once.
+// wave of cancellations has a rate of its own: it frees room, and each job is
+// written once.
 func (c *Crew) setRate(now time.Time) {
 	limit := float64(c.config.Writes) * float64(len(c.leads.held)) / Shards
 	for _, d := range c.desks {
 		if len(d.cancels) > c.config.Writes {
-			limit = cancelBoost * float64(c.config.Writes)
+			limit = float64(c.config.Wave)
 			break
 		}
 	}
 	c.limiter.SetLimitAt(now, rate.Limit(limit))
-	c.limiter.SetBurstAt(now, max(maxBatch, int(limit)))
+	c.limiter.SetBurstAt(now, max(maxBatch, int(limit*burstTime.Seconds())))
+	// Signs of life count too.
+	c.limiter.ReserveN(now, c.leads.takeWrites())
 }
 
 // writeClass writes the queued changes of one class as far as the rate allows.
--- a/jobs/crew_test.go
+++ b/jobs/crew_test.go
@@ -143,7 +143,7 @@
 	for _, node := range []glade.Node{"k1", "k2"} {
 		r.crews = append(r.crews, jobs.New(jobs.Config{
 			Table: racedTable{r.table, r}, Objects: r.objects, Workers: racedWorkers{r.workers, r}, Hosts: r.workers, Book: book,
-			Roster: glade.NewStaticRoster(node, []glade.Node{"k1", "k2"}), Writes: 400, Parallel: 1,
+			Roster: glade.NewStaticRoster(node, []glade.Node{"k1", "k2"}), Writes: 400, Wave: 400, Parallel: 1,
 		}))
 	}
 	return r
@@ -239,6 +239,21 @@
 	return problems
 }
 
+// TestStaleLeadWritesNothing is a keeper that was paused while another took over.
+func TestStaleLeadWritesNothing(t *testing.T) {
+	r := newRig(2, true)
+	ticket := r.accept(glade.Normal, "")
+	batch := table.NewBatch()
+	lead := table.Absent[glade.LeadRow]("lead/99")
+	table.Replace(batch, lead, glade.LeadRow{Node: "other", Term: 2})
+	_, _ = batch.Commit(ctx, r.table)
+	changes := []jobs.Change{{Ticket: ticket, Event: placeAt("h00", "r0")}}
+	changed := jobs.Write(ctx, r.table, lead, changes, r.clock.Now())
+	qt.Assert(t, changed, qt.HasLen, 1)
+	qt.Check(t, changed[0].Result, qt.Equals, glade.Conflicted)
+	qt.Check(t, r.phase(ticket), qt.Equals, glade.JobAccepted)
+}
+
 func TestJobRunsToItsResult(t *testing.T) {
 	r := newRig(4, true)
 	ticket := r.accept(glade.Normal, "")
--- a/jobs/desk.go
+++ b/jobs/desk.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"sort"
 	"strings"
 	"time"
 
@@ -87,8 +86,14 @@
 	// releases lists runs that have ended and that workers may forget.
 	releases []release
 	changes  map[glade.Ticket]Change
-	inbox    *inbox
-	hosts    *hostView
+	// queues holds the tickets of changes by class, the oldest first. A ticket
+	// whose change was taken or dropped meanwhile is passed over.
+	queues [classes][]glade.Ticket
+	// sized is the generation of the model that the waiting jobs of a kind were
+	// sized with.
+	sized map[glade.Service]int
+	inbox *inbox
+	hosts *hostView
 	// ready is set once every open job was read: before that the room on the
 	// hosts is not known, and nothing is placed.
 	ready bool
@@ -110,6 +115,7 @@
 		unread:   make(map[glade.Ticket]glade.Priority),
 		cancels:  make(map[glade.Ticket]bool),
 		changes:  make(map[glade.Ticket]Change),
+		sized:    make(map[glade.Service]int),
 		inbox:    newInbox(customer),
 	}
 }
@@ -224,10 +230,16 @@
 		e.Cancel = it.cancel
 	}
 	if _, busy := d.changes[ticket]; !busy {
-		d.changes[ticket] = Change{Ticket: ticket, Event: e}
+		d.enqueue(Change{Ticket: ticket, Event: e})
 	}
 }
 
+func (d *desk) enqueue(change Change) {
+	d.changes[change.Ticket] = change
+	class := d.class(change)
+	d.queues[class] = append(d.queues[class], change.Ticket)
+}
+
 // task describes a job for placement, with its size corrected by what is known
 // of its kind.
 func (d *desk) task(it *item) place.Task {
@@ -253,12 +265,36 @@
 	size := it.row.Size
 	corrected := d.model.Memory(d.key(it), size.Memory)
 	size.Memory = max(corrected, it.used)
+	if it.used > 0 && !d.model.IsKnown(d.key(it)) {
+		size.Memory = it.used
+	}
 	if most := d.fleet.Memory(pool, size); size.Memory > most && it.row.Size.Memory <= learn.Most*most {
 		size.Memory = most
 	}
 	return size
 }
 
+// resizeWaiting gives the waiting jobs of a kind their size anew when what is
+// known of the kind has changed.
+func (d *desk) resizeWaiting() {
+	changed := make(map[glade.Service]bool)
+	for _, pool := range d.contract.Spec().Pools {
+		generation := d.model.Generation(learn.Key{Customer: d.customer, Kind: pool.Serve})
+		if d.sized[pool.Serve] != generation {
+			d.sized[pool.Serve] = generation
+			changed[pool.Serve] = true
+		}
+	}
+	if len(changed) == 0 {
+		return
+	}
+	for ticket, it := range d.items {
+		if it.row.Phase == glade.JobAccepted && changed[it.row.Kind] {
+			d.fleet.Resize(ticket, d.task(it).Size)
+		}
+	}
+}
+
 func (d *desk) key(it *item) learn.Key {
 	return learn.Key{Customer: it.row.Customer, Kind: it.row.Kind}
 }
@@ -271,6 +307,7 @@
 	if !d.ready || limit <= 0 {
 		return nil
 	}
+	d.resizeWaiting()
 	plan := d.fleet.Round(place.Limits{Urgent: limit, Others: limit - len(d.changes)})
 	for _, p := range plan.Placed() {
 		it := d.items[p.Task.ID]
@@ -283,7 +320,7 @@
 			d.unread[p.Task.ID] = p.Task.Priority
 			continue
 		}
-		d.changes[p.Task.ID] = Change{Ticket: p.Task.ID, Event: Event{Kind: EventPlace, Spot: spot}, Host: d.hosts.rows[p.Host]}
+		d.enqueue(Change{Ticket: p.Task.ID, Event: Event{Kind: EventPlace, Spot: spot}, Host: d.hosts.rows[p.Host]})
 	}
 	return plan.Reliefs()
 }
@@ -328,18 +365,18 @@
 	return classResult
 }
 
-// take removes up to n changes of one class.
+// take removes up to n changes of one class, the oldest first.
 func (d *desk) take(class, n int) []Change {
 	var list []Change
-	for _, change := range d.changes {
-		if d.class(change) == class {
+	queue := d.queues[class]
+	for len(queue) > 0 && len(list) < n {
+		change, waits := d.changes[queue[0]]
+		queue = queue[1:]
+		if waits && d.class(change) == class {
 			list = append(list, change)
+			delete(d.changes, change.Ticket)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].Ticket < list[j].Ticket })
-	list = list[:min(n, len(list))]
-	for _, change := range list {
-		delete(d.changes, change.Ticket)
-	}
+	d.queues[class] = queue
 	return list
 }
--- a/jobs/lead.go
+++ b/jobs/lead.go
@@ -43,6 +43,7 @@
 	held   map[int]Lead
 	// watched is the version of each row and when it was first seen.
 	watched map[int]watch
+	writes  int
 }
 
 type watch struct {
@@ -166,9 +167,18 @@
 	return false
 }
 
+// takeWrites returns the number of rows written since it was called last, at
+// most one for each shard.
+func (l *leads) takeWrites() int {
+	writes := min(l.writes, Shards)
+	l.writes = 0
+	return writes
+}
+
 // put writes a lead row. It returns the operation id and whether the row was
 // written.
 func (l *leads) put(ctx context.Context, record Lead, row glade.LeadRow) (string, bool) {
+	l.writes++
 	batch := table.NewBatch()
 	table.Replace(batch, record, row)
 	result, err := batch.Commit(ctx, l.config.Table)
--- a/jobs/store.go
+++ b/jobs/store.go
@@ -226,7 +226,7 @@
 }
 
 // cancelPage is the number of jobs of one page of a wave of cancellations.
-const cancelPage = 250
+const cancelPage = 1000
 
 // CancelAll orders the end of many jobs of one customer, and returns how many
 // were ordered. An order is written in few rows; the lead carries it out ahead
--- a/jobs/work.go
+++ b/jobs/work.go
@@ -64,7 +64,7 @@
 
 // silent gives up the runs of a worker that was not heard of for long.
 func (d *desk) silent(host glade.Host, now time.Time) {
-	for ticket := range d.byHost[host] {
+	for _, ticket := range sortedTickets(d.byHost[host]) {
 		if it := d.items[ticket]; now.Sub(it.heard) >= lostTime {
 			d.change(ticket, Event{Kind: EventLost, Fence: it.row.Fence})
 		}
@@ -127,6 +127,8 @@
 	if task.Memory > it.used {
 		it.used = task.Memory
 		d.model.SawMemory(key, it.row.Size.Memory, task.Memory)
+	}
+	if it.used > 0 {
 		d.fleet.Resize(ticket, d.task(it).Size)
 	}
 	if _, busy := d.changes[ticket]; busy {
--- a/keeper/internal/tasks/tasks.go
+++ b/keeper/internal/tasks/tasks.go
@@ -18,7 +18,9 @@
 	period = 250 * time.Millisecond
 	// writes is the share of the jobs in the table service's writes, in rows per
 	// second over all keepers.
-	writes   = 100
+	writes = 100
+	// wave is the same while one keeper carries out a wave of cancellations.
+	wave     = 180
 	parallel = 16
 	stopTime = 2 * time.Second
 )
@@ -45,7 +47,7 @@
 func New(config Config) *Tasks {
 	return &Tasks{config: config, crew: jobs.New(jobs.Config{
 		Table: config.Table, Objects: config.Objects, Workers: config.Workers, Hosts: config.Hosts,
-		Book: config.Book, Roster: config.Roster, Writes: writes, Parallel: parallel, Counters: expvar.NewMap("jobs"),
+		Book: config.Book, Roster: config.Roster, Writes: writes, Wave: wave, Parallel: parallel, Counters: expvar.NewMap("jobs"),
 	})}
 }
 
--- a/learn/learn.go
+++ b/learn/learn.go
@@ -3,19 +3,16 @@
 package learn
 
 import (
+	"math"
+	"math/bits"
 	"slices"
 	"time"
 
 	glade "indigoglade"
 )
 
-// Bounds of the correction: declarations are trusted this far and no further.
-const (
-	leastFactor = 1.0 / Most
-	mostFactor  = float64(Most)
-)
-
-// Most is the greatest correction of a declared size.
+// Most is the greatest correction of a declaration, up or down. Beyond it the
+// declaration is kept at the bound.
 const Most = 16
 
 // window is the number of samples that a correction rests on.
@@ -24,13 +21,9 @@
 // fewest is the number of samples before a correction is used.
 const fewest = 3
 
-// quantile is the share of the samples that a corrected size covers.
+// quantile is the share of the samples that a correction covers.
 const quantile = 0.95
 
-// margin widens a corrected size, as the largest of few samples is often
-// exceeded by the next one.
-const margin = 1.1
-
 // Key names what shares a correction.
 type Key struct {
 	Customer glade.Customer
@@ -44,19 +37,47 @@
 	time   map[Key]*samples
 }
 
-// New returns a model that knows nothing: it returns what is declared.
+// New returns a model that knows nothing.
 func New() *Model {
 	return &Model{memory: make(map[Key]*samples), time: make(map[Key]*samples)}
 }
 
-// Memory returns the memory to reserve for a job that declares bytes.
+// Memory returns the memory to reserve for a job that declares bytes. Of a kind
+// that is not known the worst is expected: its first runs get room, and show the
+// truth.
 func (m *Model) Memory(key Key, declared int64) int64 {
-	return int64(float64(declared) * m.memory[key].factor())
+	if !m.IsKnown(key) {
+		return declared * Most
+	}
+	return int64(m.memory[key].predict(float64(declared)))
+}
+
+// IsKnown tells whether enough runs of a kind were seen to correct its memory.
+func (m *Model) IsKnown(key Key) bool {
+	s := m.memory[key]
+	return s != nil && len(s.ratios) >= fewest
+}
+
+// Generation returns a number that rises when predictions of a kind's memory may
+// have changed much: often at first, then once for each full window.
+func (m *Model) Generation(key Key) int {
+	s := m.memory[key]
+	if s == nil {
+		return 0
+	}
+	if s.count < window {
+		return bits.Len(uint(s.count / fewest))
+	}
+	return window + s.count/window
 }
 
 // Time returns the run time to expect of a job that declares d.
 func (m *Model) Time(key Key, declared time.Duration) time.Duration {
-	return time.Duration(float64(declared) * m.time[key].factor())
+	s := m.time[key]
+	if s == nil || len(s.ratios) < fewest {
+		return declared
+	}
+	return time.Duration(s.predict(float64(declared)))
 }
 
 // SawMemory learns the greatest use of memory of one run. A declaration of zero
@@ -70,14 +91,6 @@
 	record(m.time, key, float64(declared), float64(took))
 }
 
-// Samples returns the number of samples of memory for a key.
-func (m *Model) Samples(key Key) int {
-	if s := m.memory[key]; s != nil {
-		return len(s.ratios)
-	}
-	return 0
-}
-
 func record(all map[Key]*samples, key Key, declared, used float64) {
 	if declared <= 0 || used <= 0 {
 		return
@@ -87,36 +100,63 @@
 		s = &samples{}
 		all[key] = s
 	}
-	s.add(used / declared)
+	s.add(used/declared, used)
 }
 
-// samples is a ring of the last ratios of use to declaration.
+// samples holds the last runs of a kind, as the ratio of use to declaration and
+// as the use itself.
+//
+// Where callers are wrong by the same factor each time, the ratios lie close
+// together and the use follows the declaration. Where they guess, the
+// declaration says little, and the use alone is the better prediction. Whichever
+// lies closer together is taken.
 type samples struct {
 	ratios []float64
-	next   int
-	// cached is the factor of the ratios as they are, 0 when not worked out.
-	cached float64
+	uses   []float64
+	count  int
+	// fresh tells that ratio and use are those of the samples as they are.
+	fresh bool
+	ratio spread
+	use   spread
 }
 
-func (s *samples) add(ratio float64) {
-	s.cached = 0
+// spread is a high quantile, and how far it is above the median.
+type spread struct {
+	high  float64
+	width float64
+}
+
+func (s *samples) add(ratio, use float64) {
+	s.fresh = false
+	at := s.count % window
+	s.count++
 	if len(s.ratios) < window {
 		s.ratios = append(s.ratios, ratio)
+		s.uses = append(s.uses, use)
 		return
 	}
-	s.ratios[s.next] = ratio
-	s.next = (s.next + 1) % window
+	s.ratios[at] = ratio
+	s.uses[at] = use
 }
 
-// factor returns the correction within its bounds; 1 when nothing is known.
-func (s *samples) factor() float64 {
-	if s == nil || len(s.ratios) < fewest {
-		return 1
+// predict returns the use to expect of a declaration, within the bounds of the
+// correction.
+func (s *samples) predict(declared float64) float64 {
+	if !s.fresh {
+		s.ratio = spreadOf(s.ratios)
+		s.use = spreadOf(s.uses)
+		s.fresh = true
 	}
-	if s.cached == 0 {
-		sorted := slices.Sorted(slices.Values(s.ratios))
-		at := int(quantile * float64(len(sorted)-1))
-		s.cached = min(max(sorted[at]*margin, leastFactor), mostFactor)
+	expected := declared * s.ratio.high
+	if s.use.width < s.ratio.width {
+		expected = s.use.high
 	}
-	return s.cached
+	return min(max(expected, declared/Most), declared*Most)
+}
+
+func spreadOf(values []float64) spread {
+	sorted := slices.Sorted(slices.Values(values))
+	last := float64(len(sorted) - 1)
+	high := sorted[int(math.Ceil(quantile*last))]
+	return spread{high: high, width: high / sorted[int(last/2)]}
 }
--- a/place/fleet.go
+++ b/place/fleet.go
@@ -283,8 +283,11 @@
 	f.spread[spreadKey{task.Group, f.slots[at].host.Zone}]++
 }
 
-// Resize changes what a running task is counted with.
+// Resize changes what a waiting or running task is counted with.
 func (f *Fleet) Resize(id glade.Ticket, size glade.Size) {
+	if task := f.waiting[id]; task != nil {
+		task.Size = size
+	}
 	h, ok := f.running[id]
 	if !ok || h.task.Size == size {
 		return
