--- a/keeper/main.go
+++ b/keeper/main.go
@@ -10,13 +10,13 @@
 
 	"github.com/alecthomas/kong"
 
-	glade "indigoglade"
 	"indigoglade/adopt"
 	"indigoglade/clock"
 	"indigoglade/config"
 	"indigoglade/daemon"
 	"indigoglade/fleet"
 	"indigoglade/keeper/internal/tasks"
+	"indigoglade/peer"
 	"indigoglade/remote"
 	"indigoglade/send"
 )
@@ -51,26 +51,21 @@
 	system := clock.System{}
 	sender := send.New(send.Config{Links: 1, MaxReply: maxProbeReply, Connect: dialBound})
 	book := adopt.New()
-	roster := glade.NewStaticRoster(spec.Node, nodesOf(spec))
+	peers := peer.New(peer.Config{Spec: spec, Book: book, Table: platform, Clock: system, Log: group.Log()})
+	group.OnStop(peers.Leave)
+	if err := peers.Join(group); err != nil {
+		return err
+	}
 	duties := fleet.New(fleet.Config{
 		Table: platform, Hosts: platform, Workers: platform, Prober: fleet.NewProber(sender, system),
-		Book: book, Roster: roster, Clock: system, Log: group.Log(),
+		Book: book, Roster: peers, Clock: system, Log: group.Log(),
 	})
 	work := tasks.New(tasks.Config{
 		Table: platform, Objects: remote.NewObjects(platform), Hosts: platform, Workers: platform,
-		Book: book, Roster: roster, Clock: system, Log: group.Log(),
+		Book: book, Roster: peers, Clock: system, Log: group.Log(),
 	})
 	expvar.Publish("fleet", duties.Counters())
 	group.Add(duties.Run)
 	group.Add(work.Run)
 	return group.Run()
 }
-
-// nodesOf returns every keeper of the settings.
-func nodesOf(spec config.NodeSpec) []glade.Node {
-	nodes := []glade.Node{spec.Node}
-	for _, peer := range spec.Peers {
-		nodes = append(nodes, peer.Node)
-	}
-	return nodes
-}
