Let others act in the middle of a keeper's step in the schedules

Cause: taken out, the mark of a cancellation of a placed job went unseen by jobs.late, since nothing happened between a placement and its start. Change: drains and cancellations right before each transaction and start.

--- a/bench/internal/jobs/schedule.go
+++ b/bench/internal/jobs/schedule.go
@@ -59,6 +59,7 @@
 	s.onRun = a.started
 	s.onCommit = a.committed
 	s.warm()
+	s.between = a.interrupt
 	for range scheduleSteps {
 		a.act()
 		if s.rand.IntN(8) == 0 {
@@ -67,6 +68,7 @@
 		}
 		s.step(0, 1)
 	}
+	s.between = nil
 	s.table.SetMode(memory.Up)
 	for _, listed := range s.hosts {
 		s.workers.SetFault(listed.Host, memory.Healthy)
@@ -115,6 +117,20 @@
 	}
 }
 
+// interrupt is what others do while a keeper is in the middle of a step.
+func (a *actors) interrupt() {
+	s := a.sim
+	switch s.rand.IntN(8) {
+	case 0:
+		a.drain(s.hosts[s.rand.IntN(len(s.hosts))].Host)
+	case 1, 2:
+		if len(a.accepted) > 0 {
+			newest := max(0, len(a.accepted)-10)
+			a.cancel(a.accepted[newest+s.rand.IntN(len(a.accepted)-newest)])
+		}
+	}
+}
+
 func (a *actors) accept() {
 	s := a.sim
 	priority := []glade.Priority{glade.Urgent, glade.Normal, glade.Bulk}[s.rand.IntN(3)]
--- a/bench/internal/jobs/sim.go
+++ b/bench/internal/jobs/sim.go
@@ -44,6 +44,8 @@
 	// started is when each job's work first began.
 	started map[glade.Ticket]time.Time
 	onRun   func(ticket glade.Ticket)
+	// between is called between what a keeper read and what it writes or starts.
+	between func()
 	// onCommit is called after each transaction of a keeper that took effect.
 	onCommit func(txn glade.Txn)
 	// phases holds the phase that keepers wrote last of each job, and counts how
@@ -91,7 +93,7 @@
 	}
 	for _, node := range nodes {
 		s.crews = append(s.crews, jobs.New(jobs.Config{
-			Table: watchedTable{s.table, s}, Objects: s.objects, Workers: s.workers, Hosts: s.workers, Book: book,
+			Table: watchedTable{s.table, s}, Objects: s.objects, Workers: watchedWorkers{s.workers, s}, Hosts: s.workers, Book: book,
 			Roster: glade.NewStaticRoster(node, nodes), Writes: writeRate, Wave: waveRate, Parallel: 1,
 		}))
 	}
@@ -199,6 +201,7 @@
 // Commit runs a transaction. One whose answer is lost took effect, as the
 // in-memory table has it.
 func (t watchedTable) Commit(ctx context.Context, txn glade.Txn) glade.Commit {
+	t.sim.interfere()
 	result := t.Table.Commit(ctx, txn)
 	if result != glade.Committed && result != glade.Uncertain {
 		return result
@@ -215,6 +218,24 @@
 	return result
 }
 
+// watchedWorkers lets others act right before each start.
+type watchedWorkers struct {
+	*memory.Workers
+	sim *sim
+}
+
+// Start runs a task.
+func (w watchedWorkers) Start(ctx context.Context, host glade.Host, epoch uint64, task glade.Task) error {
+	w.sim.interfere()
+	return w.Workers.Start(ctx, host, epoch, task)
+}
+
+func (s *sim) interfere() {
+	if s.between != nil {
+		s.between()
+	}
+}
+
 // peek reads a host row right after a transaction took effect, when the table is
 // up.
 func (s *sim) peek(key string) glade.HostRow {
