--- a/bench/internal/hosts/hosts.go
+++ b/bench/internal/hosts/hosts.go
@@ -1,9 +1,92 @@
 // Package hosts measures pools, budgets and waves.
 package hosts
 
-import "indigoglade/bench/internal/gauge"
+import (
+	"sync"
+
+	"indigoglade/bench/internal/gauge"
+	"indigoglade/bench/internal/hosts/days"
+	"indigoglade/bench/internal/hosts/large"
+	"indigoglade/bench/internal/hosts/roll"
+	"indigoglade/bench/internal/hosts/sched"
+)
+
+// schedules is the number of random schedules of failures in one run.
+const schedules = 10_000
 
 // Measures returns the measures of this package.
 func Measures() []gauge.Measure {
-	return nil
+	runs := &shared[sched.Report]{make: func(seed uint64) sched.Report { return sched.Many(seed, schedules) }}
+	all := []gauge.Measure{
+		runs.measure("hosts.schedules", "schedules", func(r sched.Report) float64 { return float64(r.Schedules) }),
+		runs.measure("hosts.twopools", "hosts", func(r sched.Report) float64 { return float64(r.Twice) }),
+		runs.measure("hosts.overspent", "steps", func(r sched.Report) float64 { return float64(r.Overspent) }),
+		runs.measure("hosts.cut", "requests", func(r sched.Report) float64 { return float64(r.Cut) }),
+		runs.measure("hosts.staleepochs", "rows", func(r sched.Report) float64 { return float64(r.Stale) }),
+	}
+	all = append(all,
+		gauge.Measure{Name: "hosts.wave", Unit: "of serial", Run: roll.Wave},
+		gauge.Measure{Name: "hosts.change", Unit: "of serial", Run: roll.Change},
+		gauge.Measure{Name: "hosts.weeks", Unit: "days", Run: large.Weeks},
+	)
+	all = append(all, cost()...)
+	all = append(all, sizes("gunescati", days.Gunescati())...)
+	return append(all, sizes("monsoon", days.Monsoon())...)
+}
+
+// cost measures a keeper at rest over the large fleet.
+func cost() []gauge.Measure {
+	runs := &shared[large.Costs]{make: func(uint64) large.Costs { return large.MeasureAll() }}
+	measure := func(name, unit string, value func(large.Costs) float64) gauge.Measure {
+		return gauge.Measure{Name: name, Unit: unit, Run: func(seed uint64) (float64, error) {
+			costs := runs.run(seed)
+			if err := costs.Err(); err != nil {
+				return 0, err
+			}
+			return value(costs), nil
+		}}
+	}
+	return []gauge.Measure{
+		measure("hosts.core.26000", "% of a core", large.Costs.Core),
+		measure("hosts.heap.26000", "MB", large.Costs.Heap),
+		measure("hosts.reads.26000", "rows/s", large.Costs.Reads),
+		measure("hosts.growth", "of linear", large.Costs.Growth),
+	}
+}
+
+// sizes measures the pool sizes of a deployment over virtual days, beside sizes
+// fixed at the peak and sizes that follow the load.
+func sizes(name string, d days.Deployment) []gauge.Measure {
+	runs := &shared[days.Comparison]{make: func(seed uint64) days.Comparison { return days.Compare(d, seed) }}
+	return []gauge.Measure{
+		runs.measure("hosts.buffer."+name, "of fixed", days.Comparison.Buffer),
+		runs.measure("hosts.broken."+name, "over fixed", days.Comparison.Broken),
+		runs.measure("hosts.moves."+name, "of follow", days.Comparison.Moves),
+	}
+}
+
+// shared is an experiment from which several measures take their value. It runs
+// once for each seed.
+type shared[T any] struct {
+	mu   sync.Mutex
+	make func(seed uint64) T
+	made map[uint64]T
+}
+
+func (s *shared[T]) run(seed uint64) T {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if got, ok := s.made[seed]; ok {
+		return got
+	}
+	if s.made == nil {
+		s.made = make(map[uint64]T)
+	}
+	got := s.make(seed)
+	s.made[seed] = got
+	return got
+}
+
+func (s *shared[T]) measure(name, unit string, value func(T) float64) gauge.Measure {
+	return gauge.Measure{Name: name, Unit: unit, Run: func(seed uint64) (float64, error) { return value(s.run(seed)), nil }}
 }
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -54,6 +54,10 @@
 // MaxWindow bounds the time that a key is remembered.
 const MaxWindow = time.Hour
 
+// settleFactor is how many times the promised deadline a send may be under way:
+// once on its way to an entry host and once there.
+const settleFactor = 2
+
 // sendID names one send of a key.
 type sendID struct {
 	key   once.Key
@@ -143,7 +147,7 @@
 		Self: c.config.Self, Order: order, Resend: send.Resend,
 		Claim: once.Claim{
 			Key: key, Token: token, Node: c.config.Self,
-			Window: glade.Span(min(send.Window, MaxWindow)), Settle: glade.Span(send.Promised), Expect: c.store.Expect(),
+			Window: min(send.Window, MaxWindow).Milliseconds(), Settle: settleFactor * send.Promised.Milliseconds(), Expect: c.store.Expect(),
 		},
 	})
 	return ticket
@@ -155,7 +159,7 @@
 	return c.store.Expect()
 }
 
-// poll asks for votes until they decide, or none is missing.
+// poll asks for votes until they decide, none is missing, or ctx ends.
 func (c *Claimer) poll(ctx context.Context, attempt *once.Attempt) once.Verdict {
 	asks := attempt.Asks()
 	votes := make(chan once.Vote, len(asks))
@@ -168,11 +172,12 @@
 		go q.run(context.WithoutCancel(ctx))
 	}
 	for range asks {
-		v := <-votes
-		if v.Node == "" {
-			continue
+		select {
+		case <-ctx.Done():
+			return attempt.Verdict()
+		case v := <-votes:
+			attempt.Add(v)
 		}
-		attempt.Add(v)
 		if verdict := attempt.Verdict(); verdict != once.Open {
 			return verdict
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -11,15 +11,24 @@
 
 	glade "indigoglade"
 	"indigoglade/adopt"
+	"indigoglade/budget"
+	"indigoglade/demand"
 	"indigoglade/owner"
 	"indigoglade/shard"
+	"indigoglade/table"
 )
 
 // Periods of the duties.
 const (
-	roundPeriod  = 500 * time.Millisecond
-	listPeriod   = time.Second
-	assignPeriod = time.Second
+	roundPeriod = 500 * time.Millisecond
+	// listPeriod is the time between two readings of the host list, at least;
+	// listCost for each host on it, so that a long list is read less often.
+	listPeriod = time.Second
+	listCost   = time.Millisecond
+	// busyPeriod and idlePeriod are the times between two searches for hosts
+	// without a pool.
+	busyPeriod = time.Second
+	idlePeriod = 30 * time.Second
 )
 
 // Config configures the Fleet.
@@ -39,9 +48,27 @@
 	config   Config
 	counters *expvar.Map
 
+	accounts  *table.Cache[glade.AccountRow]
+	contracts *table.Cache[glade.ContractRow]
+
+	sizings  map[string]*sizing
+	demand   demand.Total
+	demandAt time.Time
+
+	// lists counts the readings of the host list, and resting holds the pools
+	// in which nothing needed a step.
+	lists   uint64
+	resting map[string]mark
+	// spares are the spare pools under the contracts of this round.
+	spares []place
+
 	listed     map[glade.Host]glade.Listed
 	listedAt   time.Time
 	assignedAt time.Time
+	// hasFree tells whether the last search found hosts without a pool, hasNew
+	// whether the list has shown new hosts since.
+	hasFree bool
+	hasNew  bool
 	// suspects maps each host that looks down to when it first did.
 	suspects map[glade.Host]time.Time
 	// retries maps each host whose worker did not answer to when it is asked
@@ -52,10 +79,14 @@
 // New returns the fleet duty.
 func New(config Config) *Fleet {
 	return &Fleet{
-		config:   config,
-		counters: new(expvar.Map),
-		suspects: make(map[glade.Host]time.Time),
-		retries:  make(map[glade.Host]time.Time),
+		config:    config,
+		counters:  new(expvar.Map),
+		accounts:  table.NewCache[glade.AccountRow](config.Table),
+		contracts: table.NewCache[glade.ContractRow](config.Table),
+		resting:   make(map[string]mark),
+		sizings:   make(map[string]*sizing),
+		suspects:  make(map[glade.Host]time.Time),
+		retries:   make(map[glade.Host]time.Time),
 	}
 }
 
@@ -97,7 +128,9 @@
 	if err := f.assign(ctx, now); err != nil {
 		return err
 	}
-	for _, contract := range f.config.Book.All() {
+	contracts := f.config.Book.All()
+	f.spares = sparesOf(contracts)
+	for _, contract := range contracts {
 		for _, pool := range contract.Spec().Pools {
 			if err := f.poolRound(ctx, now, contract, pool); err != nil {
 				return err
@@ -108,7 +141,8 @@
 }
 
 func (f *Fleet) list(ctx context.Context, now time.Time) error {
-	if f.listed != nil && now.Sub(f.listedAt) < listPeriod {
+	period := max(listPeriod, time.Duration(len(f.listed))*listCost)
+	if f.listed != nil && now.Sub(f.listedAt) < period {
 		return nil
 	}
 	list, err := f.config.Hosts.List(ctx)
@@ -116,13 +150,29 @@
 		return err
 	}
 	f.listedAt = now
+	f.lists++
+	known := f.listed
 	f.listed = make(map[glade.Host]glade.Listed, len(list))
 	for _, listed := range list {
 		f.listed[listed.Host] = listed
+		if _, ok := known[listed.Host]; !ok {
+			f.hasNew = true
+		}
 	}
 	return nil
 }
 
+// account reads a pool's account.
+func (f *Fleet) account(ctx context.Context, customer glade.Customer, pool glade.Pool) (owner.Account, error) {
+	return f.accounts.Load(ctx, owner.AccountKey(customer, pool))
+}
+
+// contract reads the newest accepted contract of a customer, on which a planned
+// step is conditional.
+func (f *Fleet) contract(ctx context.Context, customer glade.Customer) (owner.Contract, error) {
+	return f.contracts.Load(ctx, glade.PrefixContract+string(customer))
+}
+
 // poolView is what one round decides on in one pool. It is read-only.
 type poolView struct {
 	now      time.Time
@@ -135,22 +185,38 @@
 	if !shard.IsMine(owner.AccountKey(contract.Customer(), pool.Name), f.config.Roster) {
 		return nil
 	}
-	account, err := owner.LoadAccount(ctx, f.config.Table, contract.Customer(), pool.Name)
+	account, err := f.account(ctx, contract.Customer(), pool.Name)
 	if err != nil {
 		return err
 	}
 	v := poolView{now: now, contract: contract, pool: pool, account: account}
-	for _, host := range v.hosts() {
-		if err := f.follow(ctx, v, host); err != nil {
-			return err
-		}
+	if err := f.touch(ctx, v); err != nil {
+		return err
+	}
+	if err := f.followAll(ctx, v); err != nil {
+		return err
 	}
 	if err := f.wave(ctx, v); err != nil {
 		return err
 	}
+	if err := f.size(ctx, v); err != nil {
+		return err
+	}
 	return f.refill(ctx, v)
 }
 
+// touch writes an account in which a failure goes on, twice in the allowance of
+// a planned step.
+func (f *Fleet) touch(ctx context.Context, v poolView) error {
+	account := v.account.Data()
+	age := v.now.UnixMilli() - account.Touched
+	due := budget.NewRule(v.contract.Spec(), v.pool).Allowance().Milliseconds() / 2
+	if budget.Count(account, glade.CauseFail) == 0 || age < due {
+		return nil
+	}
+	return f.count("touch")(owner.Touch(ctx, f.config.Table, v.account, v.now))
+}
+
 // count counts the result of a step. A conflict means that another keeper was
 // first, and needs nothing done.
 func (f *Fleet) count(name string) func(owner.Result, error) error {
--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -9,14 +9,13 @@
 	"indigoglade/budget"
 	"indigoglade/owner"
 	"indigoglade/shard"
-	"indigoglade/table"
 	"indigoglade/wave"
 )
 
 // wave starts planned stops, one after the other, until the wave has to wait.
 func (f *Fleet) wave(ctx context.Context, v poolView) error {
 	for range v.contract.Spec().Budget.Down {
-		account, err := owner.LoadAccount(ctx, f.config.Table, v.contract.Customer(), v.pool.Name)
+		account, err := f.account(ctx, v.contract.Customer(), v.pool.Name)
 		if err != nil {
 			return err
 		}
@@ -34,7 +33,7 @@
 }
 
 func (f *Fleet) plan(ctx context.Context, v poolView, host glade.Host, account owner.Account) (owner.Result, error) {
-	contract, err := owner.LoadContract(ctx, f.config.Table, v.contract.Customer())
+	contract, err := f.contract(ctx, v.contract.Customer())
 	if err != nil {
 		return owner.Result{}, err
 	}
@@ -49,16 +48,16 @@
 	return owner.Plan(ctx, f.config.Table, contract, record, account, v.now)
 }
 
-// assignDuty is the duty of giving hosts without a pool to one.
-const assignDuty = "assign"
+// AssignDuty is the duty of giving hosts without a pool to one.
+const AssignDuty = "assign"
 
 // assign gives listed hosts that are in no account to the pools that lack them.
 func (f *Fleet) assign(ctx context.Context, now time.Time) error {
-	if !shard.IsMine(assignDuty, f.config.Roster) || now.Sub(f.assignedAt) < assignPeriod {
+	if !shard.IsMine(AssignDuty, f.config.Roster) || now.Sub(f.assignedAt) < f.assignPeriod() {
 		return nil
 	}
 	f.assignedAt = now
-	records, err := table.LoadAll[glade.AccountRow](ctx, f.config.Table, glade.PrefixAccount)
+	records, err := f.accounts.LoadAll(ctx, glade.PrefixAccount)
 	if err != nil {
 		return err
 	}
@@ -70,7 +69,10 @@
 			owned[host] = true
 		}
 	}
-	for _, host := range f.free(owned) {
+	free := f.free(owned)
+	f.hasFree = len(free) > 0
+	f.hasNew = false
+	for _, host := range free {
 		if err := f.assignHost(ctx, now, host, accounts); err != nil {
 			return err
 		}
@@ -78,6 +80,15 @@
 	return nil
 }
 
+// assignPeriod returns the time between two readings of all accounts. It is
+// long while no host is known to be free.
+func (f *Fleet) assignPeriod() time.Duration {
+	if f.hasFree || f.hasNew {
+		return busyPeriod
+	}
+	return idlePeriod
+}
+
 // free returns the listed hosts that are not owned, in the order of their names.
 func (f *Fleet) free(owned map[glade.Host]bool) []glade.Host {
 	var free []glade.Host
@@ -100,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	account, err := owner.LoadAccount(ctx, f.config.Table, a.Customer, a.Pool.Name)
+	account, err := f.account(ctx, a.Customer, a.Pool.Name)
 	if err != nil {
 		return err
 	}
@@ -109,7 +120,7 @@
 	if err != nil || !result.IsDone() {
 		return err
 	}
-	accounts[account.Key()], err = owner.LoadAccount(ctx, f.config.Table, a.Customer, a.Pool.Name)
+	accounts[account.Key()], err = f.account(ctx, a.Customer, a.Pool.Name)
 	return err
 }
 
@@ -129,21 +140,12 @@
 				continue
 			}
 			bestLack, bestNear = lack, near
-			best = owner.Assignment{Listed: listed, Customer: contract.Customer(), Pool: pool, Want: want}
+			best = owner.Assignment{Listed: listed, Customer: contract.Customer(), Pool: pool, Want: want, Wave: contract.Spec().Wave.Name}
 		}
 	}
 	return best, bestLack > 0
 }
 
-// wanted returns the number of hosts that a pool should have. A spare pool
-// takes free hosts up to its promise.
-func wanted(spec glade.ContractSpec, pool glade.PoolSpec, account glade.AccountRow) int {
-	if pool.Spare {
-		return pool.Hosts
-	}
-	return budget.NewRule(spec, pool).Size(account)
-}
-
 func countRack(account glade.AccountRow, listed glade.Listed) int {
 	n := 0
 	for _, member := range account.Members {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -21,6 +21,7 @@
 	"indigoglade/burn"
 	"indigoglade/claim"
 	"indigoglade/daemon"
+	"indigoglade/demand"
 	"indigoglade/desk"
 	"indigoglade/loans"
 	"indigoglade/once"
@@ -43,6 +44,10 @@
 // maxBody bounds the size of a request body, in bytes.
 const maxBody = 1 << 20
 
+// maxCalls bounds the requests under way at once, those whose body is still
+// coming included.
+const maxCalls = 2048
+
 // Config configures a Server.
 type Config struct {
 	Book   *adopt.Book
@@ -56,6 +61,10 @@
 	End   func(endpoint glade.Endpoint)
 	Meter *burn.Meter
 	Clock glade.Clock
+	// Peers are asked for room when no slot is free here.
+	Peers []Peer
+	// Demand measures what callers ask for; nil measures nothing.
+	Demand *demand.Meter
 	// Counters receives the counts; a nil map is replaced by one of its own.
 	Counters *expvar.Map
 	// Routes add further routes for callers.
@@ -68,6 +77,9 @@
 	stopping atomic.Bool
 	outcomes *expvar.Map
 	budgets  budgets
+	rooms    rooms
+	// calls holds a place for each request under way.
+	calls chan struct{}
 }
 
 // New returns a server.
@@ -78,12 +90,13 @@
 	if config.End == nil {
 		config.End = func(glade.Endpoint) {}
 	}
-	return &Server{config: config, outcomes: config.Counters}
+	return &Server{config: config, outcomes: config.Counters, calls: make(chan struct{}, maxCalls)}
 }
 
 // Handler returns the callers' routes.
 func (s *Server) Handler() http.Handler {
 	e := daemon.NewEcho()
+	e.Use(unbound)
 	e.GET("/ready", s.ready)
 	e.POST("/v1/:customer/:service", s.request)
 	for _, add := range s.config.Routes {
@@ -139,6 +152,12 @@
 
 func (s *Server) request(c echo.Context) error {
 	start := s.config.Clock.Now()
+	select {
+	case s.calls <- struct{}{}:
+		defer s.leave()
+	default:
+		return s.reply(c, work{id: uuid.NewString(), start: start}, refused(glade.ReasonQueue))
+	}
 	w, bad := s.parse(c, start)
 	if bad != glade.ReasonNone {
 		return s.reply(c, w, refused(bad))
@@ -146,6 +165,11 @@
 	return s.reply(c, w, s.runOnce(c.Request().Context(), w))
 }
 
+func (s *Server) leave() { <-s.calls }
+
+// UnderWay returns the number of requests under way.
+func (s *Server) UnderWay() int { return len(s.calls) }
+
 func (s *Server) parse(c echo.Context, start time.Time) (work, glade.Reason) {
 	w := work{id: c.Request().Header.Get(IDHeader), start: start}
 	w.key = c.Request().Header.Get(KeyHeader)
@@ -178,6 +202,7 @@
 	if err != nil {
 		return w, BodyReason(err)
 	}
+	unboundRead(c)
 	w.body = body
 	return w, glade.ReasonNone
 }
@@ -201,6 +226,21 @@
 	_ = control.SetWriteDeadline(deadline.Add(writeTime))
 }
 
+// unbound ends the bounds of an earlier request on the same connection.
+func unbound(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		_ = http.NewResponseController(c.Response()).SetWriteDeadline(time.Time{})
+		unboundRead(c)
+		return next(c)
+	}
+}
+
+// unboundRead ends the bound on reading once the body is whole: the server goes
+// on reading to notice that the caller leaves.
+func unboundRead(c echo.Context) {
+	_ = http.NewResponseController(c.Response()).SetReadDeadline(time.Time{})
+}
+
 // deadlineOf returns the time left: the caller's, at most the contract's.
 func deadlineOf(c echo.Context, contract glade.Contract) (time.Duration, glade.Reason) {
 	promised := contract.Spec().Answer.Deadline.Duration()
