Remember in the table whether a process lends

Cause: a process that starts held back to an eighth of its share until every other entry host had answered, so one dead entry host throttled every fresh start to an eighth. Change: one row for each node, set before the first loan of a process and cleared at a clean stop; a process that finds it unset uses its whole share at once. Two writes in the life of a process. A process that was killed while it lent still holds back until all others have answered.

--- a/entry/main.go
+++ b/entry/main.go
@@ -86,7 +86,7 @@
 	})
 	tickets := ticket.New(ticket.Config{Table: platform, Objects: remote.NewObjects(platform), Book: book, Clock: system})
 	claimer := newClaimer(spec, keys, system)
-	lent := loans.New(loans.Config{Peers: peers, Book: book, Clock: system, Counters: expvar.NewMap("loans")})
+	lent := loans.New(loans.Config{Peers: peers, Book: book, Table: platform, Clock: system, Counters: expvar.NewMap("loans")})
 	server := serve.New(serve.Config{
 		Book: book, Desk: front, Sender: sender, Claimer: claimer, Loans: lent, End: peers.End, Meter: meter, Demand: asked, Clock: system,
 		Peers: newPeers(spec), Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
--- a/limit/loan.go
+++ b/limit/loan.go
@@ -157,3 +157,6 @@
 	}
 	return done
 }
+
+// HasLent tells whether a loan of this process may be held by another.
+func (l *Limiter) HasLent() bool { return len(l.borrower) > 0 }
--- a/loans/loans.go
+++ b/loans/loans.go
@@ -18,6 +18,7 @@
 type Config struct {
 	Peers *peer.Peers
 	Book  *adopt.Book
+	Table glade.Table
 	Clock glade.Clock
 	// Counters receives the counts.
 	Counters *expvar.Map
@@ -29,6 +30,7 @@
 	config  Config
 	mu      sync.Mutex
 	limiter *limit.Limiter
+	mark    marker
 	sends   chan func(ctx context.Context)
 }
 
@@ -36,6 +38,9 @@
 const (
 	callers    = 4
 	ringLength = 256
+	// markTicks is the number of ticks between two tries to read or write the
+	// own row.
+	markTicks = 5
 )
 
 // New returns loans over every entry host of the settings.
@@ -87,6 +92,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.mark.wanted = true
+	if !l.mark.isSet || l.mark.leaving {
+		return limit.Loan{}, nil
+	}
 	loan := l.limiter.Lend(contract, in)
 	l.config.Counters.Add("lent", int64(loan.Units))
 	return loan, nil
@@ -114,7 +123,12 @@
 		go c.run(ctx)
 	}
 	defer wait.Wait()
-	for {
+	for tick := 0; ; tick++ {
+		if tick%markTicks == 0 {
+			if do := l.duty(); do != nil {
+				l.push(do)
+			}
+		}
 		live := l.config.Peers.Live()
 		l.mu.Lock()
 		plan := l.limiter.Tick(live)
@@ -202,12 +216,17 @@
 	}
 }
 
-// Leave gives back the loans that nothing in flight rests on.
+// Leave lends no more and gives back the loans that nothing in flight rests on.
 func (l *Loans) Leave(ctx context.Context) {
 	l.mu.Lock()
 	done := l.limiter.Leave()
+	l.mark.leaving = true
+	isClean := l.mark.isSet && !l.limiter.HasLent()
 	l.mu.Unlock()
 	for _, loan := range done {
 		l.giveBack(ctx, loan)
 	}
+	if isClean {
+		l.write(ctx, false)
+	}
 }
