--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -148,7 +148,8 @@
 // release returns a grant, at once or when the endpoint has ended the attempt.
 func (s *Server) release(answer desk.Answer, r send.Result, w work) {
 	u := usage{
-		desk: s.config.Desk, loans: s.config.Loans, customer: w.contract.Customer(), answer: answer, rest: r.Rest(), until: w.deadline.Add(restTime),
+		desk: s.config.Desk, loans: s.config.Loans, customer: w.contract.Customer(),
+		answer: answer, rest: r.Rest(), until: w.deadline.Add(restTime),
 		attempt: desk.Attempt{Service: w.pool.Serve, Result: resultOf(r), Leaving: r.IsLeaving()},
 	}
 	if u.rest == nil {
