Let a key's age decide which history it needs

Change: an entry host's vote counts in full for a key first sent after it started; Request-Age tells for resends.

--- a/bench/internal/calls/drive.go
+++ b/bench/internal/calls/drive.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -80,6 +81,8 @@
 type caller struct {
 	load   *load
 	random *rand.Rand
+	// first is when the key at hand was first sent.
+	first time.Time
 }
 
 func (c *caller) run() {
@@ -96,6 +99,7 @@
 // request sends a key until it is answered or given up.
 func (c *caller) request(key string) {
 	var outcomes []string
+	c.first = time.Now()
 	if c.random.Float64() < c.load.config.resend {
 		outcomes = c.both(key)
 	} else {
@@ -112,7 +116,7 @@
 
 // both sends a key to two entry hosts at once.
 func (c *caller) both(key string) []string {
-	twin := &twin{caller: &caller{load: c.load, random: rand.New(rand.NewPCG(c.random.Uint64(), 0))}, key: key}
+	twin := &twin{caller: &caller{load: c.load, random: rand.New(rand.NewPCG(c.random.Uint64(), 0)), first: c.first}, key: key}
 	twin.resend = c.random.IntN(2) == 0
 	twin.done.Add(1)
 	go twin.run()
@@ -148,6 +152,7 @@
 	request.Header.Set(serve.KeyHeader, key)
 	if resend {
 		request.Header.Set(serve.ResendHeader, "true")
+		request.Header.Set(serve.KeyAgeHeader, strconv.FormatInt(time.Since(c.first).Milliseconds()+1, 10))
 	}
 	client := *c.load.client
 	if c.random.Float64() < c.load.config.leave {
--- a/bench/internal/load/caller.go
+++ b/bench/internal/load/caller.go
@@ -22,6 +22,7 @@
 	idHeader      = "Request-Id"
 	keyHeader     = "Request-Key"
 	resendHeader  = "Request-Resend"
+	ageHeader     = "Request-Age"
 	outcomeHeader = "Outcome"
 	reasonHeader  = "Reason"
 )
@@ -199,6 +200,7 @@
 	request.Header.Set(keyHeader, c.id)
 	if resend > 0 {
 		request.Header.Set(resendHeader, strconv.Itoa(resend))
+		request.Header.Set(ageHeader, strconv.FormatInt(time.Since(c.due).Milliseconds()+1, 10))
 	}
 	reply, err := c.client.http.Do(request)
 	if err != nil {
--- a/claim/claim.go
+++ b/claim/claim.go
@@ -37,8 +37,11 @@
 	Customer glade.Customer
 	Service  glade.Service
 	Text     string
-	Resend   bool
-	Window   time.Duration
+	// Resend tells that the caller sent the key before.
+	Resend bool
+	// Age is the time since the caller first sent the key.
+	Age    time.Duration
+	Window time.Duration
 	// Promised is the contract's deadline: no send is under way for longer.
 	Promised time.Duration
 	Deadline time.Time
@@ -144,10 +147,10 @@
 	ticket := &Ticket{key: key, run: &run{text: send.Text, token: token, done: make(chan struct{})}}
 	c.active[sendID{key, token}] = ticket.run
 	ticket.attempt = once.NewAttempt(once.AttemptConfig{
-		Self: c.config.Self, Order: order, Resend: send.Resend,
+		Self: c.config.Self, Order: order,
 		Claim: once.Claim{
 			Key: key, Token: token, Node: c.config.Self,
-			Window: min(send.Window, MaxWindow).Milliseconds(), Settle: settleFactor * send.Promised.Milliseconds(), Expect: c.store.Expect(),
+			Window: min(send.Window, MaxWindow).Milliseconds(), Settle: (send.Age + settleFactor*send.Promised).Milliseconds(), Expect: c.store.Expect(),
 		},
 	})
 	return ticket
--- a/once/attempt.go
+++ b/once/attempt.go
@@ -25,8 +25,6 @@
 	// Order lists all entry hosts, the key's owner first.
 	Order []glade.Node
 	Claim Claim
-	// Resend tells that the caller sent the key before.
-	Resend bool
 }
 
 // Attempt collects the votes on one claim. It first asks the fewest entry
@@ -96,33 +94,24 @@
 	return "", 0, false
 }
 
-// Verdict weighs the votes. Votes without whole history count only when all
-// entry hosts were asked, none that answered has seen the key, the caller says
-// that it did not send before, and sends from before the start can no longer
-// be under way.
+// Verdict weighs the votes. Those without whole history don't count.
 func (a *Attempt) Verdict() Verdict {
-	var grants, blanks []glade.Node
+	var grants []glade.Node
 	seen := false
 	for node, v := range a.votes {
-		switch {
-		case v.State == Granted:
+		switch v.State {
+		case Granted:
 			grants = append(grants, node)
-		case v.State == Blank && v.Settled:
-			blanks = append(blanks, node)
-		case v.State == Seen:
+		case Seen:
 			seen = true
 		}
 	}
-	if a.isQuorum(grants) {
+	switch {
+	case a.isQuorum(grants):
 		return Won
-	}
-	if seen {
+	case seen:
 		return Lost
 	}
-	complete := a.wide && len(a.votes) >= len(a.config.Order)-1
-	if complete && !a.config.Resend && a.isQuorum(append(grants, blanks...)) {
-		return Won
-	}
 	return Open
 }
 
--- a/once/key.go
+++ b/once/key.go
@@ -13,7 +13,7 @@
 //
 // An entry host that starts again has lost what it recorded. Its history is
 // whole once it has copied the records of all others while theirs were whole,
-// or once a key's window has passed since it started.
+// and whole for a key that was first sent after it started.
 package once
 
 import (
--- a/once/store.go
+++ b/once/store.go
@@ -15,8 +15,8 @@
 	Node glade.Node `json:"node"`
 	// Window is how long the key is remembered, in milliseconds.
 	Window int64 `json:"window"`
-	// Settle is the time after which a send that was made before an entry host
-	// started is no longer under way, in milliseconds.
+	// Settle is how long ago the key may have been sent first, in milliseconds.
+	// An entry host that started longer ago needs no older history.
 	Settle int64 `json:"settle"`
 	// Expect holds the incarnations of the entry hosts that the claim rests on.
 	Expect map[glade.Node]uint64 `json:"expect"`
@@ -30,7 +30,8 @@
 	// Granted means that the key is recorded for the claim, by an entry host
 	// with whole history.
 	Granted State = "granted"
-	// Blank is Granted without whole history.
+	// Blank means that it is recorded by an entry host whose history is not
+	// whole for the key.
 	Blank State = "blank"
 	// Seen means that the key is recorded for another send.
 	Seen State = "seen"
@@ -45,8 +46,6 @@
 	Node  glade.Node `json:"node"`
 	Inc   uint64     `json:"inc"`
 	State State      `json:"state"`
-	// Settled tells for a Blank vote that earlier sends can't be under way.
-	Settled bool `json:"settled,omitempty"`
 	// Holder and Token name the send that a Seen vote is about.
 	Holder glade.Node `json:"holder,omitempty"`
 	Token  uint64     `json:"token,omitempty"`
@@ -143,12 +142,10 @@
 	}
 	s.put(Record{Key: c.Key, Token: c.Token, Node: c.Node, Expiry: now.UnixMilli() + c.Window})
 	age := now.Sub(s.config.Start).Milliseconds()
-	if s.IsWhole(now) || age >= c.Window {
+	vote.State = Blank
+	if s.IsWhole(now) || age >= min(c.Window, c.Settle) {
 		vote.State = Granted
-		return vote
 	}
-	vote.State = Blank
-	vote.Settled = age >= c.Settle
 	return vote
 }
 
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -64,7 +64,7 @@
 	}
 	answer := w.contract.Spec().Answer
 	ticket, known := s.config.Claimer.Claim(ctx, claim.Send{
-		Customer: w.contract.Customer(), Service: w.pool.Serve, Text: w.key, Resend: w.resend,
+		Customer: w.contract.Customer(), Service: w.pool.Serve, Text: w.key, Resend: w.resend, Age: w.age,
 		Window: answer.Window.Duration(), Promised: answer.Deadline.Duration(), Deadline: w.deadline,
 	})
 	if ticket == nil {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -33,6 +33,7 @@
 	IDHeader       = "Request-Id"
 	KeyHeader      = "Request-Key"      // names the work; defaults to the caller's Request-Id
 	ResendHeader   = "Request-Resend"   // "true" when the key was sent before
+	KeyAgeHeader   = "Request-Age"      // milliseconds since the key was first sent
 	DeadlineHeader = "Request-Deadline" // milliseconds left
 	OutcomeHeader  = "Outcome"
 	ReasonHeader   = "Reason"
@@ -127,9 +128,11 @@
 
 // work is one request on its way through the entry host.
 type work struct {
-	id       string
-	key      string
-	resend   bool
+	id     string
+	key    string
+	resend bool
+	// age is the longest time since the key was first sent.
+	age      time.Duration
 	contract glade.Contract
 	pool     glade.PoolSpec
 	body     []byte
@@ -176,7 +179,7 @@
 	if w.key == "" {
 		w.key = w.id
 	}
-	w.resend = c.Request().Header.Get(ResendHeader) == "true"
+	w.resend = isSet(c.Request().Header.Get(ResendHeader))
 	if (w.id != "" && !once.CheckText(w.id)) || (w.key != "" && !once.CheckText(w.key)) {
 		w.id = uuid.NewString()
 		return w, glade.ReasonMalformed
@@ -189,6 +192,9 @@
 		return w, s.unknownCustomer(start)
 	}
 	w.contract = contract
+	if w.age, ok = ageOf(c, w); !ok {
+		return w, glade.ReasonMalformed
+	}
 	if w.pool, ok = contract.PoolFor(glade.Service(c.Param("service"))); !ok {
 		return w, glade.ReasonService
 	}
@@ -207,6 +213,22 @@
 	return w, glade.ReasonNone
 }
 
+func isSet(text string) bool { return text != "" && text != "false" && text != "0" }
+
+// ageOf returns the time since a key was first sent. A resend that doesn't say
+// may be as old as the time that keys are remembered.
+func ageOf(c echo.Context, w work) (time.Duration, bool) {
+	text := c.Request().Header.Get(KeyAgeHeader)
+	switch {
+	case !w.resend:
+		return 0, true
+	case text == "":
+		return w.contract.Spec().Answer.Window.Duration(), true
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	return time.Duration(ms) * time.Millisecond, err == nil && ms >= 0
+}
+
 func (s *Server) unknownCustomer(now time.Time) glade.Reason {
 	if _, confirmed := s.config.Book.Age(now); !confirmed {
 		return glade.ReasonCold
--- a/serve/serve_test.go
+++ b/serve/serve_test.go
@@ -104,6 +104,7 @@
 	expectReply(t, h.call(path, "", serve.DeadlineHeader, "soon"), 400, "refused", "malformed")
 	expectReply(t, h.call(path, "", serve.DeadlineHeader, "0"), 503, "refused", "deadline")
 	expectReply(t, h.call(path, "", serve.KeyHeader, "two words"), 400, "refused", "malformed")
+	expectReply(t, h.call(path, "", serve.ResendHeader, "true", serve.KeyAgeHeader, "-1"), 400, "refused", "malformed")
 	expectReply(t, h.call(path, "", serve.IDHeader, strings.Repeat("x", 200)), 400, "refused", "malformed")
 	expectReply(t, h.call(path, strings.Repeat("x", 1<<20+1)), 413, "refused", "large")
 	qt.Check(t, h.runs.Load(), qt.Equals, int32(0))
