Let an owner in each zone decide on keys

Cause: with one owner among all entry hosts, a zone cut lost the keys owned beyond the cut on both sides. Change: two of three zone owners decide; keys homed in a zone keep the earlier rule. Claims ask once more when they learn of an incarnation. Callers that home their keys are served by a zone cut off.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"expvar"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -109,9 +110,7 @@
 	defer cancel()
 	ticket := c.open(send)
 	verdict := c.poll(ctx, ticket.attempt)
-	if verdict == once.Open && !ticket.attempt.IsWide() {
-		ticket.attempt.Widen(c.expect())
-		c.counters.Add("wide", 1)
+	for verdict == once.Open && c.widen(ticket.attempt) {
 		verdict = c.poll(ctx, ticket.attempt)
 	}
 	if verdict == once.Won {
@@ -125,6 +124,18 @@
 	return nil, c.undecided(send)
 }
 
+// widen asks all electors, and tells whether that may help. They are asked once
+// more when a vote showed an incarnation that the claim could not rest on yet.
+func (c *Claimer) widen(attempt *once.Attempt) bool {
+	expect := c.expect()
+	if attempt.IsWide() && maps.Equal(expect, attempt.Claim().Expect) {
+		return false
+	}
+	attempt.Widen(expect)
+	c.counters.Add("wide", 1)
+	return true
+}
+
 // undecided answers a send that too few entry hosts voted on. A first send did
 // not run; of a resend it isn't known whether an earlier one ran.
 func (c *Claimer) undecided(send Send) Answer {
@@ -140,14 +151,14 @@
 // a send that loses to this one always finds it.
 func (c *Claimer) open(send Send) *Ticket {
 	key := once.NewKey(send.Customer, send.Service, send.Text)
-	order := c.ring.Order(key, once.Home(send.Text))
+	electors := c.ring.Electors(key, once.Home(send.Text), c.config.Self)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	token := c.config.Random.Uint64() | 1
 	ticket := &Ticket{key: key, run: &run{text: send.Text, token: token, done: make(chan struct{})}}
 	c.active[sendID{key, token}] = ticket.run
 	ticket.attempt = once.NewAttempt(once.AttemptConfig{
-		Self: c.config.Self, Order: order,
+		Electors: electors,
 		Claim: once.Claim{
 			Key: key, Token: token, Node: c.config.Self,
 			Window: min(send.Window, MaxWindow).Milliseconds(), Settle: (send.Age + settleFactor*send.Promised).Milliseconds(), Expect: c.store.Expect(),
--- a/claim/claim_test.go
+++ b/claim/claim_test.go
@@ -25,9 +25,9 @@
 
 func (s serving) run() { _ = s.server.Run(s.ctx) }
 
-// newClaimers starts entry hosts that know each other. The first down ones
-// have an address where nobody listens.
-func newClaimers(t *testing.T, n, down int) []*claim.Claimer {
+// newClaimers starts entry hosts of a number of zones, which follow each other.
+// The first down ones have an address where nobody listens.
+func newClaimers(t *testing.T, n, zones, down int) []*claim.Claimer {
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	var members []once.Member
@@ -36,7 +36,7 @@
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
 		qt.Assert(t, err, qt.IsNil)
 		listeners = append(listeners, listener)
-		members = append(members, once.NewMember(glade.Node(fmt.Sprint("e", i)), "z"))
+		members = append(members, once.NewMember(glade.Node(fmt.Sprint("e", i)), glade.Zone(fmt.Sprint("z", i*zones/n))))
 	}
 	var claimers []*claim.Claimer
 	for i := range n {
@@ -89,7 +89,7 @@
 var answered = claim.Answer{Outcome: glade.Answered, Body: []byte("42")}
 
 func TestReplay(t *testing.T) {
-	all := newClaimers(t, 3, 0)
+	all := newClaimers(t, 3, 1, 0)
 	all[0].Finish(expectWon(t, all[0], newSend("k", false)), answered)
 	for _, c := range all {
 		expectAnswer(t, c, newSend("k", true), answered)
@@ -97,20 +97,35 @@
 }
 
 func TestRefusedMayRunAgain(t *testing.T) {
-	all := newClaimers(t, 1, 0)
+	all := newClaimers(t, 1, 1, 0)
 	all[0].Finish(expectWon(t, all[0], newSend("k", false)), claim.Answer{Outcome: glade.Refused, Reason: glade.ReasonQueue})
 	expectWon(t, all[0], newSend("k", true))
 }
 
 func TestOneDownIsNoReasonToRefuse(t *testing.T) {
-	all := newClaimers(t, 4, 1)
+	all := newClaimers(t, 4, 1, 1)
 	for i := range 8 {
 		expectWon(t, all[1+i%3], newSend(fmt.Sprint("k", i), true))
 	}
 }
 
+func TestOneZoneCutOffIsNoReasonToRefuse(t *testing.T) {
+	all := newClaimers(t, 6, 3, 2)
+	for i := range 12 {
+		expectWon(t, all[2+i%4], newSend(fmt.Sprint("k", i), true))
+	}
+}
+
+func TestZoneServesItsOwnKeysWhenCutOff(t *testing.T) {
+	all := newClaimers(t, 6, 3, 4)
+	for i := range 12 {
+		expectWon(t, all[4+i%2], newSend(fmt.Sprint("z2.", i), true))
+	}
+	expectAnswer(t, all[4], newSend("k", false), claim.Answer{Outcome: glade.Refused, Reason: glade.ReasonHistory})
+}
+
 func TestTooFewVotes(t *testing.T) {
-	all := newClaimers(t, 4, 3)
+	all := newClaimers(t, 4, 1, 3)
 	expectAnswer(t, all[3], newSend("k", false), claim.Answer{Outcome: glade.Refused, Reason: glade.ReasonHistory})
 	expectAnswer(t, all[3], newSend("k", true), claim.Answer{Outcome: glade.Unknown, Reason: glade.ReasonHistory})
 }
--- a/once/attempt.go
+++ b/once/attempt.go
@@ -1,10 +1,6 @@
 package once
 
-import (
-	"slices"
-
-	glade "indigoglade"
-)
+import glade "indigoglade"
 
 // Verdict is the state of an Attempt.
 type Verdict int
@@ -21,14 +17,12 @@
 
 // AttemptConfig configures an Attempt.
 type AttemptConfig struct {
-	Self glade.Node
-	// Order lists all entry hosts, the key's owner first.
-	Order []glade.Node
-	Claim Claim
+	Electors Electors
+	Claim    Claim
 }
 
-// Attempt collects the votes on one claim. It first asks the fewest entry
-// hosts that suffice, then all.
+// Attempt collects the votes on one claim. It first asks the fewest electors
+// that suffice, then all.
 type Attempt struct {
 	config AttemptConfig
 	wide   bool
@@ -51,21 +45,15 @@
 // Claim returns the claim to send.
 func (a *Attempt) Claim() Claim { return a.config.Claim }
 
-// Asks returns the entry hosts to ask, the own one included: the own one and
-// the owner, or the own one and the next when it is the owner itself.
+// Asks returns the entry hosts to ask now.
 func (a *Attempt) Asks() []glade.Node {
-	order := a.config.Order
-	if a.wide || len(order) < 2 {
-		return order
-	}
-	other := order[0]
-	if other == a.config.Self {
-		other = order[1]
+	if a.wide {
+		return a.config.Electors.Nodes()
 	}
-	return []glade.Node{a.config.Self, other}
+	return a.config.Electors.First()
 }
 
-// Widen starts over with all entry hosts, and the incarnations known by now.
+// Widen starts over with all electors, and the incarnations known by now.
 // Votes from before don't count, because they were given for others.
 func (a *Attempt) Widen(expect map[glade.Node]uint64) {
 	a.wide = true
@@ -73,7 +61,7 @@
 	a.votes = make(map[glade.Node]Vote)
 }
 
-// IsWide tells whether all entry hosts are asked.
+// IsWide tells whether all electors are asked.
 func (a *Attempt) IsWide() bool { return a.wide }
 
 // Add takes up a vote on the current claim.
@@ -86,7 +74,7 @@
 
 // Holder returns the send that has the key, when a vote named one.
 func (a *Attempt) Holder() (glade.Node, uint64, bool) {
-	for _, node := range a.config.Order {
+	for _, node := range a.config.Electors.Nodes() {
 		if v := a.votes[node]; v.State == Seen {
 			return v.Holder, v.Token, true
 		}
@@ -107,20 +95,10 @@
 		}
 	}
 	switch {
-	case a.isQuorum(grants):
+	case a.config.Electors.isQuorum(grants):
 		return Won
 	case seen:
 		return Lost
 	}
 	return Open
 }
-
-// isQuorum tells whether the grants suffice.
-func (a *Attempt) isQuorum(grants []glade.Node) bool {
-	n := len(a.config.Order)
-	if n < 3 {
-		return len(grants) == n
-	}
-	fast := len(grants) >= 2 && slices.Contains(grants, a.config.Order[0])
-	return fast || len(grants) >= n-1
-}
--- a/once/key.go
+++ b/once/key.go
@@ -2,14 +2,13 @@
 // runs at most once whichever entry hosts its sends reach.
 //
 // Before a send runs it is claimed: some entry hosts record the key and grant
-// the claim. The grants that suffice, a quorum, are those of the key's owner
-// and one other entry host, or those of all entry hosts but one. Any two
-// quorums share an entry host, and an entry host grants a key to one claim
-// only. The list of entry hosts comes from the settings, so that a wrong belief
-// about who is alive costs an answer and never a second run.
+// the claim. Those that suffice are a quorum, see Electors. Any two quorums
+// share an entry host, and an entry host grants a key to one claim only. The
+// list of entry hosts comes from the settings, so that a wrong belief about who
+// is alive costs an answer and never a second run.
 //
-//	owner A: claim 1 has A+C, claim 2 from D asks A        -> seen, not run
-//	A is cut off: claim 2 needs B, C, D, E, F and G; C saw -> not run
+//	owners A, B, C of three zones: claim 1 has A+B
+//	B's zone is cut off: claim 2 asks A -> seen, not run
 //
 // An entry host that starts again has lost what it recorded. Its history is
 // whole once it has copied the records of all others while theirs were whole,
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -52,6 +52,7 @@
 type world struct {
 	now      time.Time
 	strict   bool
+	home     glade.Zone
 	nodes    []glade.Node
 	zones    map[glade.Node]glade.Zone
 	ring     *once.Ring
@@ -154,7 +155,7 @@
 	w.tokens++
 	s := &send{key: key, node: node, end: w.now.Add(promised)}
 	s.attempt = once.NewAttempt(once.AttemptConfig{
-		Self: node, Order: w.ring.Order(key, ""),
+		Electors: w.ring.Electors(key, w.home, node),
 		Claim: once.Claim{
 			Key: key, Token: w.tokens, Node: node, Window: window.Milliseconds(), Settle: (settle + age).Milliseconds(),
 			Expect: w.stores[node].Expect(),
@@ -305,11 +306,12 @@
 
 // expectOnce lets entry hosts claim two keys again and again under restarts,
 // cuts, and messages that are late, crossed or lost.
-func expectOnce(t *testing.T, name string, n int, strict bool) {
+func expectOnce(t *testing.T, name string, n int, strict bool, home glade.Zone) {
 	t.Run(fmt.Sprint(name, n), func(t *testing.T) {
 		won := 0
 		rapid.Check(t, func(t *rapid.T) {
 			w := newWorld(n, strict)
+			w.home = home
 			t.Repeat(w.actions())
 			won += len(w.wins)
 		})
@@ -319,7 +321,9 @@
 
 func TestOnce(t *testing.T) {
 	for _, n := range []int{3, 4, 7, 9} {
-		expectOnce(t, "strict", n, true)
-		expectOnce(t, "marked", n, false)
+		expectOnce(t, "strict", n, true, "")
+		expectOnce(t, "marked", n, false, "")
+		expectOnce(t, "home strict", n, true, "z1")
+		expectOnce(t, "home marked", n, false, "z1")
 	}
 }
--- a/once/store_test.go
+++ b/once/store_test.go
@@ -38,9 +38,14 @@
 	expectVote(t, b, now, newClaim(key, 7, map[glade.Node]uint64{"a": 2, "b": 1}), once.Blank)
 }
 
+func newRing() *once.Ring {
+	return once.NewRing([]once.Member{once.NewMember("a", "z"), once.NewMember("b", "y"), once.NewMember("c", "x")})
+}
+
 func TestVoteOfAnotherIncarnationDoesNotCount(t *testing.T) {
 	attempt := once.NewAttempt(once.AttemptConfig{
-		Self: "b", Order: []glade.Node{"a", "b", "c"}, Claim: newClaim(key, 7, map[glade.Node]uint64{"a": 1, "b": 1}),
+		Electors: newRing().Electors(key, "z", "b"),
+		Claim:    newClaim(key, 7, map[glade.Node]uint64{"a": 1, "b": 1}),
 	})
 	attempt.Add(once.Vote{Node: "b", Inc: 1, State: once.Granted})
 	attempt.Add(once.Vote{Node: "a", Inc: 2, State: once.Granted})
