--- /dev/null
+++ b/bench/internal/scale/probe.go
@@ -0,0 +1,145 @@
+// Package scale measures what each role costs at several sizes and works out
+// the cost at the size of docs/CAPACITY.md.
+package scale
+
+import (
+	"math"
+	"runtime"
+	"slices"
+	"testing"
+)
+
+// Cost is what one node spends in the steady state.
+type Cost struct {
+	// Heap is memory in bytes.
+	Heap float64
+	// CPU is processor time in nanoseconds a second.
+	CPU float64
+	// Wire is control traffic in bytes a second, both ways.
+	Wire float64
+	// Reads and Writes are rows a second at the table service, over all nodes.
+	Reads  float64
+	Writes float64
+}
+
+// axis is one part of a Cost.
+type axis struct {
+	name string
+	unit string
+	get  func(Cost) float64
+}
+
+var axes = []axis{
+	{"heap", "KB", func(c Cost) float64 { return c.Heap / 1e3 }},
+	{"cpu", "% core", func(c Cost) float64 { return c.CPU / 1e7 }},
+	{"wire", "KB/s", func(c Cost) float64 { return c.Wire / 1e3 }},
+	{"reads", "rows/s", func(c Cost) float64 { return c.Reads }},
+	{"writes", "rows/s", func(c Cost) float64 { return c.Writes }},
+}
+
+// Probe measures one part of a role at several sizes.
+type Probe struct {
+	Role string
+	Part string
+	// Per names what the size counts.
+	Per   string
+	Sizes []int
+	// Target is the size of docs/CAPACITY.md.
+	Target int
+	Run    func(n int, time timer) (Cost, error)
+}
+
+// timer returns the processor time of one call of op, in nanoseconds.
+type timer func(op func()) float64
+
+// untimed leaves processor time out, for measures that have to give the same
+// value every time.
+func untimed(func()) float64 { return 0 }
+
+// Line is a straight line through measured points.
+type Line struct {
+	Fixed float64
+	Slope float64
+	// Worst is the greatest distance of a point from the line, as a share of
+	// the point.
+	Worst float64
+}
+
+// At returns the value at a size.
+func (l Line) At(n int) float64 { return l.Fixed + l.Slope*float64(n) }
+
+// fit returns the line of least squares.
+func fit(sizes []int, values []float64) Line {
+	var sx, sy, sxx, sxy float64
+	n := float64(len(sizes))
+	for i, size := range sizes {
+		x := float64(size)
+		sx += x
+		sy += values[i]
+		sxx += x * x
+		sxy += x * values[i]
+	}
+	slope := (n*sxy - sx*sy) / (n*sxx - sx*sx)
+	line := Line{Fixed: (sy - slope*sx) / n, Slope: slope}
+	for i, size := range sizes {
+		if values[i] != 0 {
+			line.Worst = max(line.Worst, math.Abs(line.At(size)-values[i])/math.Abs(values[i]))
+		}
+	}
+	return line
+}
+
+// Result is a probe with what it measured.
+type Result struct {
+	Probe Probe
+	Costs []Cost
+}
+
+// measure runs a probe at each of its sizes.
+func measure(p Probe, time timer) (Result, error) {
+	r := Result{Probe: p}
+	for _, n := range p.Sizes {
+		cost, err := p.Run(n, time)
+		if err != nil {
+			return r, err
+		}
+		r.Costs = append(r.Costs, cost)
+	}
+	return r, nil
+}
+
+// line fits one part of the cost, and tells whether the probe measured it.
+func (r Result) line(a axis) (Line, bool) {
+	values := make([]float64, len(r.Costs))
+	for i, cost := range r.Costs {
+		values[i] = a.get(cost)
+	}
+	return fit(r.Probe.Sizes, values), slices.Max(values) > 0
+}
+
+// heapOf returns the memory that build's result holds on to.
+func heapOf(build func() any) float64 {
+	before := heap()
+	kept := build()
+	after := heap()
+	runtime.KeepAlive(kept)
+	return max(0, after-before)
+}
+
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// nanos is a timer that runs op many times.
+func nanos(op func()) float64 {
+	result := testing.Benchmark(func(b *testing.B) {
+		for b.Loop() {
+			op()
+		}
+	})
+	return float64(result.T.Nanoseconds()) / float64(result.N)
+}
--- /dev/null
+++ b/bench/internal/scale/report.go
@@ -0,0 +1,91 @@
+package scale
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/pkg/errors"
+
+	glade "indigoglade"
+	"indigoglade/owner"
+)
+
+// Command prints the slopes and what follows from them.
+type Command struct {
+	Part string `help:"Measure only parts of a role whose name contains this text."`
+}
+
+// Run measures every probe at its sizes.
+func (c Command) Run() error {
+	// Shorter than the second that benchmarks take by themselves: the slopes
+	// need no more than two digits.
+	testing.Init()
+	if err := flag.Set("test.benchtime", "100ms"); err != nil {
+		return errors.Wrap(err, "set length of benchmarks")
+	}
+	sums := make(map[string]Cost)
+	for _, p := range probes() {
+		if !strings.Contains(p.Part, c.Part) {
+			continue
+		}
+		result, err := measure(p, nanos)
+		if err != nil {
+			return errors.Wrapf(err, "%s %s", p.Role, p.Part)
+		}
+		result.print(os.Stdout)
+		sums[p.Role] = add(sums[p.Role], result)
+	}
+	for _, role := range []string{"entry", "keeper"} {
+		printSum(os.Stdout, role, sums[role])
+	}
+	return nil
+}
+
+func probes() []Probe { return append(entryProbes(), keeperProbes()...) }
+
+func (r Result) print(w io.Writer) {
+	fmt.Fprintf(w, "%s: %s, by %s\n", r.Probe.Role, r.Probe.Part, r.Probe.Per)
+	for _, a := range axes {
+		line, measured := r.line(a)
+		if !measured {
+			continue
+		}
+		fmt.Fprintf(w, "  %-7s", a.name)
+		for i, size := range r.Probe.Sizes {
+			fmt.Fprintf(w, " %10.4g at %-5d", a.get(r.Costs[i]), size)
+		}
+		fmt.Fprintf(w, "  slope %.3g, off by at most %.0f %%; at %d: %.4g %s\n",
+			line.Slope, 100*line.Worst, r.Probe.Target, line.At(r.Probe.Target), a.unit)
+	}
+}
+
+// add adds what a part of a role costs at its target.
+func add(sum Cost, r Result) Cost {
+	at := func(a axis) float64 {
+		line, _ := r.line(a)
+		return line.At(r.Probe.Target)
+	}
+	return Cost{
+		Heap:   sum.Heap + at(axes[0])*1e3,
+		CPU:    sum.CPU + at(axes[1])*1e7,
+		Wire:   sum.Wire + at(axes[2])*1e3,
+		Reads:  sum.Reads + at(axes[3]),
+		Writes: sum.Writes + at(axes[4]),
+	}
+}
+
+func printSum(w io.Writer, role string, c Cost) {
+	fmt.Fprintf(w, "%s in all: heap %.1f MB (bound %.0f), cpu %.2f %% of a core (bound %.1f), wire %.1f KB/s (bound %.0f), "+
+		"table reads %.0f (bound %d) and writes %.1f rows/s (bound %d)\n",
+		role, c.Heap/1e6, heapBound/1e3, c.CPU/1e7, cpuBound, c.Wire/1e3, wireBound, c.Reads, readBound, c.Writes, writeBound)
+}
+
+func loadAccount(t glade.Table, spec glade.ContractSpec) (glade.AccountRow, error) {
+	account, err := owner.LoadAccount(context.Background(), t, spec.Customer, spec.Pools[0].Name)
+	return account.Data(), err
+}
--- a/bench/main.go
+++ b/bench/main.go
@@ -8,11 +8,13 @@
 	"github.com/alecthomas/kong"
 
 	"indigoglade/bench/internal/load"
+	"indigoglade/bench/internal/scale"
 )
 
 type commands struct {
-	Measure measureCommand `cmd:"" default:"withargs" help:"Run every measure that has a bound and print one row each."`
-	Load    load.Command   `cmd:"" help:"Send work to running entry hosts and check each outcome against the endpoints' ledger."`
+	Measure  measureCommand `cmd:"" default:"withargs" help:"Run every measure that has a bound and print one row each."`
+	Capacity scale.Command  `cmd:"" help:"Measure the slopes of docs/CAPACITY.md and work out the cost at its size."`
+	Load     load.Command   `cmd:"" help:"Send work to running entry hosts and check each outcome against the endpoints' ledger."`
 }
 
 func main() {
--- a/burn/burn_test.go
+++ b/burn/burn_test.go
@@ -1,6 +1,7 @@
 package burn_test
 
 import (
+	"encoding/json"
 	"fmt"
 	"testing"
 	"time"
@@ -194,3 +195,21 @@
 	quicktest.Assert(t, line.Left, quicktest.Equals, 50.0)
 	quicktest.Assert(t, line.Level, quicktest.Equals, burn.LevelFast)
 }
+
+func TestSnapshotKeepsItsCounts(t *testing.T) {
+	h := newHost("e1", start)
+	h.answer(3, 1)
+	h.clock.Advance(7 * time.Minute)
+	h.meter.Record("dealers", glade.Unknown, 0, 0)
+	h.meter.Record("grants", glade.Refused, 0, 0)
+	want := h.meter.Snapshot()
+	text, err := json.Marshal(want)
+	quicktest.Assert(t, err, quicktest.IsNil)
+	var got burn.Snapshot
+	quicktest.Assert(t, json.Unmarshal(text, &got), quicktest.IsNil)
+	quicktest.Assert(t, got, quicktest.DeepEquals, want)
+	t.Run("refuses more numbers than it knows", func(t *testing.T) {
+		var b burn.Buckets
+		quicktest.Assert(t, json.Unmarshal([]byte("[[1,2,3,4,5,6,7]]"), &b), quicktest.ErrorMatches, ".*7 numbers.*")
+	})
+}
--- a/burn/keep.go
+++ b/burn/keep.go
@@ -8,6 +8,21 @@
 	"indigoglade/table"
 )
 
+// Bounds of the time between two hand-overs.
+const (
+	minPause = 30 * time.Second
+	maxPause = 30 * time.Minute
+	// SaveRate is the traffic that hand-overs may take, in bytes a second. With
+	// many customers a snapshot is large, and is handed over less often.
+	SaveRate = 500
+)
+
+// Pause returns the time to wait after a snapshot of that size in bytes was
+// handed over. It bounds the counts that are lost with a killed entry host.
+func Pause(size int) time.Duration {
+	return min(max(time.Duration(size)*time.Second/SaveRate, minPause), maxPause)
+}
+
 // Save writes a snapshot to the table service. A snapshot that is no later than
 // the one kept is left out, so that a write that comes late does no harm.
 func Save(ctx context.Context, t glade.Table, s Snapshot) (glade.Commit, error) {
--- a/burn/meter.go
+++ b/burn/meter.go
@@ -98,8 +98,8 @@
 		s.Rows = append(s.Rows, Row{
 			Customer: customer,
 			Total:    counts.total,
-			Fine:     append([]Bucket(nil), counts.fine.buckets...),
-			Coarse:   append([]Bucket(nil), counts.coarse.buckets...),
+			Fine:     append(Buckets(nil), counts.fine.buckets...),
+			Coarse:   append(Buckets(nil), counts.coarse.buckets...),
 		})
 	}
 	sort.Slice(s.Rows, func(i, j int) bool { return s.Rows[i].Customer < s.Rows[j].Customer })
--- a/burn/series.go
+++ b/burn/series.go
@@ -8,9 +8,9 @@
 
 // Bucket is the counts of a stretch of time.
 type Bucket struct {
-	// From is the start in milliseconds since 1970.
-	From   int64  `json:"from"`
-	Counts Counts `json:"counts"`
+	// From is the start in milliseconds since 1970, a whole minute.
+	From   int64
+	Counts Counts
 }
 
 // Widths and numbers of the buckets: an hour by the minute, and a day by ten
@@ -84,8 +84,8 @@
 type Row struct {
 	Customer glade.Customer `json:"customer"`
 	Total    Counts         `json:"total"`
-	Fine     []Bucket       `json:"fine"`
-	Coarse   []Bucket       `json:"coarse"`
+	Fine     Buckets        `json:"fine"`
+	Coarse   Buckets        `json:"coarse"`
 }
 
 // In returns the counts of a window before now. Windows of at most an hour are
--- a/entry/internal/duty/burn.go
+++ b/entry/internal/duty/burn.go
@@ -2,30 +2,29 @@
 
 import (
 	"context"
+	"encoding/json"
+	"net/http"
 	"time"
 
+	"github.com/labstack/echo/v4"
+
 	glade "indigoglade"
 	"indigoglade/burn"
 )
 
-// Periods of handing over the counts of outcomes.
-const (
-	// savePeriod bounds the counts that are lost with a killed entry host.
-	savePeriod = 30 * time.Second
-	// saveTimeout bounds the last hand-over of a graceful stop.
-	saveTimeout = 3 * time.Second
-)
+// saveTimeout bounds the last hand-over of a graceful stop.
+const saveTimeout = 3 * time.Second
 
 // Burn hands the counts of outcomes to the table service every so often, and
 // the last ones when ctx ends. It has to be added to the group after the
 // callers' server, which is stopped first, so that the last counts are whole.
 func (d *Duties) Burn(ctx context.Context) error {
 	d.forgetCounts(ctx)
-	for {
-		if d.config.Clock.Sleep(ctx, savePeriod) != nil {
-			break
-		}
-		d.saveCounts(ctx, d.config.Meter.Snapshot())
+	pause := burn.Pause(0)
+	for d.config.Clock.Sleep(ctx, pause) == nil {
+		s := d.config.Meter.Snapshot()
+		d.saveCounts(ctx, s)
+		pause = burn.Pause(sizeOf(s))
 	}
 	last := d.config.Meter.Snapshot()
 	last.Final = true
@@ -35,6 +34,20 @@
 	return nil
 }
 
+// sizeOf returns the size of a snapshot as it is written, in bytes.
+func sizeOf(s burn.Snapshot) int {
+	text, err := json.Marshal(s)
+	if err != nil {
+		return 0
+	}
+	return len(text)
+}
+
+// BurnStatus answers operators' queries for the counts of outcomes.
+func (d *Duties) BurnStatus(c echo.Context) error {
+	return c.JSON(http.StatusOK, d.config.Meter.Snapshot())
+}
+
 // forgetCounts removes what earlier incarnations of this entry host left and no
 // window reaches any more.
 func (d *Duties) forgetCounts(ctx context.Context) {
--- a/entry/internal/duty/duty.go
+++ b/entry/internal/duty/duty.go
@@ -86,11 +86,10 @@
 
 // Report is what an entry host says of itself.
 type Report struct {
-	Node     glade.Node    `json:"node"`
-	Change   uint64        `json:"change"`
-	Age      int64         `json:"age"` // milliseconds; -1 when never confirmed
-	Versions []Version     `json:"versions"`
-	Burn     burn.Snapshot `json:"burn"`
+	Node     glade.Node `json:"node"`
+	Change   uint64     `json:"change"`
+	Age      int64      `json:"age"` // milliseconds; -1 when never confirmed
+	Versions []Version  `json:"versions"`
 }
 
 // Status answers operators' queries.
@@ -99,7 +98,7 @@
 }
 
 func (d *Duties) report() Report {
-	r := Report{Node: d.config.Node, Change: d.config.Book.Change(), Age: -1, Burn: d.config.Meter.Snapshot()}
+	r := Report{Node: d.config.Node, Change: d.config.Book.Change(), Age: -1}
 	if age, confirmed := d.config.Book.Age(d.config.Clock.Now()); confirmed {
 		r.Age = age.Milliseconds()
 	}
--- a/entry/main.go
+++ b/entry/main.go
@@ -77,6 +77,7 @@
 	mux := link.NewMux()
 	duties.Register(mux)
 	group.Status().GET("/status", duties.Status)
+	group.Status().GET("/burn", duties.BurnStatus)
 	group.Add(link.NewServer(peers, mux).Run)
 	group.Add(front.Run)
 	group.Add(duties.Contracts)
--- a/indigo/internal/cmds/apply.go
+++ b/indigo/internal/cmds/apply.go
@@ -215,7 +215,7 @@
 func lagging(ctx context.Context, e *env, applied []Applied) []glade.Node {
 	var behind []glade.Node
 	for _, entry := range e.site.Entries {
-		report, err := fetchReport(ctx, entry.Status)
+		report, err := fetchPage[nodeReport](ctx, entry.Status, "/status")
 		if err != nil || !hasVersions(report, applied) {
 			behind = append(behind, entry.Node)
 		}
--- a/indigo/internal/cmds/burn.go
+++ b/indigo/internal/cmds/burn.go
@@ -55,12 +55,12 @@
 	var live []burn.Snapshot
 	var unreached []glade.Node
 	for _, entry := range e.site.Entries {
-		node, err := fetchReport(ctx, entry.Status)
+		snapshot, err := fetchPage[burn.Snapshot](ctx, entry.Status, "/burn")
 		if err != nil {
 			unreached = append(unreached, entry.Node)
 			continue
 		}
-		live = append(live, node.Burn)
+		live = append(live, snapshot)
 	}
 	kept, err := loadRows[burn.Snapshot](ctx, platform, burn.PrefixBurn)
 	if err != nil {
--- a/indigo/internal/cmds/report.go
+++ b/indigo/internal/cmds/report.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
-	"indigoglade/burn"
 	"indigoglade/remote"
 	"indigoglade/table"
 )
@@ -26,25 +25,25 @@
 		Customer glade.Customer `json:"customer"`
 		Version  uint64         `json:"version"`
 	} `json:"versions"`
-	Burn burn.Snapshot `json:"burn"`
 }
 
 const queryTimeout = time.Second
 
-func fetchReport(ctx context.Context, address string) (nodeReport, error) {
+// fetchPage asks one entry host for a page of its status address.
+func fetchPage[T any](ctx context.Context, address, path string) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	var report nodeReport
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	var page T
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return report, errors.Wrap(err, "build query")
+		return page, errors.Wrap(err, "build query")
 	}
 	reply, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return report, errors.Wrap(err, "query entry host")
+		return page, errors.Wrap(err, "query entry host")
 	}
 	defer reply.Body.Close()
-	return report, errors.Wrap(json.NewDecoder(reply.Body).Decode(&report), "decode answer")
+	return page, errors.Wrap(json.NewDecoder(reply.Body).Decode(&page), "decode answer")
 }
 
 type showCommand struct {
