--- a/bench/internal/scale/entry.go
+++ b/bench/internal/scale/entry.go
@@ -126,7 +126,7 @@
 	update := func() {
 		var list []glade.Listed
 		if json.Unmarshal(text, &list) == nil {
-			router.Update(list)
+			router.Update(start, list)
 		}
 	}
 	heap := heapOf(func() any {
@@ -138,11 +138,15 @@
 }
 
 func newRouter() *route.Router {
-	return route.New(route.Config{
-		Zone:   "zone00",
-		Share:  func(glade.Zone) int { return 2 },
-		Random: rand.New(rand.NewPCG(1, 1)),
-	})
+	return route.New(route.Config{Share: shareOf, Random: rand.New(rand.NewPCG(1, 1))})
+}
+
+// shareOf gives an entry host a share of the runners of its own zone.
+func shareOf(row glade.Listed) int {
+	if row.Zone != "zone00" {
+		return 0
+	}
+	return 1
 }
 
 // outcomeCost measures the counts of n customers who were all served through a
--- a/entry/internal/ticket/ticket.go
+++ b/entry/internal/ticket/ticket.go
@@ -14,8 +14,8 @@
 
 	glade "indigoglade"
 	"indigoglade/adopt"
-	"indigoglade/entry/internal/serve"
 	"indigoglade/jobs"
+	"indigoglade/serve"
 )
 
 // Bounds of the callers' interface.
--- a/stand/internal/fleet/runner.go
+++ b/stand/internal/fleet/runner.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
+	"indigoglade/memory"
 	"indigoglade/stand/internal/fault"
 	"indigoglade/stand/internal/ledger"
 )
@@ -61,11 +62,7 @@
 	upAt     time.Time
 	slots    chan struct{}
 	stopping chan struct{}
-	tasks    map[string]*task
-	// ended holds the tasks that may not start any more.
-	ended map[string]bool
-	// lease is when the leases of the tasks were renewed last.
-	lease time.Time
+	tasks    *memory.Tasks
 }
 
 func newRunner(listed glade.Listed, config Config, with Parts) (*Runner, error) {
@@ -77,8 +74,9 @@
 		listed:   listed,
 		slots:    make(chan struct{}, config.Slots),
 		stopping: make(chan struct{}),
-		tasks:    make(map[string]*task),
-		ended:    make(map[string]bool),
+		tasks: memory.NewTasks(memory.TasksConfig{
+			Work: config.Task.Duration(), Usage: config.Usage.Duration(), Lease: config.Lease.Duration(),
+		}),
 	}
 	listener, err := newGate(listed.Address, r.IsDown)
 	r.listener = listener
@@ -119,7 +117,7 @@
 		Host:        r.listed.Host,
 		Incarnation: r.listed.Incarnation,
 		Draining:    r.listed.Leaving,
-		Running:     r.flight + r.waiting + r.runningTasks(),
+		Running:     r.flight + r.waiting + r.tasks.Running(r.clock.Now()),
 		Service:     r.listed.Service,
 		Epoch:       r.epoch,
 	}, nil
@@ -156,7 +154,7 @@
 		close(r.stopping)
 		r.stopping = make(chan struct{})
 	}
-	r.book.CutTasks(r.dropTasks())
+	r.book.CutTasks(r.tasks.Drop(r.clock.Now()))
 	r.epoch = epoch
 	r.listed.Incarnation++
 	r.listed.Leaving = false
