--- a/bench/internal/scale/keeper.go
+++ b/bench/internal/scale/keeper.go
@@ -120,22 +120,24 @@
 	}
 	const rounds = 20
 	r.bytes.bytes = 0
-	before, _ := r.store.Counts()
+	before, writesBefore := r.store.Counts()
 	for range rounds {
 		if err := r.round(); err != nil {
 			return Cost{}, err
 		}
 	}
-	after, _ := r.store.Counts()
+	after, writesAfter := r.store.Counts()
+	bytes := float64(r.bytes.bytes)
 	seconds := rounds * roundPeriod.Seconds()
 	// The change head is read by every keeper, all else by the one whose duty
 	// the pool is.
 	heads := rounds
 	took := cpu(func() { err = r.round() })
 	return Cost{
-		CPU:   took / roundPeriod.Seconds() / entries,
-		Wire:  float64(r.bytes.bytes) / seconds / entries,
-		Reads: float64(after-before-heads)/seconds + entries/roundPeriod.Seconds(),
+		CPU:    took / roundPeriod.Seconds() / entries,
+		Wire:   bytes / seconds / entries,
+		Reads:  float64(after-before-heads)/seconds + entries/roundPeriod.Seconds(),
+		Writes: float64(writesAfter-writesBefore) / seconds,
 	}, err
 }
 
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -110,6 +110,9 @@
 
 // release returns a grant, at once or when the endpoint has ended the attempt.
 func (s *Server) release(answer desk.Answer, r send.Result, w work) {
+	if grant, ok := answer.Grant(); ok && r.IsLeaving() && s.config.End != nil {
+		s.config.End(grant.Endpoint())
+	}
 	u := usage{
 		desk: s.config.Desk, answer: answer, rest: r.Rest(), until: w.deadline.Add(restTime),
 		attempt: desk.Attempt{Service: w.pool.Serve, Result: resultOf(r), Leaving: r.IsLeaving()},
