--- a/peer/start.go
+++ b/peer/start.go
@@ -1,6 +1,8 @@
 package peer
 
 import (
+	"slices"
+
 	glade "indigoglade"
 	"indigoglade/adopt"
 )
@@ -39,6 +41,7 @@
 			nodes = append(nodes, node)
 		}
 	}
+	slices.Sort(nodes)
 	return nodes
 }
 
--- a/serve/attempt.go
+++ b/serve/attempt.go
@@ -8,6 +8,7 @@
 	glade "indigoglade"
 	"indigoglade/claim"
 	"indigoglade/desk"
+	"indigoglade/loans"
 	"indigoglade/retry"
 	"indigoglade/route"
 	"indigoglade/send"
@@ -89,12 +90,19 @@
 		if !ok {
 			return firstOf(last, result{outcome: glade.Refused, reason: answer.Reason(), retry: answer.Retry()})
 		}
+		if !s.config.Loans.Acquire(w.contract) {
+			s.config.Desk.Release(answer, desk.Attempt{Service: w.pool.Serve, Result: route.Unused})
+			return firstOf(last, refused(glade.ReasonLimit))
+		}
 		avoid = grant.Endpoint()
 		// An attempt goes on when its caller leaves: the endpoint works on it
 		// all the same, and its slot stays taken.
 		r := s.config.Sender.Do(context.WithoutCancel(ctx), send.Call{
 			ID: w.id, Service: w.pool.Serve, Address: grant.Address(), Body: w.body, Deadline: w.deadline,
 		})
+		if r.IsLeaving() {
+			s.config.End(grant.Endpoint())
+		}
 		s.release(answer, r, w)
 		last = firstOf(last, result{outcome: r.Outcome(), reason: r.Reason(), body: r.Body()})
 		if !s.mayRetry(ctx, w, r) {
@@ -110,11 +118,8 @@
 
 // release returns a grant, at once or when the endpoint has ended the attempt.
 func (s *Server) release(answer desk.Answer, r send.Result, w work) {
-	if grant, ok := answer.Grant(); ok && r.IsLeaving() && s.config.End != nil {
-		s.config.End(grant.Endpoint())
-	}
 	u := usage{
-		desk: s.config.Desk, answer: answer, rest: r.Rest(), until: w.deadline.Add(restTime),
+		desk: s.config.Desk, loans: s.config.Loans, customer: w.contract.Customer(), answer: answer, rest: r.Rest(), until: w.deadline.Add(restTime),
 		attempt: desk.Attempt{Service: w.pool.Serve, Result: resultOf(r), Leaving: r.IsLeaving()},
 	}
 	if u.rest == nil {
@@ -126,11 +131,13 @@
 
 // usage is the use of a grant by an attempt.
 type usage struct {
-	desk    *desk.Desk
-	answer  desk.Answer
-	attempt desk.Attempt
-	rest    *send.Rest
-	until   time.Time
+	desk     *desk.Desk
+	loans    *loans.Loans
+	customer glade.Customer
+	answer   desk.Answer
+	attempt  desk.Attempt
+	rest     *send.Rest
+	until    time.Time
 }
 
 func (u usage) run() {
@@ -138,7 +145,10 @@
 	u.end()
 }
 
-func (u usage) end() { u.desk.Release(u.answer, u.attempt) }
+func (u usage) end() {
+	u.loans.Release(u.customer)
+	u.desk.Release(u.answer, u.attempt)
+}
 
 // firstOf returns what is known after a further attempt: once an attempt may
 // have run, a later refusal doesn't undo it.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -22,6 +22,7 @@
 	"indigoglade/claim"
 	"indigoglade/daemon"
 	"indigoglade/desk"
+	"indigoglade/loans"
 	"indigoglade/once"
 	"indigoglade/send"
 )
@@ -49,11 +50,12 @@
 	Sender *send.Sender
 	// Claimer claims keyed work of pools that are not repeatable.
 	Claimer *claim.Claimer
-	Meter   *burn.Meter
-	Clock   glade.Clock
-	// End is told of endpoint incarnations that said they are leaving. It may
-	// be nil.
-	End func(endpoint glade.Endpoint)
+	// Loans keeps the contract's limits; without it there are none.
+	Loans *loans.Loans
+	// End is told of endpoint incarnations that said they are leaving.
+	End   func(endpoint glade.Endpoint)
+	Meter *burn.Meter
+	Clock glade.Clock
 	// Counters receives the counts; a nil map is replaced by one of its own.
 	Counters *expvar.Map
 	// Routes add further routes for callers.
@@ -73,6 +75,9 @@
 	if config.Counters == nil {
 		config.Counters = new(expvar.Map).Init()
 	}
+	if config.End == nil {
+		config.End = func(glade.Endpoint) {}
+	}
 	return &Server{config: config, outcomes: config.Counters}
 }
 
