--- a/indigo/internal/cmds/apply.go
+++ b/indigo/internal/cmds/apply.go
@@ -200,7 +200,7 @@
 	system := clock.System{}
 	start := system.Now()
 	for {
-		behind := lagging(ctx, e, applied)
+		behind := lagging(e, fetchReports(ctx, e), applied)
 		took := system.Now().Sub(start)
 		n := len(e.site.Entries)
 		force := Force{At: n - len(behind), Of: n, Seconds: took.Seconds(), Missing: behind}
@@ -211,12 +211,12 @@
 }
 
 // lagging names the entry hosts that do not have every version in force, or
-// can't be reached.
-func lagging(ctx context.Context, e *env, applied []Applied) []glade.Node {
+// did not answer.
+func lagging(e *env, reports map[glade.Node]nodeReport, applied []Applied) []glade.Node {
 	var behind []glade.Node
 	for _, entry := range e.site.Entries {
-		report, err := fetchPage[nodeReport](ctx, entry.Status, "/status")
-		if err != nil || !hasVersions(report, applied) {
+		report, ok := reports[entry.Node]
+		if !ok || !hasVersions(report, applied) {
 			behind = append(behind, entry.Node)
 		}
 	}
--- a/indigo/internal/cmds/report.go
+++ b/indigo/internal/cmds/report.go
@@ -46,6 +46,17 @@
 	return page, errors.Wrap(json.NewDecoder(reply.Body).Decode(&page), "decode answer")
 }
 
+// fetchReports asks every entry host; those that don't answer are left out.
+func fetchReports(ctx context.Context, e *env) map[glade.Node]nodeReport {
+	reports := make(map[glade.Node]nodeReport)
+	for _, entry := range e.site.Entries {
+		if report, err := fetchPage[nodeReport](ctx, entry.Status, "/status"); err == nil {
+			reports[entry.Node] = report
+		}
+	}
+	return reports
+}
+
 type showCommand struct {
 	Contracts showContracts `cmd:"" help:"Show the accepted contracts and where they are in force."`
 	Pools     showPools     `cmd:"" help:"Show the pools with their hosts by phase."`
@@ -57,19 +68,43 @@
 
 type showContracts struct{}
 
+// contractLine is one accepted contract and where it is in force.
+type contractLine struct {
+	Customer glade.Customer `json:"customer"`
+	Version  uint64         `json:"version"`
+	Change   uint64         `json:"change"`
+	At       int            `json:"at"`
+	Of       int            `json:"of"`
+	Missing  []glade.Node   `json:"missing"`
+}
+
 // Run shows the contracts.
 func (showContracts) Run(c *commands, e *env) error {
 	platform, err := c.load(e)
 	if err != nil {
 		return err
 	}
-	rows, err := loadRows[glade.ContractRow](context.Background(), platform, glade.PrefixContract)
+	ctx := context.Background()
+	rows, err := loadRows[glade.ContractRow](ctx, platform, glade.PrefixContract)
 	if err != nil {
 		return err
 	}
-	return e.print(rows, func(w io.Writer) {
-		for _, row := range rows {
-			fmt.Fprintf(w, "%-12s version %d, change %d\n", row.Spec.Customer, row.Version, row.Change)
+	reports := fetchReports(ctx, e)
+	lines := make([]contractLine, 0, len(rows))
+	for _, row := range rows {
+		behind := lagging(e, reports, []Applied{{Customer: row.Spec.Customer, Version: row.Version}})
+		n := len(e.site.Entries)
+		lines = append(lines, contractLine{
+			Customer: row.Spec.Customer, Version: row.Version, Change: row.Change, At: n - len(behind), Of: n, Missing: behind,
+		})
+	}
+	return e.print(lines, func(w io.Writer) {
+		for _, line := range lines {
+			fmt.Fprintf(w, "%-12s version %d, change %d, in force at %d of %d entry hosts", line.Customer, line.Version, line.Change, line.At, line.Of)
+			if len(line.Missing) > 0 {
+				fmt.Fprint(w, "; not yet, or not reached: ", line.Missing)
+			}
+			fmt.Fprintln(w)
 		}
 	})
 }
