--- a/indigo/internal/cmds/report.go
+++ b/indigo/internal/cmds/report.go
@@ -12,7 +12,6 @@
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
-	"indigoglade/burn"
 	"indigoglade/remote"
 	"indigoglade/table"
 )
@@ -26,25 +25,36 @@
 		Customer glade.Customer `json:"customer"`
 		Version  uint64         `json:"version"`
 	} `json:"versions"`
-	Burn burn.Snapshot `json:"burn"`
 }
 
 const queryTimeout = time.Second
 
-func fetchReport(ctx context.Context, address string) (nodeReport, error) {
+// fetchPage asks one entry host for a page of its status address.
+func fetchPage[T any](ctx context.Context, address, path string) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	var report nodeReport
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/status", nil)
+	var page T
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
-		return report, errors.Wrap(err, "build query")
+		return page, errors.Wrap(err, "build query")
 	}
 	reply, err := http.DefaultClient.Do(request)
 	if err != nil {
-		return report, errors.Wrap(err, "query entry host")
+		return page, errors.Wrap(err, "query entry host")
 	}
 	defer reply.Body.Close()
-	return report, errors.Wrap(json.NewDecoder(reply.Body).Decode(&report), "decode answer")
+	return page, errors.Wrap(json.NewDecoder(reply.Body).Decode(&page), "decode answer")
+}
+
+// fetchReports asks every entry host; those that don't answer are left out.
+func fetchReports(ctx context.Context, e *env) map[glade.Node]nodeReport {
+	reports := make(map[glade.Node]nodeReport)
+	for _, entry := range e.site.Entries {
+		if report, err := fetchPage[nodeReport](ctx, entry.Status, "/status"); err == nil {
+			reports[entry.Node] = report
+		}
+	}
+	return reports
 }
 
 type showCommand struct {
@@ -58,19 +68,43 @@
 
 type showContracts struct{}
 
+// contractLine is one accepted contract and where it is in force.
+type contractLine struct {
+	Customer glade.Customer `json:"customer"`
+	Version  uint64         `json:"version"`
+	Change   uint64         `json:"change"`
+	At       int            `json:"at"`
+	Of       int            `json:"of"`
+	Missing  []glade.Node   `json:"missing"`
+}
+
 // Run shows the contracts.
 func (showContracts) Run(c *commands, e *env) error {
 	platform, err := c.load(e)
 	if err != nil {
 		return err
 	}
-	rows, err := loadRows[glade.ContractRow](context.Background(), platform, glade.PrefixContract)
+	ctx := context.Background()
+	rows, err := loadRows[glade.ContractRow](ctx, platform, glade.PrefixContract)
 	if err != nil {
 		return err
 	}
-	return e.print(rows, func(w io.Writer) {
-		for _, row := range rows {
-			fmt.Fprintf(w, "%-12s version %d, change %d\n", row.Spec.Customer, row.Version, row.Change)
+	reports := fetchReports(ctx, e)
+	lines := make([]contractLine, 0, len(rows))
+	for _, row := range rows {
+		behind := lagging(e, reports, []Applied{{Customer: row.Spec.Customer, Version: row.Version}})
+		n := len(e.site.Entries)
+		lines = append(lines, contractLine{
+			Customer: row.Spec.Customer, Version: row.Version, Change: row.Change, At: n - len(behind), Of: n, Missing: behind,
+		})
+	}
+	return e.print(lines, func(w io.Writer) {
+		for _, line := range lines {
+			fmt.Fprintf(w, "%-12s version %d, change %d, in force at %d of %d entry hosts", line.Customer, line.Version, line.Change, line.At, line.Of)
+			if len(line.Missing) > 0 {
+				fmt.Fprint(w, "; not yet, or not reached: ", line.Missing)
+			}
+			fmt.Fprintln(w)
 		}
 	})
 }
