--- a/bench/internal/hosts/hosts.go
+++ b/bench/internal/hosts/hosts.go
@@ -27,6 +27,7 @@
 	all = append(all,
 		gauge.Measure{Name: "hosts.wave", Unit: "of serial", Run: roll.Wave},
 		gauge.Measure{Name: "hosts.change", Unit: "of serial", Run: roll.Change},
+		gauge.Measure{Name: "hosts.writes.26000", Unit: "rows/s", Run: roll.Writes},
 		gauge.Measure{Name: "hosts.weeks", Unit: "days", Run: large.Weeks},
 	)
 	all = append(all, cost()...)
--- a/bench/internal/hosts/roll/roll.go
+++ b/bench/internal/hosts/roll/roll.go
@@ -39,6 +39,7 @@
 // site is the deployment with its keepers.
 type site struct {
 	table   *memory.Table
+	workers *memory.Workers
 	clock   *clock.Fake
 	keepers []*fleet.Fleet
 	specs   map[glade.Customer]glade.ContractSpec
@@ -52,7 +53,7 @@
 		rack := i / rackHosts
 		listed = append(listed, glade.Listed{Host: glade.Host(name), Address: name, Rack: glade.Rack(fmt.Sprint(rack)), Zone: glade.Zone(fmt.Sprint(rack % zoneCount))})
 	}
-	workers := memory.NewWorkers(memory.WorkersConfig{Clock: s.clock, Boot: bootTime, Hosts: listed})
+	s.workers = memory.NewWorkers(memory.WorkersConfig{Clock: s.clock, Boot: bootTime, Hosts: listed})
 	for _, customer := range customers {
 		s.specs[customer] = contract(customer)
 		if err := s.apply(s.specs[customer]); err != nil {
@@ -62,7 +63,7 @@
 	nodes := []glade.Node{"k0", "k1", "k2"}
 	for _, node := range nodes[:keepers] {
 		s.keepers = append(s.keepers, fleet.New(fleet.Config{
-			Table: s.table, Hosts: workers, Workers: workers, Prober: workers, Book: adopt.New(),
+			Table: s.table, Hosts: s.workers, Workers: s.workers, Prober: s.workers, Book: adopt.New(),
 			Roster: glade.NewStaticRoster(node, nodes), Clock: s.clock, Log: logr.Discard(),
 		}))
 	}
@@ -156,6 +157,16 @@
 	if err != nil {
 		return 0, err
 	}
+	took, err := s.wave()
+	if err != nil {
+		return 0, err
+	}
+	each, err := s.meanStep()
+	return took.Seconds() / (each.Seconds() * hostCount), err
+}
+
+// wave maintains every host and returns the time that it took.
+func (s *site) wave() (time.Duration, error) {
 	for _, customer := range customers {
 		spec := s.specs[customer]
 		spec.Wave.Name, spec.Wave.State = "w", "run"
@@ -163,12 +174,7 @@
 			return 0, err
 		}
 	}
-	took, err := s.until(s.isMaintained)
-	if err != nil {
-		return 0, err
-	}
-	each, err := s.meanStep()
-	return took.Seconds() / (each.Seconds() * hostCount), err
+	return s.until(s.isMaintained)
 }
 
 func (s *site) isMaintained() (bool, error) {
