Empty pools that a contract no longer names

Cause: hosts of a pool that was taken out of a contract stayed in it for good, with nobody to follow them.

Change: the keeper that searches the accounts follows the hosts of such pools and moves them to spare pools. BeginMove asks no promise of a pool that the contract does not name. indigo plan says what happens.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -61,6 +61,8 @@
 	resting map[string]mark
 	// spares are the spare pools under the contracts of this round.
 	spares []place
+	// orphans are the pools that no contract names and that have hosts left.
+	orphans []place
 
 	listed     map[glade.Host]glade.Listed
 	listedAt   time.Time
@@ -130,6 +132,11 @@
 	}
 	contracts := f.config.Book.All()
 	f.spares = sparesOf(contracts)
+	for _, orphan := range f.orphans {
+		if err := f.empty(ctx, now, orphan); err != nil {
+			return err
+		}
+	}
 	for _, contract := range contracts {
 		for _, pool := range contract.Spec().Pools {
 			if err := f.poolRound(ctx, now, contract, pool); err != nil {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -195,3 +195,18 @@
 	_, still := r.account(t, "a").Members[lost]
 	qt.Check(t, still, qt.IsFalse)
 }
+
+func TestPoolThatIsNoLongerNamedIsEmptied(t *testing.T) {
+	s := spec("a", 3, false)
+	s.Pools = append(s.Pools, glade.PoolSpec{Name: "old", Serve: "old", Hosts: 3, Floor: 3, Ceiling: 3})
+	r := newRig(t, 9, 2, s, spec("s", 6, true))
+	r.run(t, 20*time.Second)
+	s.Pools = s.Pools[:1]
+	r.apply(t, s)
+	r.run(t, 3*time.Minute)
+	old, err := owner.LoadAccount(ctx, r.table, "a", "old")
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, old.Data().Members, qt.HasLen, 0)
+	r.expectMembers(t, "s", 6, glade.CauseNone, 6)
+	qt.Check(t, r.workers.Cuts(), qt.Equals, 0)
+}
--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -53,7 +53,11 @@
 
 // assign gives listed hosts that are in no account to the pools that lack them.
 func (f *Fleet) assign(ctx context.Context, now time.Time) error {
-	if !shard.IsMine(AssignDuty, f.config.Roster) || now.Sub(f.assignedAt) < f.assignPeriod() {
+	if !shard.IsMine(AssignDuty, f.config.Roster) {
+		f.orphans = nil
+		return nil
+	}
+	if now.Sub(f.assignedAt) < f.assignPeriod() {
 		return nil
 	}
 	f.assignedAt = now
@@ -77,6 +81,7 @@
 			return err
 		}
 	}
+	f.orphans = f.orphansOf(records)
 	return nil
 }
 
--- a/owner/owner.go
+++ b/owner/owner.go
@@ -143,11 +143,12 @@
 
 // BeginMove starts to move a surplus host to another pool: the host drains, its
 // account no longer counts on it, and the target's account expects it.
-// contract is the one of the pool that the host leaves.
+// contract is the one of the customer that the host leaves; a pool that it does
+// not name has no promise to keep.
 func BeginMove(ctx context.Context, t glade.Table, contract Contract, host Host, from, to Account, move Move, now time.Time) (Result, error) {
 	row := host.Data()
-	rule, ok := ruleOf(contract, row.Pool)
-	if !ok || row.Phase != glade.HostServing || from.Key() == to.Key() {
+	rule, _ := ruleOf(contract, row.Pool)
+	if row.Phase != glade.HostServing || from.Key() == to.Key() {
 		return Result{wait: WaitChanged}, nil
 	}
 	if budget.Lacks(to.Data(), move.Want, now) == 0 {
--- a/plan/plan.go
+++ b/plan/plan.go
@@ -191,8 +191,8 @@
 			continue
 		}
 		hosts := len(account.Members)
-		risk := "the contract no longer names the pool; its hosts stay in it: let it shrink first"
-		pools = append(pools, Pool{Pool: account.Pool, Hosts: hosts, Risks: []string{risk}})
+		risk := "the contract no longer names the pool; its hosts move to spare pools"
+		pools = append(pools, Pool{Pool: account.Pool, Hosts: hosts, Moves: hosts, Risks: []string{risk}})
 	}
 	return pools
 }
