--- a/bench/internal/hosts/days/run.go
+++ b/bench/internal/hosts/days/run.go
@@ -177,7 +177,7 @@
 		r.ticks++
 	}
 	switch {
-	case (since+tick)%lookPeriod == 0:
+	case (since+tick)%shape.LookPeriod == 0:
 		r.look(since, isCounted)
 	case (since+tick)%repairPeriod == 0:
 		for i, c := range r.choosers {
@@ -234,7 +234,7 @@
 func (r *run) look(since time.Duration, isCounted bool) {
 	before := r.result.Moves
 	for i, c := range r.choosers {
-		mean := r.asked[i] / float64(lookPeriod/tick)
+		mean := r.asked[i] / float64(shape.LookPeriod/tick)
 		r.asked[i] = 0
 		size := c.look(epoch.Add(since), mean)
 		r.resize(since, i, size)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"indigoglade/budget"
 	"indigoglade/demand"
 	"indigoglade/owner"
+	"indigoglade/shape"
 	"indigoglade/shard"
 	"indigoglade/table"
 )
@@ -51,7 +52,7 @@
 	accounts  *table.Cache[glade.AccountRow]
 	contracts *table.Cache[glade.ContractRow]
 
-	sizings  map[string]*sizing
+	tallies  map[string]*shape.Tally
 	demand   demand.Total
 	demandAt time.Time
 
@@ -86,7 +87,7 @@
 		accounts:  table.NewCache[glade.AccountRow](config.Table),
 		contracts: table.NewCache[glade.ContractRow](config.Table),
 		resting:   make(map[string]mark),
-		sizings:   make(map[string]*sizing),
+		tallies:   make(map[string]*shape.Tally),
 		suspects:  make(map[glade.Host]time.Time),
 		retries:   make(map[glade.Host]time.Time),
 	}
--- a/fleet/size.go
+++ b/fleet/size.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	glade "indigoglade"
 	"indigoglade/budget"
@@ -14,46 +13,32 @@
 	"indigoglade/wave"
 )
 
-// sizePeriod is the time between two looks at the demand of a pool.
-const sizePeriod = time.Minute
-
-// smoothing is the weight of the newest look in the demand that counts as seen.
-const smoothing = 0.1
-
-// sizing is what a keeper remembers of one pool between two looks. A keeper that
-// takes a pool over starts anew; what was learnt of the day is in the table.
-type sizing struct {
-	at    time.Time
-	seen  float64
-	bin   int64
-	sum   float64
-	looks int
-}
-
 // size looks at the demand of a pool, learns its day and chooses its size.
 func (f *Fleet) size(ctx context.Context, v poolView) error {
 	if v.pool.Spare {
 		return nil
 	}
-	s, ok := f.sizings[v.account.Key()]
+	tally, ok := f.tallies[v.account.Key()]
 	if !ok {
-		s = &sizing{}
-		f.sizings[v.account.Key()] = s
+		// What was learnt of the day is in the table; only the open bin is lost
+		// when a pool changes keepers.
+		tally = &shape.Tally{}
+		f.tallies[v.account.Key()] = tally
 	}
-	if v.now.Sub(s.at) < sizePeriod {
+	if !tally.IsDue(v.now) {
 		return nil
 	}
 	busy, known, err := f.busy(ctx, v)
 	if err != nil || !known {
 		return err
 	}
-	row, err := f.learn(ctx, v, s, busy)
+	row, err := f.learn(ctx, v, tally, busy)
 	if err != nil {
 		return err
 	}
 	account := v.account.Data()
 	size := budget.NewRule(v.contract.Spec(), v.pool).Size(account)
-	chosen := sizerOf(v).Size(size, s.seen, row)
+	chosen := sizerOf(v).Size(size, tally.Seen(), row)
 	if chosen == size {
 		return nil
 	}
@@ -68,7 +53,7 @@
 // busy returns the slots that the pool's service asks for, from the rows of the
 // entry hosts, which are read once for every pool of the keeper.
 func (f *Fleet) busy(ctx context.Context, v poolView) (float64, bool, error) {
-	if v.now.Sub(f.demandAt) >= sizePeriod {
+	if v.now.Sub(f.demandAt) >= shape.LookPeriod {
 		records, err := table.LoadAll[glade.DemandRow](ctx, f.config.Table, glade.PrefixDemand)
 		if err != nil {
 			return 0, false, err
@@ -84,29 +69,18 @@
 	return busy, known, nil
 }
 
-// learn adds one look to the open bin, writes the bin when it is closed, and
+// learn adds one look to the tally, writes the bin when it is closed, and
 // returns the learnt day.
-func (f *Fleet) learn(ctx context.Context, v poolView, s *sizing, busy float64) (glade.ShapeRow, error) {
+func (f *Fleet) learn(ctx context.Context, v poolView, tally *shape.Tally, busy float64) (glade.ShapeRow, error) {
 	record, err := table.Load[glade.ShapeRow](ctx, f.config.Table, shapeKey(v))
 	if err != nil {
 		return glade.ShapeRow{}, err
 	}
-	if s.at.IsZero() {
-		s.seen = busy
-	}
-	s.at = v.now
-	s.seen += smoothing * (busy - s.seen)
-	closed, mean := s.bin, s.sum/float64(max(s.looks, 1))
-	isClosed := s.looks > 0 && shape.BinAt(v.now) > s.bin
-	if s.bin != shape.BinAt(v.now) {
-		s.bin, s.sum, s.looks = shape.BinAt(v.now), 0, 0
-	}
-	s.sum += busy
-	s.looks++
-	if !isClosed || record.Data().Bin >= closed {
+	closed, isClosed := tally.Look(v.now, busy)
+	if !isClosed || record.Data().Bin >= closed.Bin {
 		return record.Data(), nil
 	}
-	next := shape.Fold(record.Data(), closed, mean)
+	next := shape.Fold(record.Data(), closed.Bin, closed.Mean)
 	batch := table.NewBatch()
 	table.Replace(batch, record, next)
 	result, err := batch.Commit(ctx, f.config.Table)
