--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 	"indigoglade/budget"
 	"indigoglade/demand"
 	"indigoglade/owner"
+	"indigoglade/shape"
 	"indigoglade/shard"
 	"indigoglade/table"
 )
@@ -51,7 +52,7 @@
 	accounts  *table.Cache[glade.AccountRow]
 	contracts *table.Cache[glade.ContractRow]
 
-	sizings  map[string]*sizing
+	tallies  map[string]*shape.Tally
 	demand   demand.Total
 	demandAt time.Time
 
@@ -61,6 +62,8 @@
 	resting map[string]mark
 	// spares are the spare pools under the contracts of this round.
 	spares []place
+	// orphans are the pools that no contract names and that have hosts left.
+	orphans []place
 
 	listed     map[glade.Host]glade.Listed
 	listedAt   time.Time
@@ -84,7 +87,7 @@
 		accounts:  table.NewCache[glade.AccountRow](config.Table),
 		contracts: table.NewCache[glade.ContractRow](config.Table),
 		resting:   make(map[string]mark),
-		sizings:   make(map[string]*sizing),
+		tallies:   make(map[string]*shape.Tally),
 		suspects:  make(map[glade.Host]time.Time),
 		retries:   make(map[glade.Host]time.Time),
 	}
@@ -130,6 +133,11 @@
 	}
 	contracts := f.config.Book.All()
 	f.spares = sparesOf(contracts)
+	for _, orphan := range f.orphans {
+		if err := f.empty(ctx, now, orphan); err != nil {
+			return err
+		}
+	}
 	for _, contract := range contracts {
 		for _, pool := range contract.Spec().Pools {
 			if err := f.poolRound(ctx, now, contract, pool); err != nil {
