--- a/bench/internal/load/caller.go
+++ b/bench/internal/load/caller.go
@@ -85,6 +85,7 @@
 	due      time.Time
 	manner   manner
 	id       string
+	first    config.StatusSpec
 	random   *rand.Rand
 	saw      *recorder
 	finished chan struct{}
@@ -97,6 +98,7 @@
 		due:    due,
 		manner: drawManner(random.IntN(100)),
 		id:     uuid.NewString(),
+		first:  c.entries[random.IntN(len(c.entries))],
 		random: newRandom(random.Uint64(), 0),
 	}
 }
@@ -119,6 +121,7 @@
 	c.saw.add(record{
 		id:      c.id,
 		target:  c.target,
+		zone:    c.first.Zone,
 		manner:  c.manner,
 		tries:   tries,
 		latency: time.Since(c.due),
@@ -126,14 +129,13 @@
 }
 
 func (c *caller) send() []try {
-	first := c.client.entries[c.random.IntN(len(c.client.entries))]
 	if c.manner == twin {
-		return c.sendTwins(first)
+		return c.sendTwins()
 	}
-	tries := []try{c.call(first, 0)}
+	tries := []try{c.call(c.first, 0)}
 	for len(tries) < maxTries && c.isWorthResend(tries[len(tries)-1]) {
 		time.Sleep(resendPause)
-		tries = append(tries, c.call(c.another(first), len(tries)))
+		tries = append(tries, c.call(c.another(), len(tries)))
 	}
 	return tries
 }
@@ -163,24 +165,24 @@
 
 func (t twinCall) run() { t.result <- t.caller.call(t.entry, t.resend) }
 
-func (c *caller) sendTwins(first config.StatusSpec) []try {
+func (c *caller) sendTwins() []try {
 	result := make(chan try, 2)
-	go twinCall{caller: c, entry: first, resend: 0, result: result}.run()
-	go twinCall{caller: c, entry: c.another(first), resend: 1, result: result}.run()
+	go twinCall{caller: c, entry: c.first, resend: 0, result: result}.run()
+	go twinCall{caller: c, entry: c.another(), resend: 1, result: result}.run()
 	return []try{<-result, <-result}
 }
 
 // another returns a different entry host, mostly of the same zone.
-func (c *caller) another(first config.StatusSpec) config.StatusSpec {
+func (c *caller) another() config.StatusSpec {
 	stray := c.random.IntN(100) < strayShare
 	var choice []config.StatusSpec
 	for _, e := range c.client.entries {
-		if e.Node != first.Node && (e.Zone == first.Zone) != stray {
+		if e.Node != c.first.Node && (e.Zone == c.first.Zone) != stray {
 			choice = append(choice, e)
 		}
 	}
 	if len(choice) == 0 {
-		return first
+		return c.first
 	}
 	return choice[c.random.IntN(len(choice))]
 }
--- a/bench/internal/load/report.go
+++ b/bench/internal/load/report.go
@@ -1,9 +1,11 @@
 package load
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
+	"sort"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -67,13 +69,21 @@
 	Max     float64 `json:"max"`
 }
 
-// Served is what callers saw of one service.
+// Served is what callers saw of one service in one zone.
 type Served struct {
 	Customer glade.Customer `json:"customer"`
 	Service  glade.Service  `json:"service"`
+	// Zone is that of the entry host that was asked first.
+	Zone glade.Zone `json:"zone"`
 	Totals
 }
 
+// place is one service in one zone.
+type place struct {
+	target target
+	zone   glade.Zone
+}
+
 // Report is the result of a run.
 type Report struct {
 	Totals    Totals         `json:"totals"`
@@ -100,7 +110,7 @@
 	digits  = 3
 )
 
-func newReport(all records, ledger Ledger, targets []target, watch *watcher) Report {
+func newReport(all records, ledger Ledger, watch *watcher) Report {
 	r := Report{
 		Reasons:   make(map[string]int),
 		Unsent:    all.unsent,
@@ -109,21 +119,24 @@
 		Looks:     watch.looks,
 		Misses:    watch.misses,
 	}
-	services := make(map[target]*Totals)
+	services := make(map[place]*Totals)
 	histograms := make(map[glade.Outcome]*hdrhistogram.Histogram)
 	for _, one := range all.all {
 		r.add(one, ledger.Counts[one.id])
-		if services[one.target] == nil {
-			services[one.target] = &Totals{}
+		at := place{target: one.target, zone: one.zone}
+		if services[at] == nil {
+			services[at] = &Totals{}
 		}
-		services[one.target].add(one, ledger.Counts[one.id])
+		services[at].add(one, ledger.Counts[one.id])
 		observe(histograms, one)
 	}
-	for _, t := range targets {
-		if totals := services[t]; totals != nil {
-			r.Services = append(r.Services, Served{Customer: t.customer, Service: t.service, Totals: *totals})
-		}
+	for at, totals := range services {
+		r.Services = append(r.Services, Served{Customer: at.target.customer, Service: at.target.service, Zone: at.zone, Totals: *totals})
 	}
+	sort.Slice(r.Services, func(i, j int) bool {
+		a, b := r.Services[i], r.Services[j]
+		return cmp.Or(cmp.Compare(a.Customer, b.Customer), cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone)) < 0
+	})
 	r.Latencies = latencies(histograms)
 	return r
 }
@@ -201,9 +214,9 @@
 }
 
 func (r Report) text(w io.Writer) {
-	fmt.Fprintf(w, "%-10s %-10s %7s %9s %8s %7s %8s\n", "customer", "service", "sent", "answered", "refused", "failed", "unknown")
+	fmt.Fprintf(w, "%-10s %-10s %-10s %7s %9s %8s %7s %8s\n", "customer", "service", "zone", "sent", "answered", "refused", "failed", "unknown")
 	for _, s := range r.Services {
-		fmt.Fprintf(w, "%-10s %-10s %7d %9d %8d %7d %8d\n", s.Customer, s.Service, s.Sent, s.Answered, s.Refused, s.Failed, s.Unknown)
+		fmt.Fprintf(w, "%-10s %-10s %-10s %7d %9d %8d %7d %8d\n", s.Customer, s.Service, s.Zone, s.Sent, s.Answered, s.Refused, s.Failed, s.Unknown)
 	}
 	for _, l := range r.Latencies {
 		fmt.Fprintf(w, "latency of %-9s p50 %.1f ms  p90 %.1f ms  p99 %.1f ms  max %.1f ms\n", l.Outcome, l.P50, l.P90, l.P99, l.Max)
--- a/serve/reply.go
+++ b/serve/reply.go
@@ -16,9 +16,13 @@
 	if r.reason != glade.ReasonNone {
 		s.outcomes.Add(r.outcome.String()+"."+string(r.reason), 1)
 	}
-	if customer := w.contract.Customer(); customer != "" {
-		s.config.Demand.Record(w.pool.Serve, r.outcome, now.Sub(w.start))
-		s.config.Meter.Record(customer, r.outcome, now.Sub(w.start), w.contract.Spec().Answer.Deadline.Duration())
+	took, deadline := now.Sub(w.start), w.contract.Spec().Answer.Deadline.Duration()
+	customer := w.contract.Customer()
+	if customer != "" {
+		s.config.Demand.Record(w.pool.Serve, r.outcome, took)
+	}
+	if customer != "" && !isAbandoned(r, took, deadline) {
+		s.config.Meter.Record(customer, r.outcome, took, deadline)
 	}
 	h := c.Response().Header()
 	h.Set(IDHeader, w.id)
@@ -37,6 +41,12 @@
 	return c.String(statusOf(r), r.outcome.String()+": "+string(r.reason)+"\n")
 }
 
+// isAbandoned tells whether the caller left while the promise could still be
+// kept. Such a request says nothing of the promise.
+func isAbandoned(r result, took, deadline time.Duration) bool {
+	return r.reason == glade.ReasonCallerLeft && took <= deadline
+}
+
 // statusOf maps an outcome to the HTTP status that callers see.
 func statusOf(r result) int {
 	switch r.outcome {
