Give lent quota back by checkpoints only; test placement and the callers' side

Cause: a test of borrowing showed that a team within its quota throttled more of a borrower's work than was lent: 12 of 16 cores for a claim of 8.

--- /dev/null
+++ b/entry/internal/ticket/ticket_test.go
@@ -0,0 +1,77 @@
+package ticket_test
+
+import (
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/labstack/echo/v4"
+
+	glade "indigoglade"
+	"indigoglade/adopt"
+	"indigoglade/clock"
+	"indigoglade/entry/internal/ticket"
+	"indigoglade/memory"
+)
+
+var start = time.Unix(1000, 0)
+
+func call(e *echo.Echo, method, path, body string) *httptest.ResponseRecorder {
+	reply := httptest.NewRecorder()
+	e.ServeHTTP(reply, httptest.NewRequest(method, path, strings.NewReader(body)))
+	return reply
+}
+
+func expectStatus(t *testing.T, reply *httptest.ResponseRecorder, code int, phase glade.JobPhase) ticket.Status {
+	t.Helper()
+	qt.Assert(t, reply.Code, qt.Equals, code)
+	var status ticket.Status
+	qt.Assert(t, json.Unmarshal(reply.Body.Bytes(), &status), qt.IsNil)
+	qt.Check(t, status.Phase, qt.Equals, phase)
+	return status
+}
+
+func expectRefused(t *testing.T, reply *httptest.ResponseRecorder, code int, reason glade.Reason) {
+	t.Helper()
+	qt.Check(t, reply.Code, qt.Equals, code)
+	qt.Check(t, reply.Header().Get("Reason"), qt.Equals, string(reason))
+	qt.Check(t, reply.Header().Get(echo.HeaderRetryAfter), qt.Not(qt.Equals), "")
+}
+
+func TestCallers(t *testing.T) {
+	table := memory.NewTable()
+	book := adopt.New()
+	spec := glade.ContractSpec{Customer: "studio", Pools: []glade.PoolSpec{{Name: "shading", Serve: "shading"}}}
+	book.Adopt(glade.NewContract(spec, 1))
+	book.Confirm(1, start)
+	config := ticket.Config{Table: table, Objects: memory.NewObjects(), Book: book, Clock: clock.NewFake(start)}
+	e := echo.New()
+	ticket.New(config).Routes(e)
+
+	path := "/v1/studio/jobs/shading"
+	first := expectStatus(t, call(e, http.MethodPost, path, `{"key":"a"}`), http.StatusAccepted, glade.JobAccepted)
+	table.SetMode(memory.Lossy)
+	again := expectStatus(t, call(e, http.MethodPost, path, `{"key":"a"}`), http.StatusAccepted, glade.JobAccepted)
+	qt.Check(t, again.Ticket, qt.Equals, first.Ticket)
+	table.SetMode(memory.Up)
+	at := "/v1/jobs/" + string(first.Ticket)
+	expectStatus(t, call(e, http.MethodGet, at, ""), http.StatusOK, glade.JobAccepted)
+
+	expectRefused(t, call(e, http.MethodPost, "/v1/studio/jobs/other", `{}`), http.StatusNotFound, glade.ReasonService)
+	expectRefused(t, call(e, http.MethodPost, path, `{"prio":"now"}`), http.StatusBadRequest, glade.ReasonMalformed)
+
+	table.SetMode(memory.Down)
+	expectRefused(t, call(e, http.MethodPost, path, `{"key":"b"}`), http.StatusServiceUnavailable, glade.ReasonStore)
+	stale := call(e, http.MethodGet, at, "")
+	expectStatus(t, stale, http.StatusOK, glade.JobAccepted)
+	qt.Check(t, stale.Header().Get(ticket.AgeHeader), qt.Equals, "0")
+
+	table.SetMode(memory.Up)
+	expectStatus(t, call(e, http.MethodDelete, at, ""), http.StatusOK, glade.JobCancelled)
+	expectStatus(t, call(e, http.MethodGet, at+"/result", ""), http.StatusConflict, glade.JobCancelled)
+	qt.Check(t, call(e, http.MethodGet, "/v1/jobs/studio.none", "").Code, qt.Equals, http.StatusNotFound)
+}
--- a/jobs/desk.go
+++ b/jobs/desk.go
@@ -34,6 +34,8 @@
 	heard   time.Time
 	// halted tells that the worker has taken a stop.
 	halted bool
+	// late marks a run that takes far longer than expected.
+	late bool
 	// cancel marks a job whose end was ordered.
 	cancel bool
 	// evict marks a run that is to stop with a checkpoint.
--- a/jobs/work.go
+++ b/jobs/work.go
@@ -136,6 +136,7 @@
 	}
 	switch task.Phase {
 	case glade.TaskRunning:
+		c.watch(d, it, now)
 		if it.row.Phase == glade.JobPlaced {
 			d.change(ticket, Event{Kind: EventRun, Fence: fence})
 		}
@@ -154,6 +155,22 @@
 	}
 }
 
+// overdue is the multiple of the expected run time after which a run counts as
+// stuck.
+const overdue = 3
+
+// watch counts a run that takes far longer than its kind does, once. A slow run
+// is no reason to end it: operators see the counter.
+func (c *Crew) watch(d *desk, it *item, now time.Time) {
+	expected := d.model.Time(d.key(it), it.row.Time.Duration())
+	took := now.Sub(time.UnixMilli(it.row.Since))
+	if it.late || expected == 0 || took < overdue*expected {
+		return
+	}
+	it.late = true
+	c.count("overdue", 1)
+}
+
 // collect writes a result to the object store. Its key holds the fence, and the
 // row names the key of the one run whose result counts, so a run that was given
 // up can't publish.
--- a/place/fleet.go
+++ b/place/fleet.go
@@ -303,17 +303,21 @@
 	if h.task.Priority == glade.Bulk && !h.leaving {
 		s.bulk = s.bulk.Plus(add)
 	}
-	f.usage[h.task.Team] = f.usage[h.task.Team].Plus(add)
+	if !h.leaving {
+		f.usage[h.task.Team] = f.usage[h.task.Team].Plus(add)
+	}
 	f.refresh(h.slot)
 }
 
-// leave marks a running task as told to stop: its room is spoken for.
+// leave marks a running task as told to stop: its room is spoken for, and its
+// team does not use it any more.
 func (f *Fleet) leave(h *held) {
 	if h.leaving {
 		return
 	}
 	h.leaving = true
 	s := f.slots[h.slot]
+	f.usage[h.task.Team] = f.usage[h.task.Team].Minus(h.task.Size)
 	if h.task.Priority == glade.Bulk {
 		s.bulk = s.bulk.Minus(h.task.Size)
 	}
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,137 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	glade "indigoglade"
+	"indigoglade/place"
+)
+
+const gigabyte = 1 << 30
+
+func newFleet(n, accels int, quotas map[string]place.Quota) *place.Fleet {
+	f := place.New(place.Config{Quotas: quotas})
+	var hosts []place.Host
+	for i := range n {
+		hosts = append(hosts, place.Host{
+			Host: glade.Host(fmt.Sprintf("h%d", i)), Zone: glade.Zone(fmt.Sprintf("z%d", i%3)), Rack: glade.Rack(fmt.Sprintf("r%d", i)),
+			Pool: "p", Size: glade.Size{Cores: 8, Memory: 32 * gigabyte}, Open: true,
+		})
+	}
+	for i := range accels {
+		hosts[i].Size.Accels = 4
+	}
+	f.SetHosts(hosts)
+	return f
+}
+
+func task(id string, priority glade.Priority, team string, cores int) place.Task {
+	return place.Task{
+		ID: glade.Ticket(id), Pool: "p", Group: "g", Team: team, Priority: priority,
+		Size: glade.Size{Cores: cores, Memory: gigabyte},
+	}
+}
+
+// wait adds n tasks whose names start with prefix.
+func wait(f *place.Fleet, n int, prefix string, priority glade.Priority, team string, cores int) {
+	for i := range n {
+		f.Wait(task(fmt.Sprintf("%s%d", prefix, i), priority, team, cores))
+	}
+}
+
+func round(f *place.Fleet) place.Plan { return f.Round(place.Limits{Urgent: 100, Others: 100}) }
+
+func expectPlan(t *testing.T, plan place.Plan, placed, reliefs int) {
+	t.Helper()
+	qt.Check(t, plan.Placed(), qt.HasLen, placed)
+	qt.Check(t, plan.Reliefs(), qt.HasLen, reliefs)
+}
+
+func TestSpreadsOverZones(t *testing.T) {
+	f := newFleet(6, 0, nil)
+	wait(f, 6, "a", glade.Normal, "", 2)
+	hosts := make(map[glade.Host]bool)
+	for _, p := range round(f).Placed() {
+		hosts[p.Host] = true
+	}
+	qt.Check(t, hosts, qt.HasLen, 6)
+}
+
+func TestLeavesAcceleratorsToThoseWhoAsk(t *testing.T) {
+	f := newFleet(2, 1, nil)
+	wait(f, 1, "plain", glade.Normal, "", 8)
+	qt.Check(t, round(f).Placed()[0].Host, qt.Equals, glade.Host("h1"))
+}
+
+func TestAvoidsRacksThatFailed(t *testing.T) {
+	f := newFleet(2, 0, nil)
+	avoiding := task("a", glade.Normal, "", 1)
+	avoiding.Racks = []glade.Rack{"r0", "r1"}
+	f.Wait(avoiding)
+	expectPlan(t, round(f), 0, 0)
+}
+
+func TestUrgentThrottlesBatchAndGivesBack(t *testing.T) {
+	f := newFleet(1, 0, nil)
+	wait(f, 2, "bulk", glade.Bulk, "", 4)
+	expectPlan(t, round(f), 2, 0)
+	wait(f, 1, "urgent", glade.Urgent, "", 2)
+	expectPlan(t, round(f), 1, 1)
+	f.Forget("urgent0")
+	plan := round(f)
+	expectPlan(t, plan, 0, 1)
+	qt.Check(t, plan.Reliefs()[0].Cores, qt.Equals, 4)
+}
+
+func TestUrgentStopsBatchForMemory(t *testing.T) {
+	f := newFleet(1, 0, nil)
+	large := task("bulk", glade.Bulk, "", 1)
+	large.Size.Memory = 30 * gigabyte
+	f.Wait(large)
+	expectPlan(t, round(f), 1, 0)
+	large.ID, large.Priority = "urgent", glade.Urgent
+	f.Wait(large)
+	plan := round(f)
+	expectPlan(t, plan, 0, 1)
+	qt.Check(t, plan.Reliefs()[0].Cores, qt.Equals, 0)
+	expectPlan(t, round(f), 0, 0)
+	f.Forget("bulk")
+	expectPlan(t, round(f), 1, 0)
+}
+
+func TestTeamsBorrowAndGiveBack(t *testing.T) {
+	f := newFleet(2, 0, map[string]place.Quota{"a": {Cores: 8}, "b": {Cores: 8}})
+	wait(f, 4, "a", glade.Normal, "a", 4)
+	expectPlan(t, round(f), 4, 0)
+	wait(f, 2, "b", glade.Normal, "b", 4)
+	plan := round(f)
+	expectPlan(t, plan, 0, 2)
+	expectPlan(t, round(f), 0, 0)
+	for _, relief := range plan.Reliefs() {
+		f.Forget(relief.Task)
+	}
+	expectPlan(t, round(f), 2, 0)
+}
+
+func TestHopeless(t *testing.T) {
+	f := newFleet(2, 1, nil)
+	wait(f, 1, "large", glade.Normal, "", 9)
+	wait(f, 1, "fits", glade.Normal, "", 8)
+	qt.Check(t, f.Hopeless(), qt.DeepEquals, []glade.Ticket{"large0"})
+}
+
+func BenchmarkRound(b *testing.B) {
+	for _, n := range []int{1_000, 5_000, 26_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := newFleet(n, n/2, nil)
+			for i := 0; b.Loop(); i++ {
+				f.Wait(task(fmt.Sprint(i), glade.Normal, "", 4))
+				f.Round(place.Limits{Urgent: 1, Others: 1})
+				f.Forget(glade.Ticket(fmt.Sprint(i)))
+			}
+		})
+	}
+}
--- a/place/round.go
+++ b/place/round.go
@@ -174,7 +174,10 @@
 			return r.relieve(task, at, f.bulkOn(at))
 		}
 	}
-	return !borrow && len(f.quotas) > 0 && r.takeBack(task)
+	if !borrow && len(f.quotas) > 0 {
+		r.takeBack(task)
+	}
+	return false
 }
 
 // relieve throttles tasks where only cores are missing, and then the task can
@@ -187,6 +190,15 @@
 		r.take(task, at)
 		return true
 	}
+	r.stop(task, at, victims)
+	return false
+}
+
+// stop stops as many tasks with a checkpoint as make room for another.
+func (r *round) stop(task *Task, at int, victims []*held) {
+	f := r.fleet
+	s := f.slots[at]
+	missing := task.Size.Minus(s.host.Size.Minus(s.used))
 	f.holds[task.ID] = s.host.Host
 	for _, h := range victims {
 		if missing.Cores <= 0 && missing.Memory <= 0 && missing.Accels <= 0 {
@@ -196,7 +208,6 @@
 		f.leave(h)
 		r.plan.reliefs = append(r.plan.reliefs, Relief{Task: h.task.ID, Host: s.host.Host, For: task.ID})
 	}
-	return false
 }
 
 func (r *round) throttle(task *Task, victims []*held, cores int) bool {
@@ -248,7 +259,7 @@
 
 // takeBack stops tasks of teams beyond their quotas on one host, so that a team
 // within its quota gets it back.
-func (r *round) takeBack(task *Task) bool {
+func (r *round) takeBack(task *Task) {
 	f := r.fleet
 	byHost := make(map[int][]*held)
 	for _, h := range f.running {
@@ -268,10 +279,10 @@
 		}
 		if task.Size.Fits(free) && f.accepts(task, at) {
 			newestFirst(byHost[at])
-			return r.relieve(task, at, byHost[at])
+			r.stop(task, at, byHost[at])
+			return
 		}
 	}
-	return false
 }
 
 // isLent tells whether a running task rests on another team's quota and may be
