--- a/bench/internal/jobs/baseline.go
+++ b/bench/internal/jobs/baseline.go
@@ -39,7 +39,7 @@
 	b.arrive(sizeBacklog)
 	for end := start.Add(d); b.sim.clock.Now().Before(end); {
 		b.sim.clock.Advance(stepPeriod)
-		b.arrive(3)
+		b.arrive(6)
 		for _, listed := range b.sim.hosts {
 			done += b.finish(listed.Host)
 			b.kill(listed)
--- a/bench/internal/jobs/failers.go
+++ b/bench/internal/jobs/failers.go
@@ -23,7 +23,7 @@
 	}
 	s.warm()
 	offers := func() {
-		for range 6 {
+		for range 12 {
 			size := glade.Size{Cores: 4 + s.rand.IntN(8), Memory: gigabyte}
 			work := time.Duration(10+s.rand.IntN(20)) * time.Second
 			s.accept(offer{priority: glade.Normal, declared: size, truth: memory.Truth{Work: glade.Span(work), Memory: gigabyte}})
--- a/bench/internal/jobs/sim.go
+++ b/bench/internal/jobs/sim.go
@@ -22,7 +22,7 @@
 // Sizes and times of the simulated platform.
 const (
 	gigabyte   = 1 << 30
-	stepPeriod = 250 * time.Millisecond
+	stepPeriod = 500 * time.Millisecond
 	usageLag   = 5 * time.Second
 	leaseTime  = 10 * time.Second
 	writeRate  = 100
--- a/bench/internal/jobs/sizes.go
+++ b/bench/internal/jobs/sizes.go
@@ -97,7 +97,7 @@
 	offers(sizeBacklog)
 	over := newOverWatch(s)
 	s.each(sizeTime, func() {
-		offers(3)
+		offers(6)
 		over.look()
 	})
 	return s.countPhase(glade.JobDone), over.longest
--- a/bench/internal/jobs/urgent.go
+++ b/bench/internal/jobs/urgent.go
@@ -31,11 +31,11 @@
 	accepted := make(map[glade.Ticket]time.Time)
 	s.each(20*time.Second, func() {
 		var others []offer
-		for range 15 {
+		for range 30 {
 			others = append(others, s.anyOffer(glade.Normal), s.anyOffer(glade.Bulk))
 		}
 		s.accept(others...)
-		for _, ticket := range s.accept(s.anyOffer(glade.Urgent), s.anyOffer(glade.Urgent)) {
+		for _, ticket := range s.accept(s.anyOffer(glade.Urgent), s.anyOffer(glade.Urgent), s.anyOffer(glade.Urgent), s.anyOffer(glade.Urgent)) {
 			accepted[ticket] = s.clock.Now()
 		}
 	})
@@ -81,7 +81,7 @@
 	}
 	accepted := make(map[glade.Ticket]time.Time)
 	s.each(10*time.Second, func() {
-		if s.rand.IntN(4) == 0 {
+		if s.rand.IntN(2) == 0 {
 			ticket := s.accept(offer{priority: glade.Urgent, declared: size, truth: hour})[0]
 			accepted[ticket] = s.clock.Now()
 		}
--- a/jobs/crew.go
+++ b/jobs/crew.go
@@ -28,7 +28,7 @@
 
 // burstTime is the time whose share of the write rate may be used at once. It
 // covers a step that comes late.
-const burstTime = 300 * time.Millisecond
+const burstTime = 550 * time.Millisecond
 
 // Config configures a Crew.
 type Config struct {
--- a/jobs/hosts.go
+++ b/jobs/hosts.go
@@ -11,7 +11,7 @@
 )
 
 // sweepRows is the number of host rows that one step reads again.
-const sweepRows = 20
+const sweepRows = 10
 
 // maxReloads bounds the host rows that one step reads because they may have
 // changed.
--- a/jobs/lead.go
+++ b/jobs/lead.go
@@ -18,7 +18,7 @@
 // Times of the leads.
 const (
 	// leadPeriod is the time between two looks at the lead rows.
-	leadPeriod = time.Second
+	leadPeriod = 2 * time.Second
 	// beatPeriod is the time between two signs of life.
 	beatPeriod = 3 * time.Second
 	// lapseTime is how long a lead without a sign of life is left alone.
--- a/keeper/internal/tasks/tasks.go
+++ b/keeper/internal/tasks/tasks.go
@@ -15,7 +15,7 @@
 
 // Bounds of the duty.
 const (
-	period = 250 * time.Millisecond
+	period = 500 * time.Millisecond
 	// writes is the share of the jobs in the table service's writes, in rows per
 	// second over all keepers.
 	writes = 100
