Replace an entry host under load; a storm of faults; a balancer in the load tool

Cause: the demo never replaced an entry host, so a graceful stop under load was unproved; only the zone cut of the fault script was ever run against the programs.

The load tool stands in for the platform's balancer and asks entry hosts whether they are ready; a send that ends without any outcome, though its caller waited, now counts as a broken promise.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 MODULES = . $(addprefix ./,$(PROGRAMS))
 PACKAGES = ./... $(addsuffix /...,$(addprefix ./,$(PROGRAMS)))
 DEPLOY ?= gunescati
+FAULTS ?= faults
 SEED ?= 1
 
 # Tests that KNOWN-RED.txt lists as "test: NAME" are passed over and printed.
@@ -15,7 +16,7 @@
 	@for p in $(PROGRAMS); do go build -o bin/$$p ./$$p || exit 1; done
 
 demo: build
-	@bash demo/run.sh $(DEPLOY)
+	@bash demo/run.sh $(DEPLOY) $(FAULTS)
 
 test: lint race bench
 
--- a/bench/internal/load/caller.go
+++ b/bench/internal/load/caller.go
@@ -59,17 +59,6 @@
 	idlePerEntry = 64
 )
 
-// client reaches the entry hosts.
-type client struct {
-	http    *http.Client
-	entries []config.StatusSpec
-}
-
-func newClient(site config.SiteSpec) *client {
-	transport := &http.Transport{MaxIdleConnsPerHost: idlePerEntry, MaxIdleConns: 0}
-	return &client{http: &http.Client{Timeout: callTimeout, Transport: transport}, entries: site.Entries}
-}
-
 // try is what a caller saw of one send.
 type try struct {
 	outcome glade.Outcome
@@ -91,13 +80,14 @@
 }
 
 func newCaller(c *client, t target, due time.Time, random *rand.Rand) *caller {
+	entries := c.entries()
 	return &caller{
 		client: c,
 		target: t,
 		due:    due,
 		manner: drawManner(random.IntN(100)),
 		id:     uuid.NewString(),
-		first:  c.entries[random.IntN(len(c.entries))],
+		first:  entries[random.IntN(len(entries))],
 		random: newRandom(random.Uint64(), 0),
 	}
 }
@@ -175,7 +165,7 @@
 func (c *caller) another() config.StatusSpec {
 	stray := c.random.IntN(100) < strayShare
 	var choice []config.StatusSpec
-	for _, e := range c.client.entries {
+	for _, e := range c.client.entries() {
 		if e.Node != c.first.Node && (e.Zone == c.first.Zone) != stray {
 			choice = append(choice, e)
 		}
--- a/bench/internal/load/load.go
+++ b/bench/internal/load/load.go
@@ -120,6 +120,7 @@
 // drive sends until ctx ends and waits for the requests in flight.
 func (l Command) drive(ctx context.Context, site config.SiteSpec, targets []target, saw *recorder) {
 	client := newClient(site)
+	go client.run(ctx)
 	start := time.Now()
 	flight := make(chan struct{}, l.Flight)
 	var sources []*source
--- a/bench/internal/load/record.go
+++ b/bench/internal/load/record.go
@@ -49,6 +49,17 @@
 	return reason == glade.ReasonDuplicate || reason == glade.ReasonHistory
 }
 
+// broken returns the number of sends that ended without any outcome.
+func (r record) broken() int {
+	n := 0
+	for _, t := range r.tries {
+		if t.outcome == glade.Unknown && t.reason == glade.ReasonNone {
+			n++
+		}
+	}
+	return n
+}
+
 // isWhole tells whether every answer that the caller got was its own.
 func (r record) isWhole() bool {
 	for _, t := range r.tries {
--- a/bench/internal/load/report.go
+++ b/bench/internal/load/report.go
@@ -92,6 +92,9 @@
 	Reasons   map[string]int `json:"reasons"`
 	// Resent counts requests that were sent more than once.
 	Resent int `json:"resent"`
+	// Broken counts sends that ended without any outcome, though their caller
+	// waited.
+	Broken int `json:"broken"`
 	// Reruns counts repeatable requests that ran more than once.
 	Reruns int `json:"reruns"`
 	// Unsent counts requests beyond the bound of requests in flight.
@@ -149,6 +152,9 @@
 	if count.Runs > 1 && one.target.repeatable {
 		r.Reruns++
 	}
+	if one.manner != leaver {
+		r.Broken += one.broken()
+	}
 	if last := one.tries[len(one.tries)-1]; last.reason != glade.ReasonNone {
 		r.Reasons[last.outcome.String()+"."+string(last.reason)]++
 	}
@@ -190,6 +196,7 @@
 		{"lost", r.Totals.Lost},
 		{"cut by a planned stop", r.Endpoints.Cut},
 		{"late on a leaving endpoint", r.Endpoints.Late},
+		{"ended without an outcome", r.Broken},
 	} {
 		if p.count > 0 {
 			names = append(names, fmt.Sprintf("%s: %d", p.name, p.count))
@@ -222,7 +229,8 @@
 		fmt.Fprintf(w, "latency of %-9s p50 %.1f ms  p90 %.1f ms  p99 %.1f ms  max %.1f ms\n", l.Outcome, l.P50, l.P90, l.P99, l.Max)
 	}
 	fmt.Fprintln(w, "reasons", r.Reasons)
-	fmt.Fprintf(w, "sent more than once %d, repeatable work run again %d, not sent for lack of room %d\n", r.Resent, r.Reruns, r.Unsent)
+	fmt.Fprintf(w, "sent more than once %d, repeatable work run again %d, not sent for lack of room %d, ended without an outcome %d\n",
+		r.Resent, r.Reruns, r.Unsent, r.Broken)
 	fmt.Fprintf(w, "new work on leaving endpoints %d, work cut by planned stops %d, most in flight on one endpoint %d\n",
 		r.Endpoints.Late, r.Endpoints.Cut, r.Endpoints.Peak)
 	for _, b := range r.Budgets {
--- a/demo/run.sh
+++ b/demo/run.sh
@@ -1,13 +1,15 @@
 #!/usr/bin/env bash
 # Runs the real programs on the built-in stand-ins and ends by itself: load runs
-# while a maintenance wave, a contract change and a zone cut happen. It fails
-# when a promise did not hold.
+# while a maintenance wave, a contract change, a zone cut and the replacement of
+# an entry host happen. It fails when a promise did not hold.
 set -eu
 top=$(cd "$(dirname "$0")/.." && pwd)
 deploy=$top/deploy/${1:-gunescati}
+faults=${2:-faults}
 bin=$top/bin
 logs=$(mktemp -d)
 pids=()
+declare -A started
 load_time=20s
 
 stop() {
@@ -20,8 +22,15 @@
 start() { # NAME, then the program and its arguments
   local name=$1
   shift
-  "$@" 2>"$logs/$name.log" &
+  "$@" 2>>"$logs/$name.log" &
   pids+=($!)
+  started[$name]=$!
+}
+
+replace() { # NAME of an entry host: a graceful stop, then a new process
+  kill -TERM "${started[$1]}"
+  wait "${started[$1]}" || true
+  start "$1" "$bin/entry" "$deploy/$1.json"
 }
 
 indigo() { "$bin/indigo" --site "$deploy/site.json" "$@"; }
@@ -42,14 +51,16 @@
 wait_for_hosts
 indigo show pools
 
-echo "load for $load_time, a wave, a contract change, and a zone cut from 9 s to 15 s"
-"$bin/bench" load --site "$deploy/site.json" --time "$load_time" --faults "$deploy/faults.json" >"$logs/totals" &
+echo "load for $load_time, a wave, a contract change, the faults of $faults.json, and an entry host replaced"
+"$bin/bench" load --site "$deploy/site.json" --time "$load_time" --faults "$deploy/$faults.json" >"$logs/totals" &
 load=$!
 pids+=("$load")
 sleep 1
 indigo apply --wait "$deploy"/wave/*.json
 sleep 3
 indigo apply --wait "$deploy"/change/*.json >"$logs/change"
+sleep 11
+replace e2
 verdict=0
 wait "$load" || verdict=$?
 
