--- a/entry/main.go
+++ b/entry/main.go
@@ -20,6 +20,7 @@
 	"indigoglade/clock"
 	"indigoglade/config"
 	"indigoglade/daemon"
+	"indigoglade/demand"
 	"indigoglade/desk"
 	"indigoglade/entry/internal/duty"
 	"indigoglade/entry/internal/ticket"
@@ -45,6 +46,8 @@
 	ringLength = 4096
 	// peerBound bounds one call to a peer.
 	peerBound = 300 * time.Millisecond
+	// relayBound bounds a request relayed to a peer, besides its deadline.
+	relayBound = time.Minute
 	// maxKeys bounds the keys remembered, heldAnswers the answers, in bytes.
 	maxKeys     = 200_000
 	heldAnswers = 8 << 20
@@ -69,6 +72,8 @@
 	platform := remote.New(remote.Config{Address: spec.Platform, Zone: string(spec.Zone)})
 	book := adopt.New()
 	meter := burn.New(burn.Config{Node: spec.Node, Clock: system})
+	asked := demand.NewMeter(system.Now())
+	post := demand.NewPost(demand.Config{Node: spec.Node, Table: platform, Meter: asked, Clock: system})
 	front := desk.New(desk.Config{Node: spec.Node, Zone: spec.Zone, Nodes: zoneNodes(spec), Clock: system, Ring: ringLength})
 	sender := send.New(send.Config{Links: idleLinks, MaxReply: maxReply, Connect: dialBound})
 	peers := peer.New(peer.Config{
@@ -78,8 +83,8 @@
 	claimer := newClaimer(spec, system)
 	lent := loans.New(loans.Config{Peers: peers, Book: book, Clock: system, Counters: expvar.NewMap("loans")})
 	server := serve.New(serve.Config{
-		Book: book, Desk: front, Sender: sender, Claimer: claimer, Loans: lent, End: peers.End, Meter: meter, Clock: system,
-		Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
+		Book: book, Desk: front, Sender: sender, Claimer: claimer, Loans: lent, End: peers.End, Meter: meter, Demand: asked, Clock: system,
+		Peers: newPeers(spec), Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
 	})
 	duties := duty.New(duty.Config{
 		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Roster: peers, Clock: system,
@@ -94,6 +99,7 @@
 	}
 	claimer.Register(peers.Mux())
 	lent.Register(peers.Mux())
+	server.Register(peers.Mux())
 	if err := peers.Join(group); err != nil {
 		return err
 	}
@@ -104,6 +110,7 @@
 	group.Add(lent.Run)
 	group.Add(duties.Endpoints)
 	group.Add(duties.Burn)
+	group.Add(post.Run)
 	return group.Run()
 }
 
@@ -122,6 +129,19 @@
 	})
 }
 
+// newPeers returns the entry hosts to ask for room, over connections of their
+// own, so that bodies don't hold up other messages.
+func newPeers(spec config.NodeSpec) []serve.Peer {
+	var peers []serve.Peer
+	for _, peer := range spec.Peers {
+		peers = append(peers, serve.Peer{
+			Node: peer.Node, Near: peer.Zone == spec.Zone,
+			Client: link.NewClient(link.Config{Address: peer.Address, Timeout: relayBound}),
+		})
+	}
+	return peers
+}
+
 // zoneNodes lists the entry hosts of the own availability zone.
 func zoneNodes(spec config.NodeSpec) []glade.Node {
 	nodes := []glade.Node{spec.Node}
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -155,7 +155,7 @@
 	s.attempt = once.NewAttempt(once.AttemptConfig{
 		Self: node, Order: w.ring.Order(key, ""), Resend: resend,
 		Claim: once.Claim{
-			Key: key, Token: w.tokens, Node: node, Window: glade.Span(window), Settle: glade.Span(settle),
+			Key: key, Token: w.tokens, Node: node, Window: window.Milliseconds(), Settle: settle.Milliseconds(),
 			Expect: w.stores[node].Expect(),
 		},
 	})
