--- a/adopt/adopt_test.go
+++ b/adopt/adopt_test.go
@@ -85,3 +85,14 @@
 	qt.Check(t, age, qt.Equals, time.Minute)
 	qt.Check(t, book.All(), qt.HasLen, 1)
 }
+
+func TestBookThatIsFillingIsNotReady(t *testing.T) {
+	table := memory.NewTable()
+	book := adopt.New()
+	qt.Check(t, book.IsReady(), qt.IsFalse)
+	expectAccept(t, table, "dealers", 0, glade.Committed, 1)
+	qt.Assert(t, adopt.Read(context.Background(), table, book, start), qt.IsNil)
+	qt.Check(t, book.IsReady(), qt.IsFalse)
+	book.Enforce()
+	qt.Check(t, book.IsReady(), qt.IsTrue)
+}
--- a/adopt/book.go
+++ b/adopt/book.go
@@ -148,6 +148,16 @@
 	return !b.confirmed.IsZero()
 }
 
+// IsReady tells whether answers can rest on the book: the table service
+// confirmed it, and a first set of contracts is not still waiting to come in
+// force.
+func (b *Book) IsReady() bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	isFilling := len(b.contracts) == 0 && len(b.pending) > 0
+	return !b.confirmed.IsZero() && !isFilling
+}
+
 // Head returns how new the book is.
 func (b *Book) Head(now time.Time) Head {
 	head := Head{Change: b.Change(), Age: -1}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -110,7 +110,7 @@
 	if s.stopping.Load() {
 		return c.String(http.StatusServiceUnavailable, "stopping\n")
 	}
-	if !s.config.Book.IsConfirmed() {
+	if !s.config.Book.IsReady() {
 		return c.String(http.StatusServiceUnavailable, "cold\n")
 	}
 	return c.String(http.StatusOK, "ready\n")
@@ -189,7 +189,7 @@
 	}
 	contract, ok := s.config.Book.Find(glade.Customer(c.Param("customer")))
 	if !ok {
-		return w, s.unknownCustomer(start)
+		return w, s.unknownCustomer()
 	}
 	w.contract = contract
 	if w.age, ok = ageOf(c, w); !ok {
@@ -229,8 +229,8 @@
 	return time.Duration(ms) * time.Millisecond, err == nil && ms >= 0
 }
 
-func (s *Server) unknownCustomer(now time.Time) glade.Reason {
-	if _, confirmed := s.config.Book.Age(now); !confirmed {
+func (s *Server) unknownCustomer() glade.Reason {
+	if !s.config.Book.IsReady() {
 		return glade.ReasonCold
 	}
 	return glade.ReasonCustomer
