--- a/route/group.go
+++ b/route/group.go
@@ -66,6 +66,7 @@
 // unless too many are out already.
 func (g *group) eject(now time.Time, t *target) {
 	if len(g.out)+1 > int(float64(len(g.targets))*ejectCap) {
+		g.place(t)
 		return
 	}
 	pause := min(ejectPause<<t.ejections, ejectMost)
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -114,6 +114,12 @@
 	qt.Check(t, drain(r, start), qt.HasLen, 2)
 }
 
+func TestEndpointThatMayNotBeEjectedStaysInUse(t *testing.T) {
+	r := newRouter(1, 1)
+	fail(r, start, func(glade.Host) bool { return true })
+	qt.Check(t, drain(r, start)["h0"], qt.HasLen, 1)
+}
+
 func TestSharesAddUp(t *testing.T) {
 	for n := 1; n <= 9; n++ {
 		var nodes []glade.Node
