--- a/serve/reply.go
+++ b/serve/reply.go
@@ -17,12 +17,11 @@
 		s.outcomes.Add(r.outcome.String()+"."+string(r.reason), 1)
 	}
 	took, deadline := now.Sub(w.start), w.contract.Spec().Answer.Deadline.Duration()
-	customer := w.contract.Customer()
-	if customer != "" {
+	if customer := w.contract.Customer(); customer != "" {
 		s.config.Demand.Record(w.pool.Serve, r.outcome, took)
-	}
-	if customer != "" && !isAbandoned(r, took, deadline) {
-		s.config.Meter.Record(customer, r.outcome, took, deadline)
+		if !isAbandoned(r, took, deadline) {
+			s.config.Meter.Record(customer, r.outcome, took, deadline)
+		}
 	}
 	h := c.Response().Header()
 	h.Set(IDHeader, w.id)
