Relay over TLS where the settings name keys

Cause: the clients for relays were built without TLS, so that with keys in the settings every peer would have refused them. Change: they use the peer's TLS settings as claims do. Conclusion: same settings for every call to a peer.

--- a/entry/main.go
+++ b/entry/main.go
@@ -89,7 +89,7 @@
 	lent := loans.New(loans.Config{Peers: peers, Book: book, Clock: system, Counters: expvar.NewMap("loans")})
 	server := serve.New(serve.Config{
 		Book: book, Desk: front, Sender: sender, Claimer: claimer, Loans: lent, End: peers.End, Meter: meter, Demand: asked, Clock: system,
-		Peers: newPeers(spec), Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
+		Peers: newPeers(spec, keys), Counters: expvar.NewMap("outcomes"), Routes: []func(*echo.Echo){tickets.Routes},
 	})
 	duties := duty.New(duty.Config{
 		Node: spec.Node, Book: book, Desk: front, Meter: meter, Platform: platform, Roster: peers, Clock: system,
@@ -138,12 +138,14 @@
 
 // newPeers returns the entry hosts to ask for room, over connections of their
 // own, so that bodies don't hold up other messages.
-func newPeers(spec config.NodeSpec) []serve.Peer {
+func newPeers(spec config.NodeSpec, keys *trust.Keys) []serve.Peer {
 	var peers []serve.Peer
 	for _, peer := range spec.Peers {
 		peers = append(peers, serve.Peer{
 			Node: peer.Node, Near: peer.Zone == spec.Zone,
-			Client: link.NewClient(link.Config{Address: peer.Address, Timeout: relayBound}),
+			Client: link.NewClient(link.Config{
+				Address: peer.Address, TLS: keys.Client(peer.Node), Timeout: relayBound,
+			}),
 		})
 	}
 	return peers
