Count a row that is listed twice once

Cause: a host list with the same endpoint twice left a stale entry in the index, from which slots past the share were granted. Change: the second row is passed over. Figures: TestRowThatIsListedTwiceCountsOnce fails without the change and passes with it.

--- a/route/route.go
+++ b/route/route.go
@@ -64,6 +64,9 @@
 		if row.Service == "" || row.Incarnation <= r.left[row.Host] {
 			continue
 		}
+		if known[row.Endpoint()] != nil {
+			continue
+		}
 		t, ok := r.known[row.Endpoint()]
 		if !ok {
 			t = newTarget()
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -48,6 +48,19 @@
 	}
 }
 
+func TestRowThatIsListedTwiceCountsOnce(t *testing.T) {
+	r := newRouter(1, 3)
+	r.Update(start, append(rows(1), rows(1)...))
+	qt.Check(t, r.Slots("quotes"), qt.Equals, 3)
+	taken := 0
+	for range 10 {
+		if _, ok := r.Pick(start, "quotes", glade.Endpoint{}); ok {
+			taken++
+		}
+	}
+	qt.Check(t, taken, qt.Equals, 3)
+}
+
 func TestPickAvoids(t *testing.T) {
 	r := newRouter(2, 8)
 	first, _ := r.Pick(start, "quotes", glade.Endpoint{})
