--- a/route/route_test.go
+++ b/route/route_test.go
@@ -48,6 +48,19 @@
 	}
 }
 
+func TestRowThatIsListedTwiceCountsOnce(t *testing.T) {
+	r := newRouter(1, 3)
+	r.Update(start, append(rows(1), rows(1)...))
+	qt.Check(t, r.Slots("quotes"), qt.Equals, 3)
+	taken := 0
+	for range 10 {
+		if _, ok := r.Pick(start, "quotes", glade.Endpoint{}); ok {
+			taken++
+		}
+	}
+	qt.Check(t, taken, qt.Equals, 3)
+}
+
 func TestPickAvoids(t *testing.T) {
 	r := newRouter(2, 8)
 	first, _ := r.Pick(start, "quotes", glade.Endpoint{})
@@ -114,6 +127,12 @@
 	qt.Check(t, drain(r, start), qt.HasLen, 2)
 }
 
+func TestEndpointThatMayNotBeEjectedStaysInUse(t *testing.T) {
+	r := newRouter(1, 1)
+	fail(r, start, func(glade.Host) bool { return true })
+	qt.Check(t, drain(r, start)["h0"], qt.HasLen, 1)
+}
+
 func TestSharesAddUp(t *testing.T) {
 	for n := 1; n <= 9; n++ {
 		var nodes []glade.Node
