--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -48,12 +48,16 @@
 	return owner.Plan(ctx, f.config.Table, contract, record, account, v.now)
 }
 
-// assignDuty is the duty of giving hosts without a pool to one.
-const assignDuty = "assign"
+// AssignDuty is the duty of giving hosts without a pool to one.
+const AssignDuty = "assign"
 
 // assign gives listed hosts that are in no account to the pools that lack them.
 func (f *Fleet) assign(ctx context.Context, now time.Time) error {
-	if !shard.IsMine(assignDuty, f.config.Roster) || now.Sub(f.assignedAt) < assignPeriod {
+	if !shard.IsMine(AssignDuty, f.config.Roster) {
+		f.orphans = nil
+		return nil
+	}
+	if now.Sub(f.assignedAt) < f.assignPeriod() {
 		return nil
 	}
 	f.assignedAt = now
@@ -69,14 +73,27 @@
 			owned[host] = true
 		}
 	}
-	for _, host := range f.free(owned) {
+	free := f.free(owned)
+	f.hasFree = len(free) > 0
+	f.hasNew = false
+	for _, host := range free {
 		if err := f.assignHost(ctx, now, host, accounts); err != nil {
 			return err
 		}
 	}
+	f.orphans = f.orphansOf(records)
 	return nil
 }
 
+// assignPeriod returns the time between two readings of all accounts. It is
+// long while no host is known to be free.
+func (f *Fleet) assignPeriod() time.Duration {
+	if f.hasFree || f.hasNew {
+		return busyPeriod
+	}
+	return idlePeriod
+}
+
 // free returns the listed hosts that are not owned, in the order of their names.
 func (f *Fleet) free(owned map[glade.Host]bool) []glade.Host {
 	var free []glade.Host
@@ -128,7 +145,7 @@
 				continue
 			}
 			bestLack, bestNear = lack, near
-			best = owner.Assignment{Listed: listed, Customer: contract.Customer(), Pool: pool, Want: want}
+			best = owner.Assignment{Listed: listed, Customer: contract.Customer(), Pool: pool, Want: want, Wave: contract.Spec().Wave.Name}
 		}
 	}
 	return best, bestLack > 0
--- /dev/null
+++ b/learn/learn_test.go
@@ -0,0 +1,76 @@
+package learn_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	glade "indigoglade"
+	"indigoglade/learn"
+)
+
+var (
+	key = learn.Key{Customer: "c", Kind: "study"}
+	now = time.Unix(1000, 0)
+)
+
+// failAll lets jobs fail on each of n hosts and counts those made suspect.
+func failAll(h *learn.Health, n, jobs int) int {
+	suspects := 0
+	for job := range jobs {
+		for i := range n {
+			host := glade.Host(fmt.Sprintf("h%02d", i))
+			if h.Failed(host, "p", key, glade.Ticket(fmt.Sprintf("c.%d-%d", job, i)), now) {
+				suspects++
+			}
+		}
+	}
+	return suspects
+}
+
+func TestHostThatFailsEverythingIsSuspect(t *testing.T) {
+	h := learn.NewHealth()
+	h.SetPool("p", 40)
+	for range 20 {
+		h.Succeeded("good", "p", key)
+	}
+	qt.Check(t, failAll(h, 1, 3), qt.Equals, 1)
+	qt.Check(t, h.IsSuspect("h00", now), qt.IsTrue)
+	qt.Check(t, h.IsSuspect("h00", now.Add(time.Hour)), qt.IsFalse)
+}
+
+func TestKindThatFailsEverywhereEmptiesNoFleet(t *testing.T) {
+	h := learn.NewHealth()
+	h.SetPool("p", 40)
+	qt.Check(t, failAll(h, 40, 20) <= 2, qt.IsTrue)
+}
+
+func TestOneBadJobMakesNoSuspect(t *testing.T) {
+	h := learn.NewHealth()
+	h.SetPool("p", 40)
+	for range 10 {
+		qt.Check(t, h.Failed("h", "p", key, "c.1", now), qt.IsFalse)
+	}
+}
+
+func expectMemory(t *testing.T, m *learn.Model, declared, want int64) {
+	t.Helper()
+	qt.Check(t, m.Memory(key, declared), qt.Equals, want)
+}
+
+func TestMemoryFollowsRatioOrUse(t *testing.T) {
+	unknown := learn.New()
+	expectMemory(t, unknown, 100, 100*learn.Most)
+
+	ratio := learn.New()
+	use := learn.New()
+	for i := range int64(10) {
+		ratio.SawMemory(key, 100*(i+1), 1000*(i+1))
+		use.SawMemory(key, 100*(i+1), 1000)
+	}
+	expectMemory(t, ratio, 50, 500)
+	expectMemory(t, use, 500, 1000)
+	expectMemory(t, use, 10, 10*learn.Most)
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -33,6 +33,7 @@
 	IDHeader       = "Request-Id"
 	KeyHeader      = "Request-Key"      // names the work; defaults to the caller's Request-Id
 	ResendHeader   = "Request-Resend"   // "true" when the key was sent before
+	KeyAgeHeader   = "Request-Age"      // milliseconds since the key was first sent
 	DeadlineHeader = "Request-Deadline" // milliseconds left
 	OutcomeHeader  = "Outcome"
 	ReasonHeader   = "Reason"
@@ -44,6 +45,10 @@
 // maxBody bounds the size of a request body, in bytes.
 const maxBody = 1 << 20
 
+// maxCalls bounds the requests under way at once, those whose body is still
+// coming included.
+const maxCalls = 2048
+
 // Config configures a Server.
 type Config struct {
 	Book   *adopt.Book
@@ -74,6 +79,8 @@
 	outcomes *expvar.Map
 	budgets  budgets
 	rooms    rooms
+	// calls holds a place for each request under way.
+	calls chan struct{}
 }
 
 // New returns a server.
@@ -84,7 +91,7 @@
 	if config.End == nil {
 		config.End = func(glade.Endpoint) {}
 	}
-	return &Server{config: config, outcomes: config.Counters}
+	return &Server{config: config, outcomes: config.Counters, calls: make(chan struct{}, maxCalls)}
 }
 
 // Handler returns the callers' routes.
@@ -121,9 +128,11 @@
 
 // work is one request on its way through the entry host.
 type work struct {
-	id       string
-	key      string
-	resend   bool
+	id     string
+	key    string
+	resend bool
+	// age is the longest time since the key was first sent.
+	age      time.Duration
 	contract glade.Contract
 	pool     glade.PoolSpec
 	body     []byte
@@ -146,6 +155,12 @@
 
 func (s *Server) request(c echo.Context) error {
 	start := s.config.Clock.Now()
+	select {
+	case s.calls <- struct{}{}:
+		defer s.leave()
+	default:
+		return s.reply(c, work{id: uuid.NewString(), start: start}, refused(glade.ReasonQueue))
+	}
 	w, bad := s.parse(c, start)
 	if bad != glade.ReasonNone {
 		return s.reply(c, w, refused(bad))
@@ -153,13 +168,18 @@
 	return s.reply(c, w, s.runOnce(c.Request().Context(), w))
 }
 
+func (s *Server) leave() { <-s.calls }
+
+// UnderWay returns the number of requests under way.
+func (s *Server) UnderWay() int { return len(s.calls) }
+
 func (s *Server) parse(c echo.Context, start time.Time) (work, glade.Reason) {
 	w := work{id: c.Request().Header.Get(IDHeader), start: start}
 	w.key = c.Request().Header.Get(KeyHeader)
 	if w.key == "" {
 		w.key = w.id
 	}
-	w.resend = c.Request().Header.Get(ResendHeader) == "true"
+	w.resend = isSet(c.Request().Header.Get(ResendHeader))
 	if (w.id != "" && !once.CheckText(w.id)) || (w.key != "" && !once.CheckText(w.key)) {
 		w.id = uuid.NewString()
 		return w, glade.ReasonMalformed
@@ -172,6 +192,9 @@
 		return w, s.unknownCustomer(start)
 	}
 	w.contract = contract
+	if w.age, ok = ageOf(c, w); !ok {
+		return w, glade.ReasonMalformed
+	}
 	if w.pool, ok = contract.PoolFor(glade.Service(c.Param("service"))); !ok {
 		return w, glade.ReasonService
 	}
@@ -190,6 +213,22 @@
 	return w, glade.ReasonNone
 }
 
+func isSet(text string) bool { return text != "" && text != "false" && text != "0" }
+
+// ageOf returns the time since a key was first sent. A resend that doesn't say
+// may be as old as the time that keys are remembered.
+func ageOf(c echo.Context, w work) (time.Duration, bool) {
+	text := c.Request().Header.Get(KeyAgeHeader)
+	switch {
+	case !w.resend:
+		return 0, true
+	case text == "":
+		return w.contract.Spec().Answer.Window.Duration(), true
+	}
+	ms, err := strconv.ParseInt(text, 10, 32)
+	return time.Duration(ms) * time.Millisecond, err == nil && ms >= 0
+}
+
 func (s *Server) unknownCustomer(now time.Time) glade.Reason {
 	if _, confirmed := s.config.Book.Age(now); !confirmed {
 		return glade.ReasonCold
