Let a host that failed in a pool rest before it joins one again

Cause: a host that fails its probes was released after its allowance, found free, and assigned again at once, so it kept the place of a good one.

Change: a released host is assigned again only after ten minutes.

Figures: the new test fails before (the host is back in the pool five minutes after it was mended) and passes after.

--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -210,3 +210,15 @@
 	r.expectMembers(t, "s", 6, glade.CauseNone, 6)
 	qt.Check(t, r.workers.Cuts(), qt.Equals, 0)
 }
+
+func TestHostThatNeverServesIsNotTakenAgainAtOnce(t *testing.T) {
+	r := newRig(t, 2, 1, spec("a", 2, false))
+	r.workers.SetFault("h01", memory.Bad)
+	r.run(t, 6*time.Minute)
+	r.expectMembers(t, "a", 1, glade.CauseNone, 1)
+	r.workers.SetFault("h01", memory.Healthy)
+	r.run(t, 5*time.Minute)
+	r.expectMembers(t, "a", 1, glade.CauseNone, 1)
+	r.run(t, 6*time.Minute)
+	r.expectMembers(t, "a", 2, glade.CauseNone, 2)
+}
--- a/fleet/steps.go
+++ b/fleet/steps.go
@@ -116,6 +116,9 @@
 	if err != nil {
 		return err
 	}
+	if isResting(record.Data(), now) {
+		return nil
+	}
 	account, err := f.account(ctx, a.Customer, a.Pool.Name)
 	if err != nil {
 		return err
@@ -129,6 +132,15 @@
 	return err
 }
 
+// restTime is how long a host that failed in a pool and was released stays
+// without one. A host that fails what it starts would otherwise take the place
+// of a good one again and again.
+const restTime = 10 * time.Minute
+
+func isResting(row glade.HostRow, now time.Time) bool {
+	return row.Phase == glade.HostFailed && now.UnixMilli()-row.Since < restTime.Milliseconds()
+}
+
 // neediest returns the pool that a free host should join: of the pools that
 // lack hosts, the one with the fewest in the host's rack, so that pools spread
 // over failure domains; then the one that lacks most.
