--- a/bench/internal/load/record.go
+++ b/bench/internal/load/record.go
@@ -13,6 +13,7 @@
 type record struct {
 	id      string
 	target  target
+	zone    glade.Zone
 	manner  manner
 	tries   []try
 	latency time.Duration
