--- a/serve/reply.go
+++ b/serve/reply.go
@@ -17,11 +17,12 @@
 		s.outcomes.Add(r.outcome.String()+"."+string(r.reason), 1)
 	}
 	took, deadline := now.Sub(w.start), w.contract.Spec().Answer.Deadline.Duration()
-	if customer := w.contract.Customer(); customer != "" {
+	customer := w.contract.Customer()
+	if customer != "" {
 		s.config.Demand.Record(w.pool.Serve, r.outcome, took)
-		if !isAbandoned(r, took, deadline) {
-			s.config.Meter.Record(customer, r.outcome, took, deadline)
-		}
+	}
+	if customer != "" && !isAbandoned(r, took, deadline) {
+		s.config.Meter.Record(customer, r.outcome, took, deadline)
 	}
 	h := c.Response().Header()
 	h.Set(IDHeader, w.id)
@@ -69,7 +70,7 @@
 		return http.StatusRequestEntityTooLarge
 	case glade.ReasonQueue, glade.ReasonLimit:
 		return http.StatusTooManyRequests
-	case glade.ReasonDuplicate, glade.ReasonHistory:
+	case glade.ReasonDuplicate:
 		return http.StatusConflict
 	}
 	return http.StatusServiceUnavailable
