--- a/entry/main.go
+++ b/entry/main.go
@@ -143,7 +143,9 @@
 	for _, peer := range spec.Peers {
 		peers = append(peers, serve.Peer{
 			Node: peer.Node, Near: peer.Zone == spec.Zone,
-			Client: link.NewClient(link.Config{Address: peer.Address, TLS: keys.Client(peer.Node), Timeout: relayBound}),
+			Client: link.NewClient(link.Config{
+				Address: peer.Address, TLS: keys.Client(peer.Node), Timeout: relayBound,
+			}),
 		})
 	}
 	return peers
