--- a/table/batch.go
+++ b/table/batch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
@@ -77,42 +78,41 @@
 // settleTries bounds how often a lost answer is looked up.
 const settleTries = 3
 
+// settle finds out what became of a batch whose answer was lost. Where it did
+// not take effect it is sent again, and a conflict then can mean that the first
+// send took effect in between.
 func (b *Batch) settle(ctx context.Context, t glade.Table) glade.Commit {
-	for _, write := range b.txn.Writes {
-		if write.Delete {
-			continue
-		}
-		record, err := Load[json.RawMessage](ctx, t, write.Key)
-		if err != nil {
-			return glade.Uncertain
-		}
-		if record.HasOp(b.op) {
-			return glade.Committed
-		}
-		break
-	}
-	again := t.Commit(ctx, b.txn)
-	if again == glade.Conflicted {
-		return b.conflict(ctx, t)
+	if first := b.look(ctx, t); first == glade.Committed || (first == glade.Uncertain && b.leavesTrace()) {
+		return first
 	}
-	if again == glade.Unavailable {
+	switch again := t.Commit(ctx, b.txn); again {
+	case glade.Conflicted:
+		return b.look(ctx, t)
+	case glade.Unavailable:
 		return glade.Uncertain
+	default:
+		return again
 	}
-	return again
 }
 
-// conflict tells whether a conflict on the second send was caused by the first
-// send taking effect in between.
-func (b *Batch) conflict(ctx context.Context, t glade.Table) glade.Commit {
+// leavesTrace tells whether the batch writes its operation id to a row.
+func (b *Batch) leavesTrace() bool {
+	return slices.ContainsFunc(b.txn.Writes, func(w glade.Write) bool { return !w.Delete })
+}
+
+// look reads a written row back. It returns Committed when the row has the
+// operation id, Conflicted when it has not, and Uncertain when the row can't be
+// read or the batch only deletes, which leaves nothing to read.
+func (b *Batch) look(ctx context.Context, t glade.Table) glade.Commit {
 	for _, write := range b.txn.Writes {
 		if write.Delete {
 			continue
 		}
 		record, err := Load[json.RawMessage](ctx, t, write.Key)
-		if err != nil {
+		switch {
+		case err != nil:
 			return glade.Uncertain
-		}
-		if record.HasOp(b.op) {
+		case record.HasOp(b.op):
 			return glade.Committed
 		}
 		return glade.Conflicted
--- a/table/table_test.go
+++ b/table/table_test.go
@@ -96,6 +96,20 @@
 	expectOnce(t, lossCall, lossCall, lossNone)
 }
 
+func TestLostDeleteIsSentAgain(t *testing.T) {
+	f := &faulty{Table: memory.NewTable()}
+	_, err := add(f, "n", 1)
+	qt.Assert(t, err, qt.IsNil)
+	record, err := table.Load[int](ctx, f, "n")
+	qt.Assert(t, err, qt.IsNil)
+	f.losses = []loss{lossCall}
+	batch := table.NewBatch()
+	table.Remove(batch, record)
+	result, err := batch.Commit(ctx, f)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Check(t, result, qt.Equals, glade.Committed)
+}
+
 func TestCommitStaysUncertainWhileTheTableIsDown(t *testing.T) {
 	f := &faulty{Table: memory.NewTable(), losses: []loss{lossAnswer}}
 	record, err := table.Load[int](ctx, f, "n")
