One name for one thing: tunnels between zones, relays to peers

Cause: "relay" named both a request handed to a peer and a stand-in's TCP connection between zones (glossary, twice).

--- a/stand/internal/fleet/config.go
+++ b/stand/internal/fleet/config.go
@@ -7,7 +7,7 @@
 
 	glade "indigoglade"
 	"indigoglade/config"
-	"indigoglade/stand/internal/relay"
+	"indigoglade/stand/internal/tunnel"
 )
 
 // Config configures the stand-in fleet.
@@ -36,8 +36,8 @@
 	Usage glade.Span `json:"usage"`
 	// Lease is how long tasks run on when nobody asks for them; 0 is for ever.
 	Lease glade.Span `json:"lease"`
-	// Relays join processes of different zones.
-	Relays []relay.Spec `json:"relays"`
+	// Tunnels join processes of different zones.
+	Tunnels []tunnel.Spec `json:"tunnels"`
 }
 
 // ReadConfig reads and checks the settings of the stand-in fleet.
@@ -61,8 +61,8 @@
 	if c.Slots < 1 || c.Links < c.Slots {
 		f.Add("/slots", "expected at least 1 slot and no more than the %d connections, found %d", c.Links, c.Slots)
 	}
-	for i, r := range c.Relays {
-		at := fmt.Sprintf("/relays/%d", i)
+	for i, r := range c.Tunnels {
+		at := fmt.Sprintf("/tunnels/%d", i)
 		f.CheckAddress(at+"/listen", r.Listen)
 		f.CheckAddress(at+"/address", r.Address)
 	}
--- a/stand/internal/relay/relay.go
+++ b/stand/internal/tunnel/tunnel.go
@@ -1,6 +1,6 @@
-// Package relay carries TCP connections between availability zones and breaks
+// Package tunnel carries TCP connections between availability zones and breaks
 // them while one of the two zones is cut off.
-package relay
+package tunnel
 
 import (
 	"context"
@@ -12,7 +12,7 @@
 	glade "indigoglade"
 )
 
-// Spec configures one relay. Processes of zone From reach the process at
+// Spec configures one tunnel. Processes of zone From reach the process at
 // Address, which is in zone To, by connecting to Listen.
 type Spec struct {
 	Listen  string     `json:"listen"`
@@ -21,30 +21,30 @@
 	Address string     `json:"address"`
 }
 
-// Config configures a Relay.
+// Config configures a Tunnel.
 type Config struct {
 	Spec Spec
 	// IsCut tells whether a zone is cut off now.
 	IsCut func(zone glade.Zone) bool
 }
 
-// Relay is one listener with the connections through it.
-type Relay struct {
+// Tunnel is one listener with the connections through it.
+type Tunnel struct {
 	config   Config
 	listener net.Listener
 }
 
-// New returns a relay that listens already.
-func New(config Config) (*Relay, error) {
+// New returns a tunnel that listens already.
+func New(config Config) (*Tunnel, error) {
 	listener, err := net.Listen("tcp", config.Spec.Listen)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen on %s", config.Spec.Listen)
 	}
-	return &Relay{config: config, listener: listener}, nil
+	return &Tunnel{config: config, listener: listener}, nil
 }
 
 // Run accepts connections until ctx ends.
-func (r *Relay) Run(ctx context.Context) error {
+func (r *Tunnel) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { r.listener.Close() })
 	defer stop()
 	for {
@@ -55,12 +55,12 @@
 		if err != nil {
 			return errors.Wrap(err, "accept")
 		}
-		p := &pipe{relay: r, near: near}
+		p := &pipe{tunnel: r, near: near}
 		go p.run()
 	}
 }
 
-func (r *Relay) isCut() bool {
+func (r *Tunnel) isCut() bool {
 	return r.config.IsCut(r.config.Spec.From) || r.config.IsCut(r.config.Spec.To)
 }
 
@@ -69,19 +69,19 @@
 	bufferBytes = 32 << 10
 )
 
-// pipe is one connection through a relay.
+// pipe is one connection through a tunnel.
 type pipe struct {
-	relay *Relay
-	near  net.Conn
-	far   net.Conn
+	tunnel *Tunnel
+	near   net.Conn
+	far    net.Conn
 }
 
 func (p *pipe) run() {
 	defer p.near.Close()
-	if p.relay.isCut() {
+	if p.tunnel.isCut() {
 		return
 	}
-	far, err := net.DialTimeout("tcp", p.relay.config.Spec.Address, dialTimeout)
+	far, err := net.DialTimeout("tcp", p.tunnel.config.Spec.Address, dialTimeout)
 	if err != nil {
 		return
 	}
@@ -118,7 +118,7 @@
 }
 
 func (f *flow) pass(data []byte) bool {
-	if f.pipe.relay.isCut() {
+	if f.pipe.tunnel.isCut() {
 		return false
 	}
 	_, err := f.to.Write(data)
--- a/stand/internal/relay/relay_test.go
+++ b/stand/internal/tunnel/tunnel_test.go
@@ -1,4 +1,4 @@
-package relay
+package tunnel
 
 import (
 	"net"
@@ -35,7 +35,7 @@
 	quicktest.Assert(t, err == nil, quicktest.Equals, works)
 }
 
-func TestRelayBreaksWhileZoneIsCut(t *testing.T) {
+func TestTunnelBreaksWhileZoneIsCut(t *testing.T) {
 	far, err := net.Listen("tcp", "127.0.0.1:0")
 	quicktest.Assert(t, err, quicktest.IsNil)
 	defer far.Close()
--- a/stand/main.go
+++ b/stand/main.go
@@ -17,8 +17,8 @@
 	"indigoglade/stand/internal/fault"
 	"indigoglade/stand/internal/fleet"
 	"indigoglade/stand/internal/ledger"
-	"indigoglade/stand/internal/relay"
 	"indigoglade/stand/internal/server"
+	"indigoglade/stand/internal/tunnel"
 )
 
 type flags struct {
@@ -63,7 +63,7 @@
 	for _, runner := range hosts.Runners() {
 		group.ServeOn(runner.Listener(), runner, nil)
 	}
-	if err := addRelays(group, settings.Relays, board); err != nil {
+	if err := addTunnels(group, settings.Tunnels, board); err != nil {
 		return err
 	}
 	return group.Run()
@@ -86,10 +86,10 @@
 	return nil
 }
 
-func addRelays(group *daemon.Group, specs []relay.Spec, board *fault.Board) error {
+func addTunnels(group *daemon.Group, specs []tunnel.Spec, board *fault.Board) error {
 	isCut := func(zone glade.Zone) bool { return board.IsCut(zone, clock.System{}.Now()) }
 	for _, spec := range specs {
-		one, err := relay.New(relay.Config{Spec: spec, IsCut: isCut})
+		one, err := tunnel.New(tunnel.Config{Spec: spec, IsCut: isCut})
 		if err != nil {
 			return err
 		}
