Let a restarted entry host vouch as far back as its peers can

A copy counted only when the other's history reached back over the whole window, which none's did, so each restarted host vouched for nothing older than its own start. Ruled out: cuts (unknown.cut 0) and slots (at most 8). Change: a page says how far back its sender's history reaches, as a length of time; a host that has copied from all others is whole as far back as each of them was. Every claim that ran has a record at another entry host, so nothing later than that can be missing.

--- a/claim/copy.go
+++ b/claim/copy.go
@@ -10,7 +10,7 @@
 )
 
 // copyPeriod is the time between tries to copy from entry hosts that did not
-// answer, or whose own history is not whole.
+// answer.
 const copyPeriod = time.Second
 
 // Run copies the records of all other entry hosts, so that the history becomes
@@ -56,6 +56,7 @@
 // incarnation had to rise, after which all copies start again.
 func (c *Claimer) copyFrom(ctx context.Context, node glade.Node) (done, higher bool) {
 	inc := c.inc()
+	var since time.Time
 	for page := range once.CopyPages {
 		ask := once.CopyAsk{Node: c.config.Self, Inc: inc, Page: page}
 		in, err := link.Call[once.CopyAsk, once.CopyPage](ctx, c.config.Peers[node], "copy", ask)
@@ -66,12 +67,12 @@
 			c.rise(in.Known)
 			return false, true
 		}
-		if !in.Whole {
-			return false, false
-		}
 		c.merge(in)
+		if begin := in.Since(c.config.Clock.Now()); begin.After(since) {
+			since = begin
+		}
 	}
-	c.copied(node)
+	c.copied(node, since)
 	return true, false
 }
 
@@ -93,10 +94,10 @@
 	c.store.Merge(c.config.Clock.Now(), page)
 }
 
-func (c *Claimer) copied(node glade.Node) {
+func (c *Claimer) copied(node glade.Node, since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.store.Copied(node)
+	c.store.Copied(node, since)
 	c.counters.Add("copied", 1)
 }
 
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -99,7 +99,7 @@
 	})
 	for _, peer := range w.nodes {
 		if peer != node {
-			w.copy(node, peer, 0)
+			w.copy(node, peer, 0, time.Time{})
 		}
 	}
 }
@@ -131,23 +131,22 @@
 }
 
 // copy asks for a page; the keys of the test lie on two pages.
-func (w *world) copy(node, peer glade.Node, page int) {
+func (w *world) copy(node, peer glade.Node, page int, since time.Time) {
 	ask := once.CopyAsk{Node: node, Inc: w.stores[node].Inc(), Page: page}
 	life := w.life[node]
-	again := func() { w.copy(node, peer, 0) }
+	again := func() { w.copy(node, peer, 0, time.Time{}) }
 	w.post(node, peer, func() {
 		answer := w.stores[peer].Copy(w.now, ask)
 		w.reply(peer, node, life, func() {
-			if !answer.Whole {
-				again()
-				return
-			}
 			w.stores[node].Merge(w.now, answer)
+			if begin := answer.Since(w.now); begin.After(since) {
+				since = begin
+			}
 			if page == 0 {
-				w.copy(node, peer, 1)
+				w.copy(node, peer, 1, since)
 				return
 			}
-			w.stores[node].Copied(peer)
+			w.stores[node].Copied(peer, since)
 		}, again)
 	}, again)
 }
--- a/once/store.go
+++ b/once/store.go
@@ -81,7 +81,7 @@
 	due    map[int64][]Key
 	swept  int64
 	seen   map[glade.Node]uint64
-	copied map[glade.Node]bool
+	copied map[glade.Node]time.Time
 }
 
 // NewStore returns the store of an entry host that has just started. Its
@@ -93,7 +93,7 @@
 		due:     make(map[int64][]Key),
 		swept:   config.Start.Unix(),
 		seen:    map[glade.Node]uint64{config.Self: config.Inc},
-		copied:  make(map[glade.Node]bool),
+		copied:  make(map[glade.Node]time.Time),
 	}
 }
 
@@ -106,7 +106,30 @@
 // IsWhole tells whether every key that this entry host granted in an earlier
 // incarnation is recorded.
 func (s *Store) IsWhole(now time.Time) bool {
-	return len(s.copied) >= len(s.config.Nodes)-1 || now.Sub(s.config.Start) >= s.config.Window
+	return now.Sub(s.since()) >= s.config.Window
+}
+
+// since returns the moment after which every key that this entry host granted
+// is recorded: its start, or an earlier one when it has copied the records of
+// all others. A key that was granted has a record at another entry host too,
+// so the copies are complete as far back as each of them was.
+//
+//	e1 starts at 12:00 and copies from e2, whole since 11:30, and from e3, whole
+//	since 11:50: e1 is whole since 11:50
+func (s *Store) since() time.Time {
+	if len(s.copied) < len(s.config.Nodes)-1 {
+		return s.config.Start
+	}
+	var latest time.Time
+	for _, since := range s.copied {
+		if since.After(latest) {
+			latest = since
+		}
+	}
+	if latest.After(s.config.Start) {
+		return s.config.Start
+	}
+	return latest
 }
 
 // Expect returns the incarnations that the entry host knows of.
@@ -141,7 +164,7 @@
 		return vote
 	}
 	s.put(Record{Key: c.Key, Token: c.Token, Node: c.Node, Expiry: now.UnixMilli() + c.Window})
-	age := now.Sub(s.config.Start).Milliseconds()
+	age := now.Sub(s.since()).Milliseconds()
 	vote.State = Blank
 	if s.IsWhole(now) || age >= min(c.Window, c.Settle) {
 		vote.State = Granted
--- a/once/store_test.go
+++ b/once/store_test.go
@@ -88,3 +88,22 @@
 	expectVote(t, newStore("a", 1, 10), now.Add(settle), young, once.Granted)
 	expectVote(t, newStore("a", 1, 10), now.Add(settle), newClaim(key, 1, nil), once.Blank)
 }
+
+func TestCopyReachesBackAsFarAsTheOthers(t *testing.T) {
+	later := now.Add(time.Minute)
+	young := newClaim(key, 1, nil)
+	young.Settle = settle.Milliseconds()
+	for _, since := range []time.Time{now, later} {
+		restarted := once.NewStore(once.StoreConfig{
+			Self: "a", Inc: 2, Nodes: []glade.Node{"a", "b", "c"}, Start: later, Window: window, Limit: 10,
+		})
+		restarted.Copied("b", time.Time{})
+		want := once.Blank
+		expectVote(t, restarted, later, newClaim(once.Key{3}, 3, nil), want)
+		restarted.Copied("c", since)
+		if since == now {
+			want = once.Granted
+		}
+		expectVote(t, restarted, later, young, want)
+	}
+}
