--- a/memory/ledger.go
+++ b/memory/ledger.go
@@ -24,6 +24,8 @@
 	delay   time.Duration
 	held    []glade.PartTxn
 	commits int
+	// floor is the newest version whose changes are forgotten.
+	floor int64
 }
 
 type ledgerKey struct{ table, part, key string }
@@ -64,6 +66,37 @@
 	l.delay = delay
 }
 
+// IsDown tells whether every call is refused or unanswered.
+func (l *Ledger) IsDown() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.fault == LedgerDown || l.fault == LedgerMute
+}
+
+// Put writes and deletes rows as others than the system do, whatever the fault.
+func (l *Ledger) Put(rows ...glade.PartRow) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var txn glade.PartTxn
+	for _, row := range rows {
+		if row.Gone {
+			txn.Deletes = append(txn.Deletes, row)
+		} else {
+			txn.Puts = append(txn.Puts, row)
+		}
+	}
+	l.apply(txn)
+}
+
+// Forget drops the history, so that feeds have to begin anew.
+func (l *Ledger) Forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.floor, l.log = l.version, nil
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
 // pause takes the time of a call.
 func (l *Ledger) pause() {
 	l.mu.Lock()
@@ -245,6 +278,10 @@
 			l.mu.Unlock()
 			return nil, 0, errLedgerDown
 		}
+		if after < l.floor {
+			l.mu.Unlock()
+			return nil, 0, errors.Wrapf(glade.ErrHistory, "feed of %s after %d", table, after)
+		}
 		var rows []glade.PartRow
 		for _, row := range l.log {
 			if row.Table == table && row.Version > after {
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -108,9 +108,29 @@
 // Lend tells how much room, in thousandths of a core, other pools can lend.
 func (s *Sched) Lend(room int, now time.Time) { s.lent, s.lentAt = room, now }
 
-// inflowTime is the time over which the arriving work is averaged: short
-// against a turn of some seconds, long against the gap between two batches.
-const inflowTime = 450 * time.Millisecond
+// inflow is the room that the arriving work of a queue asks for.
+type inflow struct {
+	room float64 // in thousandths of a core, as of at
+	at   time.Time
+	// over is the time over which the work is averaged.
+	over time.Duration
+}
+
+// Bounds of an average of arriving work.
+const (
+	// inflowTime is short against a turn of some seconds, and long against the
+	// gap between two short batches.
+	inflowTime = 450 * time.Millisecond
+	// inflowShare of the time that a batch can wait is averaged over when that is
+	// longer: a few large batches come with gaps that waiting evens out.
+	inflowShare = 0.5
+	// inflowBatches is how many batches of a queue its time is averaged over.
+	inflowBatches = 8
+)
+
+func (f *inflow) left(now time.Time) float64 {
+	return f.room * math.Exp(-float64(now.Sub(f.at))/float64(f.over))
+}
 
 // arrive counts the work of a batch that was sent, accepted or not.
 func (s *Sched) arrive(b *batch, now time.Time) {
@@ -120,21 +140,26 @@
 			work += float64(st.rule.Count) * float64(st.rule.Need.CPU) * float64(st.rule.Estimate) * s.learnt.of(b.queue)
 		}
 	}
-	s.inflow = s.inflow*s.inflowLeft(now) + work
-	s.inflowAt = now
-}
-
-func (s *Sched) inflowLeft(now time.Time) float64 {
-	return math.Exp(-float64(now.Sub(s.inflowAt)) / float64(inflowTime))
+	waits := s.objective(b) - s.chain(b.rounds[0], true)
+	over := max(inflowTime, time.Duration(inflowShare*float64(waits)))
+	f, ok := s.inflows[b.queue]
+	if !ok {
+		f = &inflow{at: now, over: over}
+		s.inflows[b.queue] = f
+	}
+	f.room, f.at = f.left(now), now
+	f.over += (over - f.over) / inflowBatches
+	f.room += work / float64(f.over.Milliseconds())
 }
 
 // offered returns the room that the arriving work asks for, in thousandths of a
 // core.
 func (s *Sched) offered(now time.Time) int {
-	if s.inflowAt.IsZero() {
-		return 0
+	room := 0.0
+	for _, f := range s.inflows {
+		room += f.left(now)
 	}
-	return int(s.inflow * s.inflowLeft(now) / float64(inflowTime.Milliseconds()))
+	return int(room)
 }
 
 func isLasting(b *batch) bool {
--- a/sched/admit_test.go
+++ b/sched/admit_test.go
@@ -85,3 +85,53 @@
 		r.c.Assert(r.running("late"), qt.Equals, 0)
 	})
 }
+
+func TestLoad(t *testing.T) {
+	expectLoad := func(name string, late bool) {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(qt.New(t), 1, twoFit)
+			r.play(time.Second)
+			r.submit("a", steps(glade.Step{Count: 5, Need: core, Estimate: 300}))
+			r.play(100 * time.Millisecond)
+			if late {
+				r.play(2 * time.Second)
+			}
+			r.endAll("a", 0, glade.EndDone) // two tasks
+			r.play(100 * time.Millisecond)
+			load := r.sched.Demand(r.now)
+			r.c.Assert(load.Demand+load.Late, qt.Equals, 3*core.CPU)
+			if late {
+				// Two run, one waits and can't be in time.
+				r.c.Assert(load.Late, qt.Equals, core.CPU)
+			}
+		})
+	}
+	expectLoad("tasks that are done ask for nothing", false)
+	expectLoad("nor when the others are late", true)
+	t.Run("a large batch that can wait is no rush", func(t *testing.T) {
+		r := newRig(qt.New(t), 4, twoFit)
+		r.play(time.Second)
+		// One core in the mean: 8 s of work every 8 s, in time within 8.5 s.
+		most := 0
+		for i := range 4 {
+			r.submit(glade.BatchID(fmt.Sprint(i)), steps(glade.Step{Count: 2, Need: core, Estimate: 4000}))
+			for range 40 {
+				r.play(200 * time.Millisecond)
+				r.endAll(glade.BatchID(fmt.Sprint(i)), 0, glade.EndDone)
+				most = max(most, r.sched.Demand(r.now).Offered)
+			}
+		}
+		// It runs on two cores at most.
+		r.c.Assert(most <= 5*core.CPU, qt.IsTrue, qt.Commentf("%d", most))
+	})
+	t.Run("a rise of short work is seen at once", func(t *testing.T) {
+		r := newRig(qt.New(t), 4, twoFit)
+		r.play(time.Second)
+		// Five cores: 0.1 s of work every 20 ms.
+		for i := range 35 {
+			r.submit(glade.BatchID(fmt.Sprint(i)), steps(glade.Step{Count: 1, Need: core, Estimate: 100}))
+			r.play(20 * time.Millisecond)
+		}
+		r.c.Assert(r.sched.Demand(r.now).Offered > 3*core.CPU, qt.IsTrue)
+	})
+}
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -202,6 +202,9 @@
 	}
 	t.done = true
 	st.left--
+	if len(t.runs) == 0 {
+		st.idle--
+	}
 	s.change(st.round.batch)
 	if st.left > 0 {
 		return
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -449,6 +449,11 @@
 
 // check looks for a task that runs on two runners.
 func (w *world) check() {
+	for _, l := range w.leads {
+		if load := l.sched.Demand(w.now); load.Demand < 0 || load.Late < 0 {
+			w.fail("load of %d, and %d late", load.Demand, load.Late)
+		}
+	}
 	where := make(map[glade.TaskID]glade.RunnerID)
 	for id, r := range w.runners {
 		for task := range r.runs {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -67,11 +67,9 @@
 	// placedAt is when tasks were last placed.
 	placedAt time.Time
 	learnt   learnt
-	// inflow is the work that arrived lately, in thousandths of a core times
-	// milliseconds, as of inflowAt; turned holds refused batches.
-	inflow   float64
-	inflowAt time.Time
-	turned   map[glade.BatchID]bool
+	inflows  map[glade.Queue]*inflow
+	// turned holds refused batches.
+	turned map[glade.BatchID]bool
 	// lent is the room that other pools can lend, as of lentAt.
 	lent   int
 	lentAt time.Time
@@ -102,6 +100,7 @@
 		runners: make(map[glade.RunnerID]*runner),
 		open:    make(map[*step]bool),
 		crew:    make(map[glade.RunnerID]bool),
+		inflows: make(map[glade.Queue]*inflow),
 		turned:  make(map[glade.BatchID]bool),
 		renewed: now,
 		taken:   now,
