Waves are told to run, and told to be done by whoever leads last

Cause: the state `running` of a wave was never written, and a wave's row said that it is done before the operator was told, so that a lead which lost the store between the two left the wave untold for good. The row was also written five times a second until the first host began. Ruled out: an unconditional first report (one that the store carries out late would replace the last). Change: the first report holds only while there is none; the row is done after the last report; rows are written when they differ from what is written.

--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -28,9 +28,19 @@
 	// order may be under way.
 	Begun   []glade.Host `json:"begun,omitempty"`
 	Ordered []glade.Host `json:"ordered,omitempty"`
-	Done    bool         `json:"done,omitempty"`
+	// Done waves were told to be completed.
+	Done bool `json:"done,omitempty"`
 }
 
+// waveState is a state of a wave that the operator is told.
+type waveState int
+
+const (
+	waveUntold waveState = iota
+	waveRunning
+	waveDone
+)
+
 // Fleet is the lead of the fleet duty.
 type Fleet struct {
 	*tenure
@@ -40,13 +50,17 @@
 	stop  context.CancelFunc
 	quit  chan struct{}
 	ended sync.WaitGroup
+	// saved is each row as it is written.
+	saved map[int64]string
+	// told is what the operator was told of each wave.
+	told map[int64]waveState
 	// listed is when the inventory was last read.
 	listed time.Time
 }
 
 func newFleet(k *Keep, t *tenure) *Fleet {
 	return &Fleet{
-		tenure: t, quit: make(chan struct{}), rows: make(map[int64]WaveRow),
+		tenure: t, quit: make(chan struct{}), rows: make(map[int64]WaveRow), saved: make(map[int64]string), told: make(map[int64]waveState),
 		plan: moves.New(moves.Config{MoveTime: k.config.Bounds.MoveTime, MaintainTime: k.config.Bounds.MaintainTime}),
 	}
 }
@@ -111,6 +125,7 @@
 					continue
 				}
 				f.rows[number] = progress
+				f.saved[number] = string(encode(progress))
 			}
 			return nil
 		}
@@ -149,7 +164,7 @@
 		f.keep.config.Log.Info(e.Name, append(e.Pairs, "epoch", f.term.Epoch)...)
 	}
 	// The rows name what is ordered before it is.
-	if err := f.write(ctx, finished); err != nil {
+	if err := f.write(ctx); err != nil {
 		return err
 	}
 	for _, order := range orders {
@@ -157,9 +172,7 @@
 		o := &fleetOrder{fleet: f, order: order}
 		go o.run(ctx)
 	}
-	for _, number := range finished {
-		f.report(ctx, number)
-	}
+	f.tell(ctx, finished)
 	return nil
 }
 
@@ -261,22 +274,20 @@
 }
 
 // write stores the progress of waves when it has changed, and renews the term.
-func (f *Fleet) write(ctx context.Context, finished []int64) error {
+func (f *Fleet) write(ctx context.Context) error {
 	var puts []glade.PartRow
 	f.mu.Lock()
 	for number, row := range f.rows {
 		if row.Done {
 			continue
 		}
-		next := WaveRow{Since: row.Since}
+		next := WaveRow{Since: row.Since, Done: f.told[number] == waveDone}
 		next.Begun, next.Ordered = f.plan.Progress(number)
-		for _, n := range finished {
-			next.Done = next.Done || n == number
-		}
-		if string(encode(next)) == string(encode(row)) && len(row.Begun) > 0 {
+		if string(encode(next)) == f.saved[number] {
 			continue
 		}
 		f.rows[number] = next
+		f.saved[number] = string(encode(next))
 		puts = append(puts, glade.PartRow{
 			Table: tableWave, Part: string(f.service), Key: fmt.Sprint(number), Value: encode(next),
 		})
@@ -302,18 +313,39 @@
 	}
 }
 
-// report tells the operator that a wave has ended.
-func (f *Fleet) report(ctx context.Context, number int64) {
+// tell tells the operator of waves that have begun or ended. A wave's row says
+// that it is done only after that, so that a next lead tells it again.
+func (f *Fleet) tell(ctx context.Context, finished []int64) {
+	f.mu.Lock()
+	news := make(map[int64]waveState)
+	for number, row := range f.rows {
+		if !row.Done && f.told[number] == waveUntold {
+			news[number] = waveRunning
+		}
+	}
+	f.mu.Unlock()
+	for _, number := range finished {
+		news[number] = waveDone
+	}
+	for number, state := range news {
+		f.report(ctx, number, state)
+	}
+}
+
+func (f *Fleet) report(ctx context.Context, number int64, state waveState) {
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	if err := f.keep.config.Inventory.Report(bounded, number, true); err != nil {
-		f.keep.config.Log.Info("wave not reported", "wave", number, "error", err.Error())
+	if err := f.keep.config.Inventory.Report(bounded, number, state == waveDone); err != nil {
+		f.keep.config.Log.Info("wave not reported", "wave", number, "done", state == waveDone, "error", err.Error())
 		return
 	}
-	f.keep.config.Log.Info("wave ended", "wave", number, "epoch", f.term.Epoch)
+	f.keep.config.Log.Info("wave reported", "wave", number, "done", state == waveDone, "epoch", f.term.Epoch)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.plan.SetDone(number)
+	f.told[number] = state
+	if state == waveDone {
+		f.plan.SetDone(number)
+	}
 }
 
 // fleetOrder is one order on a host under way.
--- a/lead/keep.go
+++ b/lead/keep.go
@@ -29,6 +29,8 @@
 type Bounds struct {
 	// HoldMax is the longest lease that a runner grants.
 	HoldMax time.Duration
+	// Restore is how long a task takes to go on from its saved work.
+	Restore time.Duration
 	// Keep is how long the state of an ended batch must be told.
 	Keep time.Duration
 	// MoveTime and MaintainTime are how long a host is away.
@@ -333,7 +335,7 @@
 // schedConfig returns the settings of a service's decisions.
 func (k *Keep) schedConfig(service glade.Service, epoch int64) sched.Config {
 	return sched.Config{
-		Service: service, Epoch: epoch, Lease: leaseTime, Reach: reachTime, HoldMax: k.config.Bounds.HoldMax,
+		Service: service, Epoch: epoch, Lease: leaseTime, Reach: reachTime, HoldMax: k.config.Bounds.HoldMax, Restore: k.config.Bounds.Restore,
 		Keep: k.config.Bounds.Keep * 3 / 2, Look: lookTime,
 	}
 }
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -203,11 +203,12 @@
 	keeps  map[glade.Node]*lead.Keep
 	stops  map[glade.Node]context.CancelFunc
 	ids    int
+	hosts  *hosts
 }
 
 func newSite(c *qt.C, nodes ...glade.Node) *site {
 	s := &site{
-		c: c, ledger: memory.NewLedger(), pool: newPool(3),
+		c: c, ledger: memory.NewLedger(), pool: newPool(3), hosts: &hosts{},
 		keeps: make(map[glade.Node]*lead.Keep), stops: make(map[glade.Node]context.CancelFunc),
 	}
 	for _, node := range nodes {
@@ -220,10 +221,10 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	board := lead.NewBoard(lead.BoardConfig{Self: node, Row: lead.NodeRow{Address: string(node)}, Ledger: s.ledger, Clock: clock.System{}, Log: logr.Discard()})
 	keep := lead.New(lead.Config{
-		Self: node, Address: string(node), Ledger: s.ledger, Runners: reach{s.pool, node}, Inventory: noHosts{},
+		Self: node, Address: string(node), Ledger: s.ledger, Runners: reach{s.pool, node}, Inventory: s.hosts,
 		Clock: clock.System{}, Log: logr.Discard(), Board: board, Bounds: lead.Bounds{HoldMax: 10 * time.Second, Keep: time.Minute},
 	})
-	keep.SetRules(glade.Rules{Version: 1, Services: []glade.ServiceRule{{Service: service}}, Queues: []glade.QueueRule{{
+	keep.SetRules(glade.Rules{Version: 1, Services: []glade.ServiceRule{{Service: service}, {Service: spare, Spare: true}}, Queues: []glade.QueueRule{{
 		Queue: queue, Service: service, Attempts: 3, Stretch: 2, Slack: time.Second,
 	}}})
 	keep.SetRunners(s.pool.list())
@@ -241,18 +242,49 @@
 
 func (d *testDuty) run() { _ = d.duty(d.ctx) } // its end is not looked at
 
-// noHosts is an inventory without hosts.
-type noHosts struct{}
+// spare is a pool of hosts that are off.
+const spare glade.Service = "spare"
 
-func (noHosts) Hosts(context.Context) ([]glade.HostInfo, error) { return nil, nil }
-func (noHosts) Move(context.Context, glade.Host, glade.Service, int64) (glade.HostRefusal, error) {
-	return "", nil
+// hosts is an inventory of two hosts of the spare pool.
+type hosts struct {
+	mu   sync.Mutex
+	told []string
+	// deaf is how many reports of an end fail.
+	deaf int
 }
 
-func (noHosts) Maintain(context.Context, glade.Host, int64, int64) (glade.HostRefusal, error) {
-	return "", nil
+func (h *hosts) Hosts(context.Context) ([]glade.HostInfo, error) {
+	var list []glade.HostInfo
+	for _, name := range []glade.Host{"m1", "m2"} {
+		list = append(list, glade.HostInfo{Host: name, Pool: spare, State: glade.HostUp, Room: glade.Need{CPU: 4000, Memory: 4000}})
+	}
+	return list, nil
+}
+
+func (h *hosts) Move(context.Context, glade.Host, glade.Service, int64) (glade.HostRefusal, error) {
+	return glade.HostLimited, nil
+}
+
+func (h *hosts) Maintain(context.Context, glade.Host, int64, int64) (glade.HostRefusal, error) {
+	return glade.HostAccepted, nil
+}
+
+func (h *hosts) Report(_ context.Context, wave int64, done bool) error {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if done && h.deaf > 0 {
+		h.deaf--
+		return errNoAnswer
+	}
+	h.told = append(h.told, fmt.Sprintf("%d %t", wave, done))
+	return nil
+}
+
+func (h *hosts) reports() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]string(nil), h.told...)
 }
-func (noHosts) Report(context.Context, int64, bool) error { return nil }
 
 // leader waits until a host leads the service, and returns it.
 func (s *site) leader() glade.Node {
@@ -445,3 +477,31 @@
 	h.site.wait(h.after)
 	h.site.ledger.SetFault(memory.LedgerSound)
 }
+
+func TestWave(t *testing.T) {
+	wave := []glade.WaveOrder{{Wave: 7, Hosts: []glade.Host{"m1", "m2"}, Most: 1, Within: 20 * time.Second}}
+	play(t, "is told to run and to be done once each", func(c *qt.C, s *site) {
+		for _, keep := range s.keeps {
+			keep.SetWaves(wave)
+		}
+		s.wait(15 * time.Second)
+		c.Assert(s.hosts.reports(), qt.DeepEquals, []string{"7 false", "7 true"})
+	})
+	play(t, "is told to be done by the next lead when the first could not", func(c *qt.C, s *site) {
+		s.hosts.deaf = 1 << 20
+		for _, keep := range s.keeps {
+			keep.SetWaves(wave)
+		}
+		s.wait(15 * time.Second)
+		c.Assert(s.hosts.reports(), qt.DeepEquals, []string{"7 false"})
+		s.kill("h1")
+		s.kill("h2")
+		s.hosts.deaf = 0
+		s.pool.cut = make(map[glade.Node]bool)
+		s.start("h1")
+		s.keeps["h1"].SetWaves(wave)
+		s.wait(15 * time.Second)
+		told := s.hosts.reports()
+		c.Assert(told[len(told)-1], qt.Equals, "7 true")
+	})
+}
--- a/runner.go
+++ b/runner.go
@@ -214,13 +214,15 @@
 	Hosts(ctx context.Context) ([]HostInfo, error)
 	Move(ctx context.Context, host Host, pool Service, fence int64) (HostRefusal, error)
 	Maintain(ctx context.Context, host Host, wave, fence int64) (HostRefusal, error)
-	// Report tells the operator how a wave stands.
+	// Report tells the operator that a wave has begun or is done. That it has
+	// begun is told only while nothing was told yet.
 	Report(ctx context.Context, wave int64, done bool) error
 }
 
 // Reports takes reports for the operator.
 type Reports interface {
-	Report(ctx context.Context, key string, body []byte) error
+	// Report writes a report, or with first only the first one of its key.
+	Report(ctx context.Context, key string, body []byte, first bool) error
 }
 
 // WaveOrder asks for the maintenance of hosts.
