Worth: hosts ask ahead of a rise, tasks leave closing hosts, late work gets a last chance

Cause: pools were sized from arrivals averaged over 0.45 s, so that one large batch looked like a peak of 20 hosts and the next queue waited for hosts that stood idle; at the begin of a turn hosts came two seconds behind the demand; at its end they waited seconds for large tasks; of listed runners up to a third got no work, because a hold may wait longer than a runner counted as heard, and because one lost answer kept a runner idle for half a second; and the newest first order let old batches end just after anyone wanted them.

--- a/moves/need.go
+++ b/moves/need.go
@@ -32,6 +32,9 @@
 	stayTime = 2500 * time.Millisecond
 	// headShare is room beyond the demand that is seen, as a share of it.
 	headShare = 1.15
+	// riseMost bounds what a rise is believed to add, as a share of what there is:
+	// a few batches at once look steep too.
+	riseMost = 1.0
 	// spareHosts are kept beyond it for the next batch.
 	spareHosts = 1
 )
@@ -215,7 +218,7 @@
 		return nil
 	}
 	hosts := (float64(load.Lasting) + n.recent*headShare) / float64(size)
-	later := max(p.forecast(n, now)*headShare, float64(load.Demand+load.Late))
+	later := max(p.forecast(n, now)*headShare, float64(load.Demand+load.Late), p.rising(load)*headShare)
 	own.ahead = int(math.Ceil((float64(load.Lasting) + later) / float64(size)))
 	if memory > 0 {
 		hosts = max(hosts, float64(load.Memory)/float64(memory))
@@ -234,6 +237,14 @@
 	return own
 }
 
+// rising returns what a service will be offered when a host that is moved now
+// is there.
+func (p *Plan) rising(load sched.Load) float64 {
+	offered := float64(load.Offered)
+	more := float64(load.Rise) * (p.config.MoveTime + leadSlack).Seconds()
+	return offered + min(max(more, 0), riseMost*offered)
+}
+
 // hostSize returns the size of some host, in thousandths of a core.
 func (p *Plan) hostSize() int {
 	size := 0
--- a/moves/plan_test.go
+++ b/moves/plan_test.go
@@ -27,6 +27,8 @@
 	memory int // of service a
 	most   int // hosts down for maintenance at once, at the most
 	lost   map[glade.Host]bool
+	// rise is by how much the demand of each service rises in a second.
+	rise map[glade.Service]int
 	// unheld runners have not answered the lead of their service, unlisted ones
 	// it does not know.
 	unheld, unlisted map[glade.Host]bool
@@ -50,7 +52,7 @@
 	r := &rig{
 		c: c, now: time.Unix(1_000_000, 0), hosts: make(map[glade.Host]*fakeHost), demand: make(map[glade.Service]int),
 		plan: moves.New(moves.Config{MoveTime: 1500 * time.Millisecond, MaintainTime: 2 * time.Second}),
-		lost: make(map[glade.Host]bool), unheld: make(map[glade.Host]bool), unlisted: make(map[glade.Host]bool),
+		rise: make(map[glade.Service]int), lost: make(map[glade.Host]bool), unheld: make(map[glade.Host]bool), unlisted: make(map[glade.Host]bool),
 	}
 	r.plan.SetPools(glade.Rules{Services: []glade.ServiceRule{{Service: spare, Spare: true}}})
 	for service, n := range sizes {
@@ -113,7 +115,7 @@
 	r.most = max(r.most, down)
 	r.plan.SetHosts(list)
 	for service, load := range loads {
-		load.Demand, load.Offered = r.demand[service], r.demand[service]
+		load.Demand, load.Offered, load.Rise = r.demand[service], r.demand[service], r.rise[service]
 		if service == "a" {
 			load.Idle, load.Memory = r.idle, r.memory
 			if r.size("a") > 4 {
@@ -232,6 +234,15 @@
 		}
 		r.c.Assert(r.size("a") >= 6, qt.IsTrue)
 	})
+	t.Run("ask for what a rising demand will be when a host is there", func(t *testing.T) {
+		r := newRig(qt.New(t), map[glade.Service]int{"a": 2, "b": 2, spare: 8})
+		r.play(3 * time.Second)
+		r.demand["a"], r.rise["a"] = 2*hostCPU, hostCPU
+		r.play(2 * time.Second)
+		// Two hosts' work, one kept for the next batch, and two for the rise.
+		r.c.Assert(r.size("a") >= 5, qt.IsTrue, qt.Commentf("%d", r.size("a")))
+		r.c.Assert(r.size("a") <= 6, qt.IsTrue)
+	})
 	t.Run("send idle hosts to the spare pool, and keep some", func(t *testing.T) {
 		r := newRig(qt.New(t), map[glade.Service]int{"a": 6, spare: 0})
 		r.play(10 * time.Second)
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -111,6 +111,9 @@
 // inflow is the room that the arriving work of a queue asks for.
 type inflow struct {
 	room float64 // in thousandths of a core, as of at
+	// slow follows room as room follows the work, so that their difference tells
+	// how fast it rises.
+	slow float64
 	at   time.Time
 	// over is the time over which the work is averaged.
 	over time.Duration
@@ -128,8 +131,12 @@
 	inflowBatches = 8
 )
 
-func (f *inflow) left(now time.Time) float64 {
-	return f.room * math.Exp(-float64(now.Sub(f.at))/float64(f.over))
+// pass lets time pass.
+func (f *inflow) pass(now time.Time) {
+	x := float64(now.Sub(f.at)) / float64(f.over)
+	f.slow = (f.slow + f.room*x) * math.Exp(-x)
+	f.room *= math.Exp(-x)
+	f.at = now
 }
 
 // arrive counts the work of a batch that was sent, accepted or not.
@@ -147,19 +154,20 @@
 		f = &inflow{at: now, over: over}
 		s.inflows[b.queue] = f
 	}
-	f.room, f.at = f.left(now), now
+	f.pass(now)
 	f.over += (over - f.over) / inflowBatches
 	f.room += work / float64(f.over.Milliseconds())
 }
 
 // offered returns the room that the arriving work asks for, in thousandths of a
-// core.
-func (s *Sched) offered(now time.Time) int {
-	room := 0.0
+// core, and by how much that rises in a second.
+func (s *Sched) offered(now time.Time) (room, rise int) {
 	for _, f := range s.inflows {
-		room += f.left(now)
+		f.pass(now)
+		room += int(f.room)
+		rise += int((f.room - f.slow) / f.over.Seconds())
 	}
-	return int(room)
+	return room, rise
 }
 
 func isLasting(b *batch) bool {
--- a/sched/admit_test.go
+++ b/sched/admit_test.go
@@ -84,6 +84,27 @@
 		r.c.Assert(r.running("fresh"), qt.Equals, 2)
 		r.c.Assert(r.running("late"), qt.Equals, 0)
 	})
+	t.Run("a fifth of the room is for what has to begin now or is in vain", func(t *testing.T) {
+		r := newRig(qt.New(t), 5, twoFit)
+		r.play(time.Second)
+		r.submit("busy", steps(glade.Step{Count: 10, Need: core, Estimate: 6000}))
+		r.play(100 * time.Millisecond)
+		for i := range 6 {
+			// Due in 1.1 s, wanted for 3.3 s.
+			r.submit(glade.BatchID(fmt.Sprint("late", i)), steps(glade.Step{Count: 1, Need: core, Estimate: 300}))
+		}
+		r.play(2500 * time.Millisecond)
+		r.submit("fresh", steps(glade.Step{Count: 20, Need: core, Estimate: 1000}))
+		r.play(40 * time.Millisecond)
+		r.endAll("busy", 0, glade.EndDone)
+		r.play(200 * time.Millisecond)
+		late := 0
+		for i := range 6 {
+			late += r.running(glade.BatchID(fmt.Sprint("late", i)))
+		}
+		r.c.Assert(late, qt.Equals, 2)
+		r.c.Assert(r.running("fresh"), qt.Equals, 8)
+	})
 }
 
 func TestLoad(t *testing.T) {
--- a/sched/answers.go
+++ b/sched/answers.go
@@ -23,7 +23,9 @@
 		s.event("unanswered", "runner", n.runner.info.ID, "batch", n.step.round.batch.id, "step", n.step.index,
 			"task", n.index, "run", n.number, "error", err.Error())
 		n.phase = unsure
-		n.runner.avoid(now)
+		if !n.runner.heard.After(n.sent) {
+			n.runner.avoid(now)
+		}
 	case refused == glade.RunAccepted:
 		if n.phase == starting {
 			n.phase = running
--- a/sched/close.go
+++ b/sched/close.go
@@ -19,8 +19,10 @@
 	Memory int `json:"memory"`
 	// Idle counts lasting tasks that find no place.
 	Idle int `json:"idle"`
-	// Offered is the room that the arriving work asks for.
+	// Offered is the room that the arriving work asks for, and Rise by how much
+	// that rises in a second.
 	Offered int `json:"offered"`
+	Rise    int `json:"rise"`
 	// Hosts is the number of runners that lasting tasks need to be apart.
 	Hosts   int          `json:"hosts"`
 	Runners []RunnerLoad `json:"runners"`
@@ -53,7 +55,8 @@
 
 // Demand returns the load of the service.
 func (s *Sched) Demand(now time.Time) Load {
-	load := Load{Offered: s.offered(now)}
+	var load Load
+	load.Offered, load.Rise = s.offered(now)
 	for st := range s.open {
 		load.Memory += st.left * st.rule.Need.Memory
 		if !st.rule.Lasting {
@@ -121,7 +124,8 @@
 }
 
 // evacuate stops what runs on a closing runner: lasting tasks as soon as enough
-// others of their step are at work, short ones when they take too long.
+// others of their step are at work, short ones when they take too long, or when
+// they go on elsewhere from where they were stopped.
 func (s *Sched) evacuate(r *runner, n *run, now time.Time) {
 	if n.phase != running || n.step.rule.Gang {
 		return
@@ -130,19 +134,71 @@
 		if !s.mayMiss(n, now) || !s.hasRoomFor(n, now) {
 			return
 		}
-	} else if now.Sub(r.closed) < finishTime {
+	} else if now.Sub(r.closed) < finishTime && !s.paysToMove(n, now) {
 		return
 	}
 	n.phase = stopping
 	n.settled = time.Time{}
 }
 
+// Bounds of stopping a task that saves its work.
+const (
+	// stopTime is about how long a stop takes: the order, and the end in the list.
+	stopTime = 250 * time.Millisecond
+	// movePays times what a stop and a restore take is what a task must still have
+	// to do for a stop to pay.
+	movePays = 2
+)
+
+// paysToMove tells whether a short task is better stopped than waited for. Its
+// host is then free for another pool seconds earlier. A shrinking pool closes
+// one host after the other; a task leaves only the first.
+func (s *Sched) paysToMove(n *run, now time.Time) bool {
+	t := n.task()
+	if !n.step.rule.Saves || t.left {
+		return false
+	}
+	if !s.slackKnown {
+		s.slackRoom, s.slackKnown = s.findSlackRoom(now), true
+	}
+	if s.slackRoom < n.step.rule.Need.CPU || !s.hasRoomFor(n, now) {
+		return false
+	}
+	whole := time.Duration(float64(n.step.rule.Estimate)*s.learnt.of(n.step.round.batch.queue)) * time.Millisecond
+	if whole-now.Sub(n.sent) < movePays*(stopTime+s.config.Restore) {
+		return false
+	}
+	s.slackRoom -= n.step.rule.Need.CPU
+	t.left = true
+	return true
+}
+
+// findSlackRoom returns the room of usable runners that neither runs, nor waiting
+// tasks, nor tasks on their way from closing runners need.
+func (s *Sched) findSlackRoom(now time.Time) int {
+	room := 0
+	for _, r := range s.runners {
+		if s.isUsable(r, now) {
+			room += r.info.Room.CPU - r.used.CPU
+		}
+		for n := range r.runs {
+			if n.phase == stopping {
+				room -= n.step.rule.Need.CPU
+			}
+		}
+	}
+	for st := range s.open {
+		room -= st.idle * charged(st.rule).CPU
+	}
+	return room
+}
+
 // atWork is the progress of a lasting task that is at work, in percent.
 const atWork = 100
 
 // isAtWork tells whether a lasting task is seen at work.
 func isAtWork(n *run, now time.Time) bool {
-	return n.phase == running && n.percent >= atWork && n.runner.missed == 0 && now.Sub(n.runner.heard) < heardWithin
+	return n.phase == running && n.percent >= atWork && n.runner.isHeard(now)
 }
 
 // mayMiss tells whether a lasting task may be stopped: fewer others of its step
--- a/sched/order.go
+++ b/sched/order.go
@@ -49,11 +49,13 @@
 
 // Classes of steps. What lasts is restarted first, because it is missed by its
 // own users all the while; then what has begun and can be in time, so that the
-// work done for it is not lost; then what can still begin in time; what can't
+// work done for it is not lost; then some of what is late and has to begin now,
+// or it will have been in vain; then what can still begin in time; what can't
 // waits for all of these.
 const (
 	classLasting = iota
 	classBegun
+	classLast
 	classFresh
 	classLate
 	classHopeless
@@ -64,6 +66,15 @@
 // that is too long would begin when its slack is gone, and all would be late.
 const overloadTime = 350 * time.Millisecond
 
+// Bounds of late work that goes before work that can be in time. Without it, the
+// newest batches of a long turn go first for so long that the oldest end when
+// nobody wants them any more; with too much of it, all batches of an overload
+// are late.
+const (
+	lastTime  = time.Second // before the last moment to begin
+	lastShare = 0.2         // of the pool
+)
+
 // ranked returns the open steps with idle tasks in the order of placement.
 func (s *Sched) ranked(now time.Time) []rank {
 	list := make([]rank, 0, len(s.open))
@@ -78,20 +89,62 @@
 			waits += float64(st.left*st.rule.Need.CPU) * float64(st.rule.Estimate) * s.learnt.of(st.round.batch.queue)
 		}
 	}
-	if pool := s.pool(); pool > 0 && waits/float64(pool) > float64(overloadTime.Milliseconds()) {
+	pool := s.pool()
+	if pool > 0 && waits/float64(pool) > float64(overloadTime.Milliseconds()) {
 		for i := range list {
 			if list[i].class == classFresh {
 				list[i].key = list[i].age
 			}
 		}
 	}
-	slices.SortFunc(list, func(a, b rank) int {
-		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.key, b.key),
-			cmp.Compare(a.step.round.batch.id, b.step.round.batch.id), cmp.Compare(a.step.index, b.step.index))
-	})
+	slices.SortFunc(list, compareRanks)
+	if s.promote(list, pool) {
+		slices.SortFunc(list, compareRanks)
+	}
 	return list
 }
 
+func compareRanks(a, b rank) int {
+	return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.key, b.key),
+		cmp.Compare(a.step.round.batch.id, b.step.round.batch.id), cmp.Compare(a.step.index, b.step.index))
+}
+
+// promote puts late steps whose last moment to begin is near before fresh ones,
+// as far as their share of the pool goes.
+func (s *Sched) promote(list []rank, pool int) bool {
+	room := int(lastShare*float64(pool)) - s.lastRoom()
+	promoted := false
+	for i := range list {
+		next := &list[i]
+		b := next.step.round.batch
+		asks := next.step.idle * next.step.rule.Need.CPU
+		if next.class != classLate || next.key > lastTime || (!b.last && asks > room) {
+			continue
+		}
+		if !b.last {
+			b.last = true
+			s.event("last chance", "batch", b.id, "queue", b.queue, "within", next.key.Milliseconds(), "room", room)
+		}
+		room -= asks
+		next.class = classLast
+		promoted = true
+	}
+	return promoted
+}
+
+// lastRoom returns the room that batches with a last chance have taken.
+func (s *Sched) lastRoom() int {
+	sum := 0
+	for b := range s.live {
+		if b.last {
+			for n := range b.runs {
+				sum += n.step.rule.Need.CPU
+			}
+		}
+	}
+	return sum
+}
+
 func (s *Sched) rank(st *step, now time.Time) rank {
 	b := st.round.batch
 	if st.rule.Lasting {
--- a/sched/place.go
+++ b/sched/place.go
@@ -10,14 +10,20 @@
 // fullPace lets a task work as much as it can, in percent.
 const fullPace = 100
 
-// heardWithin is the age of the newest answer up to which a runner gets work:
-// one hold that waits for an end, and its way.
-const heardWithin = 1500 * time.Millisecond
+// heardSlack is how much later than a hold may wait its answer may come before
+// a runner gets no more work.
+const heardSlack = 500 * time.Millisecond
+
+// isHeard tells whether a runner has answered, and is not late with the next
+// answer.
+func (r *runner) isHeard(now time.Time) bool {
+	return r.missed == 0 && now.Before(r.answerBy)
+}
 
 // isUsable tells whether new work may go to a runner.
 func (s *Sched) isUsable(r *runner, now time.Time) bool {
 	return r.listed && r.held && !r.info.Draining && r.closing.IsZero() && r.crewGen > 0 && r.crewGen <= s.crewOK &&
-		(r.rebornAt.IsZero() || s.confirmed(r.rebornAt)) && r.missed == 0 && now.Sub(r.heard) < heardWithin && !now.Before(r.health.sick) && s.lease(r, now) > 0
+		(r.rebornAt.IsZero() || s.confirmed(r.rebornAt)) && r.isHeard(now) && !now.Before(r.health.sick) && s.lease(r, now) > 0
 }
 
 // enlist asks for runners to be written into the crew before they are used.
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -20,6 +20,8 @@
 	// until is the newest lease that may have reached it, on its clock.
 	until int64
 	heard time.Time
+	// answerBy is when the next hold should be answered at the latest.
+	answerBy time.Time
 	// next is when it may be held again, and missed how often in a row a hold
 	// was not answered.
 	next   time.Time
@@ -224,7 +226,7 @@
 		if r.missed == 1 || r.missed%10 == 0 {
 			s.event("silent", "runner", id, "missed", r.missed, "heard", sinceMillis(now, r.heard), "error", err.Error())
 		}
-		r.next = now.Add(min(time.Duration(r.missed)*holdBackoff, maxHoldBackoff))
+		r.next = sent.Add(min(time.Duration(r.missed)*holdBackoff, maxHoldBackoff))
 		return true
 	}
 	if answer.Refused == glade.RefusedFence {
@@ -240,6 +242,7 @@
 		s.event("heard", "runner", id, "missed", r.missed)
 	}
 	r.missed, r.heard, r.doubtful = 0, now, false
+	r.answerBy = now.Add(s.config.Look + heardSlack)
 	if r.born != answer.Born {
 		s.reborn(r, answer, now)
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -29,6 +29,8 @@
 	Reach time.Duration
 	// HoldMax is the longest lease that a runner grants.
 	HoldMax time.Duration
+	// Restore is how long a task takes to go on from its saved work.
+	Restore time.Duration
 	// Keep is how long the state of an ended batch is told.
 	Keep time.Duration
 	// Look is the longest time that a hold waits for an end.
@@ -70,6 +72,10 @@
 	inflows  map[glade.Queue]*inflow
 	// turned holds refused batches.
 	turned map[glade.BatchID]bool
+	// slackRoom is the room for tasks that leave closing runners, found when first
+	// asked for in each step.
+	slackRoom  int
+	slackKnown bool
 	// lent is the room that other pools can lend, as of lentAt.
 	lent   int
 	lentAt time.Time
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -36,6 +36,9 @@
 	waiting  []waitingHold
 	// loseStarts is the number of starts that get no answer and are not carried out.
 	loseStarts int
+	// delayed starts are carried out and not answered yet.
+	delay   bool
+	delayed []sched.Start
 	// refuseStarts is the number of starts that are refused next.
 	refuseStarts int
 	since        map[glade.ActiveRun]time.Time
@@ -161,6 +164,10 @@
 	r.orders = append(r.orders, fmt.Sprintf("start %s.%d.%d on %s", order.Task.Batch, order.Task.Step, order.Task.Index, o.To().ID))
 	f.running = append(f.running, glade.ActiveRun{Task: order.Task, Run: order.Run, Percent: 100})
 	f.until = max(f.until, order.Until)
+	if r.delay {
+		r.delayed = append(r.delayed, o)
+		return
+	}
 	r.sched.Started(o, glade.RunAnswer{}, nil, r.now)
 }
 
@@ -441,6 +448,32 @@
 	})
 }
 
+func TestUsableRunner(t *testing.T) {
+	t.Run("an idle runner gets work until its next answer is due", func(t *testing.T) {
+		r := newRig(qt.New(t), 1, twoFit)
+		r.play(time.Second)
+		r.holdTime = 10 * time.Second
+		// The second long hold is under way for 1.7 s.
+		r.play(3700 * time.Millisecond)
+		r.submit("a", steps(glade.Step{Count: 1, Need: core, Estimate: 50}))
+		r.play(60 * time.Millisecond)
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+	})
+	t.Run("a lost answer keeps no work off a runner that is heard after it", func(t *testing.T) {
+		r := newRig(qt.New(t), 1, twoFit)
+		r.play(time.Second)
+		r.delay = true
+		r.submit("a", steps(glade.Step{Count: 1, Need: core, Estimate: 5000}))
+		r.play(700 * time.Millisecond)
+		r.delay = false
+		r.c.Assert(r.delayed, qt.HasLen, 1)
+		r.sched.Started(r.delayed[0], glade.RunAnswer{}, fmt.Errorf("no answer"), r.now)
+		r.submit("b", steps(glade.Step{Count: 1, Need: core, Estimate: 500}))
+		r.play(100 * time.Millisecond)
+		r.c.Assert(r.running("b"), qt.Equals, 1)
+	})
+}
+
 func TestLostStart(t *testing.T) {
 	t.Run("is given up and made again, however long holds wait", func(t *testing.T) {
 		r := newRig(qt.New(t), 1, twoFit)
@@ -516,3 +549,33 @@
 		r.c.Assert(r.runs[ids[1]].running, qt.HasLen, 1)
 	})
 }
+
+func TestCloseShort(t *testing.T) {
+	expectMoved := func(name string, st glade.Step, busy int, want bool) {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(qt.New(t), 2, twoFit)
+			r.submit("a", steps(st))
+			r.play(500 * time.Millisecond)
+			if busy > 0 {
+				r.submit("busy", steps(glade.Step{Count: busy, Need: core, Estimate: 3000}))
+				r.play(100 * time.Millisecond)
+			}
+			from := r.holder("a")
+			for range 5 {
+				r.sched.Close([]glade.RunnerID{from}, r.now)
+				r.play(100 * time.Millisecond)
+			}
+			r.c.Assert(r.running("a"), qt.Equals, 1)
+			r.c.Assert(r.holder("a") != from, qt.Equals, want)
+		})
+	}
+	long := glade.Step{Count: 1, Need: core, Estimate: 3000, Saves: true}
+	expectMoved("a task that saves its work goes on elsewhere", long, 0, true)
+	unsaved := long
+	unsaved.Saves = false
+	expectMoved("one that does not is left to end", unsaved, 0, false)
+	short := long
+	short.Estimate = 800
+	expectMoved("so is one that ends soon", short, 0, false)
+	expectMoved("and one for which there is no room", long, 3, false)
+}
--- a/sched/step.go
+++ b/sched/step.go
@@ -107,6 +107,7 @@
 // markUnwanted marks runs that are to be stopped: of batches that are over, of
 // tasks that are done, and orders that got no answer.
 func (s *Sched) markUnwanted(now time.Time) {
+	s.slackKnown = false
 	for _, r := range s.runners {
 		for n := range r.runs {
 			b := n.step.round.batch
@@ -144,7 +145,7 @@
 	}
 	still := now.Sub(n.moved)
 	return still > stuckTime && float64(still.Milliseconds()) > stuckRatio*float64(n.step.rule.Estimate) &&
-		now.Sub(n.runner.heard) < heardWithin && n.moved.Before(n.runner.heard)
+		n.runner.isHeard(now) && n.moved.Before(n.runner.heard)
 }
 
 // stops returns the stops that are due.
@@ -198,6 +199,9 @@
 			order.Wait = 0
 		}
 		r.holding = true
+		if by := now.Add(order.Wait + heardSlack); by.After(r.answerBy) {
+			r.answerBy = by
+		}
 		r.told = order.Seen
 		r.until = max(r.until, order.Until)
 		holds = append(holds, Hold{To: r.info, Order: order})
