Gangs, advice and copies as they are asked for; moves go on without the store

Ruled out: a shorter time for the renewal (a slow store takes long). Change: an incomplete gang is stopped and started anew, its failures and saved work count together; runners that may not run a step are not asked for again; copies where there is room that nothing waits for; rows of waves and the renewal are written beside the decisions, orders of waves wait for their row, moves go on for the reach of the last renewal; loads are read side by side; refused work counts as arriving, once.

--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -56,11 +57,19 @@
 	told map[int64]waveState
 	// listed is when the inventory was last read.
 	listed time.Time
+	// writing is closed when the write under way has ended; failed is why the
+	// lead is lost.
+	writing chan struct{}
+	failed  error
+	// proved is when the newest write was sent that proved the lead.
+	proved time.Time
+	// held are orders whose rows wait to be written.
+	held []moves.Order
 }
 
 func newFleet(k *Keep, t *tenure) *Fleet {
 	return &Fleet{
-		tenure: t, quit: make(chan struct{}), rows: make(map[int64]WaveRow), saved: make(map[int64]string), told: make(map[int64]waveState),
+		tenure: t, quit: make(chan struct{}), rows: make(map[int64]WaveRow), proved: t.renewed, saved: make(map[int64]string), told: make(map[int64]waveState),
 		plan: moves.New(moves.Config{MoveTime: k.config.Bounds.MoveTime, MaintainTime: k.config.Bounds.MaintainTime}),
 	}
 }
@@ -106,7 +115,20 @@
 	f.ended.Wait()
 }
 
+// release gives the duty up. A write that is still under way is given up first.
 func (f *Fleet) release(ctx context.Context) {
+	f.mu.Lock()
+	writing := f.writing
+	f.mu.Unlock()
+	if writing != nil {
+		select {
+		case <-writing:
+		case <-ctx.Done():
+			return
+		case <-time.After(storeTimeout):
+			return
+		}
+	}
 	f.term.Node, f.term.Address = "", ""
 	result, err := f.commit(ctx, nil, nil, true)
 	f.keep.config.Log.Info("lead given up", "service", f.service, "epoch", f.term.Epoch, "result", result.String(), "lost", err != nil)
@@ -163,19 +185,54 @@
 	for _, e := range events {
 		f.keep.config.Log.Info(e.Name, append(e.Pairs, "epoch", f.term.Epoch)...)
 	}
-	// The rows name what is ordered before it is.
-	if err := f.write(ctx); err != nil {
-		return err
-	}
+	f.tell(ctx, finished)
+	return f.order(ctx, orders)
+}
+
+// order gives orders. Those of a wave wait until its row names them. Moves need
+// no row, so that they go on for a time while the store is away: the fence of
+// each host keeps a deposed lead out.
+func (f *Fleet) order(ctx context.Context, orders []moves.Order) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := f.clock.Now()
 	for _, order := range orders {
-		f.ended.Add(1)
-		o := &fleetOrder{fleet: f, order: order}
-		go o.run(ctx)
+		switch {
+		case order.Kind == moves.KindMaintain:
+			if !slices.Contains(f.held, order) {
+				f.held = append(f.held, order)
+			}
+		case now.Sub(f.proved) < reachTime:
+			f.give(ctx, order)
+		}
 	}
-	f.tell(ctx, finished)
+	if f.failed != nil {
+		return f.failed
+	}
+	if f.writing != nil {
+		return nil
+	}
+	puts := f.changedRows()
+	w := &fleetWriter{fleet: f, puts: puts, orders: f.held, renew: now.Sub(f.beaten) >= renewPeriod-fleetPeriod}
+	f.held = nil
+	if len(puts) == 0 && !w.renew {
+		for _, order := range w.orders {
+			f.give(ctx, order)
+		}
+		return nil
+	}
+	f.writing = make(chan struct{})
+	go w.run(ctx)
 	return nil
 }
 
+// give carries out an order. The caller holds the lock.
+func (f *Fleet) give(ctx context.Context, order moves.Order) {
+	f.ended.Add(1)
+	o := &fleetOrder{fleet: f, order: order}
+	go o.run(ctx)
+}
+
 func (f *Fleet) takeWave(wave glade.WaveOrder, now time.Time) {
 	row, ok := f.rows[wave.Wave]
 	if row.Done {
@@ -232,23 +289,49 @@
 	gone := f.plan.Gone()
 	f.mu.Unlock()
 	loads := make(map[glade.Service]sched.Load)
+	var mu sync.Mutex
+	var group sync.WaitGroup
 	for _, rule := range rules.Services {
 		if rule.Spare {
 			continue
 		}
-		bounded, cancel := context.WithTimeout(ctx, loadTime)
-		args := CloseArgs{Service: rule.Service, Runners: closing[rule.Service], Lend: lend[rule.Service], Gone: gone[rule.Service]}
-		reply, _, err := reach(bounded, f.keep.gate, rule.Service, methodClose, args, func() (CloseReply, error) {
-			return f.keep.closeHere(args), nil
-		})
-		cancel()
-		if err == nil && reply.Leads {
-			loads[rule.Service] = reply.Load
+		a := &loadAsk{
+			fleet: f, mu: &mu, group: &group, loads: loads,
+			args: CloseArgs{Service: rule.Service, Runners: closing[rule.Service], Lend: lend[rule.Service], Gone: gone[rule.Service]},
 		}
+		group.Add(1)
+		go a.run(ctx)
 	}
+	group.Wait()
 	return loads
 }
 
+// loadAsk asks one lead. All are asked at once, as one that is out of reach
+// takes its whole time.
+type loadAsk struct {
+	fleet *Fleet
+	mu    *sync.Mutex
+	group *sync.WaitGroup
+	args  CloseArgs
+	loads map[glade.Service]sched.Load
+}
+
+func (a *loadAsk) run(ctx context.Context) {
+	defer a.group.Done()
+	k := a.fleet.keep
+	bounded, cancel := context.WithTimeout(ctx, loadTime)
+	defer cancel()
+	reply, _, err := reach(bounded, k.gate, a.args.Service, methodClose, a.args, func() (CloseReply, error) {
+		return k.closeHere(a.args), nil
+	})
+	if err != nil || !reply.Leads {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.loads[a.args.Service] = reply.Load
+}
+
 func (k *Keep) closeHere(in CloseArgs) CloseReply {
 	seat, ok := k.Seat(in.Service)
 	if !ok {
@@ -273,10 +356,10 @@
 	})
 }
 
-// write stores the progress of waves when it has changed, and renews the term.
-func (f *Fleet) write(ctx context.Context) error {
+// changedRows returns the progress of waves that is not written yet. The caller
+// holds the lock.
+func (f *Fleet) changedRows() []glade.PartRow {
 	var puts []glade.PartRow
-	f.mu.Lock()
 	for number, row := range f.rows {
 		if row.Done {
 			continue
@@ -292,13 +375,40 @@
 			Table: tableWave, Part: string(f.service), Key: fmt.Sprint(number), Value: encode(next),
 		})
 	}
-	f.mu.Unlock()
-	due := f.clock.Now().Sub(f.beaten) >= renewPeriod-fleetPeriod
-	if len(puts) == 0 && !due {
-		return nil
+	return puts
+}
+
+// fleetWriter writes the progress of waves and renews the term, and then gives
+// the orders that the rows name.
+type fleetWriter struct {
+	fleet  *Fleet
+	puts   []glade.PartRow
+	orders []moves.Order
+	renew  bool
+}
+
+func (w *fleetWriter) run(ctx context.Context) {
+	f := w.fleet
+	err := w.write(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.writing)
+	f.writing, f.failed = nil, err
+	if err != nil {
+		return
+	}
+	f.proved = f.renewed
+	for _, order := range w.orders {
+		f.give(ctx, order)
 	}
+}
+
+// write tries until the rows are written. The error tells that another host
+// leads, or that ctx has ended.
+func (w *fleetWriter) write(ctx context.Context) error {
+	f := w.fleet
 	for {
-		result, err := f.commit(ctx, puts, nil, due)
+		result, err := f.commit(ctx, w.puts, nil, w.renew)
 		if err != nil || result == glade.Committed {
 			return err
 		}
@@ -306,7 +416,7 @@
 			if err := f.settle(ctx); err != nil {
 				return err
 			}
-			due = false
+			w.renew = false
 		} else if err := f.clock.Sleep(ctx, storePause); err != nil {
 			return err
 		}
@@ -318,12 +428,16 @@
 func (f *Fleet) tell(ctx context.Context, finished []int64) {
 	f.mu.Lock()
 	news := make(map[int64]waveState)
+	away := f.writing != nil
 	for number, row := range f.rows {
 		if !row.Done && f.told[number] == waveUntold {
 			news[number] = waveRunning
 		}
 	}
 	f.mu.Unlock()
+	if away {
+		return // the store has not answered yet: moves must not wait for it
+	}
 	for _, number := range finished {
 		news[number] = waveDone
 	}
--- a/lead/gate.go
+++ b/lead/gate.go
@@ -105,9 +105,11 @@
 	if !s.with(func(built *sched.Sched) {
 		_, known := built.State(in.ID)
 		broken = !known && s.isBroken(now)
-		if !broken {
-			verdict = built.Submit(in.ID, in.Queue, in.Work, now)
+		if broken {
+			built.TurnAway(in.ID, in.Queue, in.Work, now)
+			return
 		}
+		verdict = built.Submit(in.ID, in.Queue, in.Work, now)
 	}) {
 		return SubmitReply{Code: SubmitElsewhere, Reason: "loading"}
 	}
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -249,6 +249,8 @@
 type hosts struct {
 	mu   sync.Mutex
 	told []string
+	// moves counts the orders to move a host.
+	moves int
 	// deaf is how many reports of an end fail.
 	deaf int
 }
@@ -262,6 +264,9 @@
 }
 
 func (h *hosts) Move(context.Context, glade.Host, glade.Service, int64) (glade.HostRefusal, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.moves++
 	return glade.HostLimited, nil
 }
 
@@ -280,6 +285,12 @@
 	return nil
 }
 
+func (h *hosts) moved() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.moves
+}
+
 func (h *hosts) reports() []string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -505,3 +516,26 @@
 		c.Assert(told[len(told)-1], qt.Equals, "7 true")
 	})
 }
+
+func TestMoves(t *testing.T) {
+	play(t, "go on while the store is away, and end when another host may lead", func(c *qt.C, s *site) {
+		// One host leads all: there is no network between them here.
+		s.kill("h2")
+		s.wait(8 * time.Second)
+		for i := range 20 {
+			c.Assert(s.submit("h1", glade.BatchID(fmt.Sprint(i)), 2).Code, qt.Equals, lead.SubmitAccepted)
+		}
+		s.wait(2 * time.Second)
+		c.Assert(s.hosts.moved() > 0, qt.IsTrue)
+		s.ledger.SetFault(memory.LedgerMute)
+		s.wait(time.Second)
+		before := s.hosts.moved()
+		s.wait(3 * time.Second)
+		c.Assert(s.hosts.moved() > before, qt.IsTrue)
+		s.wait(7 * time.Second)
+		before = s.hosts.moved()
+		s.wait(3 * time.Second)
+		c.Assert(s.hosts.moved(), qt.Equals, before)
+		s.ledger.SetFault(memory.LedgerSound)
+	})
+}
--- a/moves/need.go
+++ b/moves/need.go
@@ -185,7 +185,7 @@
 		return nil
 	}
 	own := &pool{service: service}
-	size, memory := 0, 0
+	size, memory, coming := 0, 0, 0
 	runners := make(map[glade.RunnerID]sched.RunnerLoad, len(load.Runners))
 	for _, r := range load.Runners {
 		runners[r.ID] = r
@@ -194,13 +194,17 @@
 		t := p.tasks[host]
 		switch {
 		case t != nil && t.order.Kind == KindMove && t.order.Pool == service:
-			own.has++ // on its way here
+			own.has++
+			coming++
 		case info.Pool != service || info.State == glade.HostDown,
 			t != nil && t.order.Kind == KindMove:
 			continue
 		default:
 			own.has++
 			r, ok := runners[info.Runner]
+			if !ok || !r.Held {
+				coming++
+			}
 			switch {
 			case !ok || t != nil || info.State != glade.HostUp || !r.Held || !p.hasStayed(host, now):
 			case r.Runs == 0:
@@ -225,8 +229,9 @@
 	}
 	own.wants = max(int(math.Ceil(hosts)), load.Hosts) + spareHosts
 	if load.Idle > 0 {
-		// Room in sum is no room for a task that is large or must be apart.
-		own.wants = max(own.wants, own.has+1)
+		// Room in sum is no room for tasks that are large or must be apart; hosts
+		// on their way may be enough.
+		own.wants = max(own.wants, own.has-coming+load.Idle)
 	}
 	slices.SortFunc(own.busy, func(a, b glade.Host) int {
 		return cmp.Or(cmp.Compare(runners[p.hosts[a].Runner].Runs, runners[p.hosts[b].Runner].Runs), cmp.Compare(a, b))
--- a/moves/plan_test.go
+++ b/moves/plan_test.go
@@ -76,6 +76,17 @@
 	return n
 }
 
+// up counts the hosts of a pool that are there.
+func (r *rig) up(service glade.Service) int {
+	n := 0
+	for _, h := range r.hosts {
+		if h.info.Pool == service && h.info.State == glade.HostUp {
+			n++
+		}
+	}
+	return n
+}
+
 func (r *rig) play(d time.Duration) {
 	for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(200 * time.Millisecond) {
 		r.step()
@@ -118,7 +129,7 @@
 		load.Demand, load.Offered, load.Rise = r.demand[service], r.demand[service], r.rise[service]
 		if service == "a" {
 			load.Idle, load.Memory = r.idle, r.memory
-			if r.size("a") > 4 {
+			if r.up("a") > 4 {
 				load.Idle = 0
 			}
 		}
@@ -216,6 +227,15 @@
 		r.play(2 * time.Second)
 		r.c.Assert(r.size("a"), qt.Equals, 5)
 	})
+	t.Run("bring no more hosts for lasting tasks while some are on their way", func(t *testing.T) {
+		r := newRig(qt.New(t), map[glade.Service]int{"a": 2, spare: 9})
+		for _, h := range r.hosts {
+			h.runs, h.lasting = 1, 1
+		}
+		r.idle = 3
+		r.play(1800 * time.Millisecond)
+		r.c.Assert(r.moved, qt.Equals, 3)
+	})
 	t.Run("size a pool by memory where that binds", func(t *testing.T) {
 		r := newRig(qt.New(t), map[glade.Service]int{"a": 2, spare: 6})
 		r.memory = 5 * hostMemory
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -50,6 +50,17 @@
 	return Verdict{Accepted: true, Gen: b.gen}
 }
 
+// TurnAway counts the work of a batch that can't be written now. It will come
+// back, so that its hosts should be there.
+func (s *Sched) TurnAway(id glade.BatchID, queue glade.Queue, work glade.Batch, now time.Time) {
+	if s.turned[id] {
+		return
+	}
+	s.arrive(newBatch(id, queue, work, now), now)
+	s.noteTurned(id)
+	s.stats.Refused++
+}
+
 // maxTurned bounds the refused batches that are remembered.
 const maxTurned = 4096
 
--- a/sched/admit_test.go
+++ b/sched/admit_test.go
@@ -145,6 +145,17 @@
 		// It runs on two cores at most.
 		r.c.Assert(most <= 5*core.CPU, qt.IsTrue, qt.Commentf("%d", most))
 	})
+	t.Run("work that is turned away is counted once", func(t *testing.T) {
+		r := newRig(qt.New(t), 4, twoFit)
+		r.play(time.Second)
+		work := steps(glade.Step{Count: 2, Need: core, Estimate: 400})
+		r.sched.TurnAway("a", queue, work, r.now)
+		offered := r.sched.Demand(r.now).Offered
+		r.c.Assert(offered > 0, qt.IsTrue)
+		r.sched.TurnAway("a", queue, work, r.now)
+		r.submit("a", work)
+		r.c.Assert(r.sched.Demand(r.now).Offered, qt.Equals, offered)
+	})
 	t.Run("a rise of short work is seen at once", func(t *testing.T) {
 		r := newRig(qt.New(t), 4, twoFit)
 		r.play(time.Second)
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -46,19 +46,19 @@
 		if len(asks) == maxAsks {
 			break
 		}
-		if !s.rules[st.round.batch.queue].Advised || now.Sub(st.asked) < askAgain {
+		if !s.rules[st.round.batch.queue].Advised || (st.asking && now.Sub(st.asked) < askAgain) {
 			continue
 		}
 		var ids []glade.RunnerID
 		for _, r := range s.usable(now) {
-			if !st.hasTicket(r.info.ID, now) && len(ids) < maxAsked && charged(st.rule).Fits(r.info.Room.Minus(r.used)) {
+			if !st.denied[r.info.ID] && !st.hasTicket(r.info.ID, now) && len(ids) < maxAsked && charged(st.rule).Fits(r.info.Room.Minus(r.used)) {
 				ids = append(ids, r.info.ID)
 			}
 		}
 		if len(ids) == 0 {
 			continue
 		}
-		st.asked = now
+		st.asked, st.asking = now, true
 		asks = append(asks, Ask{
 			step: st, Batch: st.round.batch.id, Turn: st.round.number, Step: st.index, Runners: ids,
 		})
@@ -69,7 +69,13 @@
 // Advised takes over the tickets of a step and how long they hold.
 func (s *Sched) Advised(ask Ask, tickets map[glade.RunnerID]string, valid time.Duration, now time.Time) {
 	if ask.step.tickets == nil {
-		ask.step.tickets = make(map[glade.RunnerID]ticket)
+		ask.step.tickets, ask.step.denied = make(map[glade.RunnerID]ticket), make(map[glade.RunnerID]bool)
+	}
+	ask.step.asking = false
+	for _, id := range ask.Runners {
+		if _, ok := tickets[id]; !ok {
+			ask.step.denied[id] = true
+		}
 	}
 	for id, text := range tickets {
 		ask.step.tickets[id] = ticket{text: text, until: now.Add(valid)}
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -52,7 +52,13 @@
 	// lastEnd is when a task last stopped running.
 	lastEnd time.Time
 	tickets map[glade.RunnerID]ticket
-	asked   time.Time // when advice was last asked for
+	// denied runners may not run the step: the advice on a step does not change.
+	denied map[glade.RunnerID]bool
+	// asked is when advice was last asked for, asking whether an answer is due.
+	asked  time.Time
+	asking bool
+	// saved is the newest saved work of a gang, which all of its tasks go on from.
+	saved string
 }
 
 // task is one task of a step.
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -39,7 +39,7 @@
 	}
 	b := st.round.batch
 	if end.Saved != "" {
-		t.saved = end.Saved
+		t.saved, st.saved = end.Saved, end.Saved
 	}
 	if t.done || b.state.Over() {
 		return b
@@ -86,10 +86,25 @@
 	}
 	t.failed = append(t.failed, end.Run)
 	s.change(b)
-	if rule, ok := s.rules[b.queue]; ok && rule.Attempts > 0 && len(t.failed) >= rule.Attempts {
+	if rule, ok := s.rules[b.queue]; ok && rule.Attempts > 0 && st.failures(end.Task.Index) >= rule.Attempts {
 		s.finish(b, glade.BatchFailed, now)
 	}
 }
 
+// failures counts the failed runs of a task. Those of a gang's tasks count
+// together: a run of it fails as a whole.
+func (st *step) failures(index int) int {
+	if !st.rule.Gang {
+		return len(st.tasks[index].failed)
+	}
+	failed := make(map[int64]bool)
+	for i := range st.tasks {
+		for _, run := range st.tasks[i].failed {
+			failed[run] = true
+		}
+	}
+	return len(failed)
+}
+
 // maxFailedOn bounds the runners that a task remembers to avoid.
 const maxFailedOn = 8
--- a/sched/place.go
+++ b/sched/place.go
@@ -82,9 +82,54 @@
 			break
 		}
 	}
+	return append(starts, s.copies(usable, now)...)
+}
+
+// Bounds of copies.
+const (
+	// copyAfter times its estimate is when a task is slow enough for a copy.
+	copyAfter = 1.6
+	// minCopyAge is the least age: a shorter task ends before its copy.
+	minCopyAge = 600 * time.Millisecond
+)
+
+// copies starts second runs of slow tasks that allow it, where there is room that
+// nothing else waits for. The first run to end counts.
+func (s *Sched) copies(usable []*runner, now time.Time) []Start {
+	var starts []Start
+	room := -1
+	for st := range s.open {
+		if !st.rule.Copies || st.rule.Gang || st.rule.Lasting {
+			continue
+		}
+		for i := range st.tasks {
+			t := &st.tasks[i]
+			if t.done || len(t.runs) != 1 || !s.isSlow(t.runs[0], now) {
+				continue
+			}
+			if room < 0 {
+				room = s.findSlackRoom(now)
+			}
+			if room < st.rule.Need.CPU {
+				return starts
+			}
+			first := t.runs[0].runner
+			others := slices.DeleteFunc(slices.Clone(usable), func(r *runner) bool { return r == first })
+			if r := s.choose(st, t, others, now); r != nil {
+				room -= st.rule.Need.CPU
+				s.event("copy", "batch", st.round.batch.id, "step", st.index, "task", i, "from", first.info.ID, "to", r.info.ID)
+				starts = append(starts, s.start(st, i, t.next+1, r, now))
+			}
+		}
+	}
 	return starts
 }
 
+func (s *Sched) isSlow(n *run, now time.Time) bool {
+	usual := time.Duration(float64(n.step.rule.Estimate)*s.learnt.of(n.step.round.batch.queue)) * time.Millisecond
+	return n.phase == running && now.Sub(n.sent) > max(time.Duration(copyAfter*float64(usual)), minCopyAge)
+}
+
 // reserve keeps new work off the runners that the idle tasks of a lasting step
 // wait for. Without it, short tasks take every gap of a full pool, and what
 // lasts is never restarted.
@@ -166,7 +211,9 @@
 			if r == nil {
 				break
 			}
-			placed = append(placed, s.put(st, i, number, r, now))
+			n := s.put(st, i, number, r, now)
+			n.saved = st.saved
+			placed = append(placed, n)
 		}
 		if len(placed) < len(st.tasks) {
 			for _, n := range placed {
@@ -276,8 +323,10 @@
 		phase: starting, sent: now, moved: now, pace: fullPace, until: s.lease(r, now), saved: t.saved,
 	}
 	t.next = number
+	if len(t.runs) == 0 {
+		st.idle--
+	}
 	t.runs = append(t.runs, n)
-	st.idle--
 	r.add(n)
 	r.until = max(r.until, n.until)
 	st.round.batch.runs[n] = true
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -315,6 +315,7 @@
 		n.figure = active.Figure
 		if active.Saved != "" {
 			n.saved = active.Saved
+			n.task().saved, n.step.saved = active.Saved, active.Saved
 		}
 	}
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -39,6 +39,10 @@
 	// delayed starts are carried out and not answered yet.
 	delay   bool
 	delayed []sched.Start
+	// approved runners get tickets; asked counts the runners of each question.
+	approved map[glade.RunnerID]bool
+	asked    []int
+	given    []glade.RunOrder
 	// refuseStarts is the number of starts that are refused next.
 	refuseStarts int
 	since        map[glade.ActiveRun]time.Time
@@ -129,6 +133,16 @@
 		f.end(task, run, glade.EndStopped)
 		r.sched.Stopped(o, glade.RunAnswer{}, nil, r.now)
 	}
+	for _, o := range orders.Asks {
+		r.asked = append(r.asked, len(o.Runners))
+		tickets := make(map[glade.RunnerID]string)
+		for _, id := range o.Runners {
+			if r.approved[id] {
+				tickets[id] = "t" + string(id)
+			}
+		}
+		r.sched.Advised(o, tickets, time.Minute, r.now)
+	}
 	for _, o := range orders.Holds {
 		r.waiting = append(r.waiting, waitingHold{hold: o, sent: r.now.Add(-time.Millisecond)})
 	}
@@ -161,6 +175,7 @@
 		r.sched.Started(o, glade.RunAnswer{Refused: glade.RefusedOther}, nil, r.now)
 		return
 	}
+	r.given = append(r.given, order)
 	r.orders = append(r.orders, fmt.Sprintf("start %s.%d.%d on %s", order.Task.Batch, order.Task.Step, order.Task.Index, o.To().ID))
 	f.running = append(f.running, glade.ActiveRun{Task: order.Task, Run: order.Run, Percent: 100})
 	f.until = max(f.until, order.Until)
