The inventory's word that a runner is gone counts from when it was read

Ruled out: leases (the runs had not lapsed), the fence (the lead was the first). Change: the word carries the age of the list, and counts only for a runner that was silent some time before the list was read. Moves without the store end after 6 s, as another host may lead meanwhile.

--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -80,6 +80,9 @@
 	listPeriod  = 900 * time.Millisecond // hosts are away for longer than that
 	cloudTime   = 1500 * time.Millisecond
 	loadTime    = 250 * time.Millisecond
+	// moveReach is how long after the last renewal hosts are moved: most outages
+	// of the store are shorter, and all the while another host may lead too.
+	moveReach = 6 * time.Second
 )
 
 // run leads the duty until the term is lost or given up, or ctx ends.
@@ -202,7 +205,7 @@
 			if !slices.Contains(f.held, order) {
 				f.held = append(f.held, order)
 			}
-		case now.Sub(f.proved) < reachTime:
+		case now.Sub(f.proved) < moveReach:
 			f.give(ctx, order)
 		}
 	}
@@ -269,8 +272,10 @@
 	Runners []glade.RunnerID `json:"runners,omitempty"`
 	// Lend is the room that other pools can lend, in thousandths of a core.
 	Lend int `json:"lend"`
-	// Gone names silent runners that the inventory does not know as up.
+	// Gone names silent runners that the inventory did not know as up when it was
+	// read, Age milliseconds ago.
 	Gone []glade.RunnerID `json:"gone,omitempty"`
+	Age  int64            `json:"age,omitempty"`
 }
 
 // CloseReply tells the load of a service.
@@ -287,6 +292,7 @@
 	closing := f.plan.Closing()
 	lend := f.plan.Lend()
 	gone := f.plan.Gone()
+	age := f.clock.Now().Sub(f.listed).Milliseconds()
 	f.mu.Unlock()
 	loads := make(map[glade.Service]sched.Load)
 	var mu sync.Mutex
@@ -297,7 +303,7 @@
 		}
 		a := &loadAsk{
 			fleet: f, mu: &mu, group: &group, loads: loads,
-			args: CloseArgs{Service: rule.Service, Runners: closing[rule.Service], Lend: lend[rule.Service], Gone: gone[rule.Service]},
+			args: CloseArgs{Service: rule.Service, Runners: closing[rule.Service], Lend: lend[rule.Service], Gone: gone[rule.Service], Age: age},
 		}
 		group.Add(1)
 		go a.run(ctx)
@@ -342,7 +348,7 @@
 		now := seat.clock.Now()
 		built.Close(in.Runners, now)
 		built.Lend(in.Lend, now)
-		built.Gone(in.Gone, now)
+		built.Gone(in.Gone, now.Add(-time.Duration(in.Age)*time.Millisecond), now)
 		reply.Load = built.Demand(now)
 	}) {
 		return CloseReply{}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -181,19 +181,21 @@
 	return false
 }
 
-// goneAfter is how long a runner must have been silent before the inventory's
-// word that it is gone is taken: the inventory lags, and so does a new runner.
+// goneAfter is how long a runner must have been silent when the inventory was
+// read before its word that the runner is gone is taken: the inventory lags, and
+// so does a new runner.
 const goneAfter = 700 * time.Millisecond
 
-// Gone takes over the inventory's word that runners are no more. It counts only
-// for those that are silent.
-func (s *Sched) Gone(ids []glade.RunnerID, now time.Time) {
+// Gone takes over the inventory's word, as of a time, that runners are no more.
+// It counts only for those that were silent by then: one that came later is not
+// in the inventory either.
+func (s *Sched) Gone(ids []glade.RunnerID, asOf, now time.Time) {
 	for _, id := range ids {
 		r, ok := s.runners[id]
-		if !ok || (r.held && (r.missed == 0 || now.Sub(r.heard) < goneAfter)) {
+		if !ok || (r.held && (r.missed == 0 || asOf.Sub(r.heard) < goneAfter)) {
 			continue
 		}
-		if !r.held && now.Sub(s.taken) < goneAfter {
+		if !r.held && asOf.Sub(s.taken) < goneAfter {
 			continue
 		}
 		given := 0
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -425,13 +425,22 @@
 		r.runs[first].running = nil
 		r.play(time.Second)
 		r.c.Assert(r.running("a"), qt.Equals, 0)
-		r.sched.Gone([]glade.RunnerID{first}, r.now)
+		r.sched.Gone([]glade.RunnerID{first}, r.now, r.now)
 		r.play(200 * time.Millisecond)
 		r.c.Assert(r.running("a"), qt.Equals, 1)
 	})
+	t.Run("a silent runner that came after the inventory was read keeps its runs", func(t *testing.T) {
+		r, first := lastingRig(qt.New(t))
+		read := r.now.Add(-500 * time.Millisecond)
+		r.runs[first].silent = true
+		r.play(2 * time.Second)
+		r.sched.Gone([]glade.RunnerID{first}, read, r.now)
+		r.play(500 * time.Millisecond)
+		r.c.Assert(r.running("a"), qt.Equals, 1) // the run that is out of reach
+	})
 	t.Run("a runner that answers keeps its runs whatever the inventory says", func(t *testing.T) {
 		r, first := lastingRig(qt.New(t))
-		r.sched.Gone([]glade.RunnerID{first}, r.now)
+		r.sched.Gone([]glade.RunnerID{first}, r.now, r.now)
 		r.play(time.Second)
 		r.c.Assert(r.holder("a"), qt.Equals, first)
 	})
