--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 DEPLOY ?= gunescati
 FAULTS ?= faults
 SEED ?= 1
+SEEDS ?= 50
 
 # Tests that KNOWN-RED.txt lists as "test: NAME" are passed over and printed.
 RED = $(shell sed -n 's/^test: //p' KNOWN-RED.txt 2>/dev/null | paste -sd '|' -)
@@ -12,7 +13,7 @@
 # Words of the users' pages that only platform/ may hold.
 FOREIGN = "indigoglade/platform|X-Indigoglade|lastSeen|fencingToken|expectedRevision|run-start|run-stop|machine-upkeep|rows-tx
 
-.PHONY: build demo test bench lint format unit race deploy border
+.PHONY: build demo test bench lint format unit race deploy border soak
 
 build:
 	@mkdir -p bin
@@ -47,5 +48,9 @@
 	go test -race $(SKIP) $(PACKAGES)
 	@if [ -n "$(RED)" ]; then echo "known failures, not run:"; cat KNOWN-RED.txt; fi
 
+# Real processes under faults; logs of failed seeds stay in bin/soak.
+soak:
+	go test ./platform/soak -run TestSoak -soakseed $(SEED) -soakseeds $(SEEDS) -parallel 3 -soakkeep $(CURDIR)/bin/soak -timeout 60m -v
+
 bench: build
 	@bin/bench measure --seed $(SEED)
