--- a/moves/plan_test.go
+++ b/moves/plan_test.go
@@ -254,6 +254,17 @@
 		}
 		r.c.Assert(r.size("a") >= 6, qt.IsTrue)
 	})
+	t.Run("take two rises for no period", func(t *testing.T) {
+		r := newRig(qt.New(t), map[glade.Service]int{"a": 2, "b": 2, spare: 8})
+		for _, high := range []time.Duration{3 * time.Second, 1200 * time.Millisecond} {
+			r.demand["a"] = 6 * hostCPU
+			r.play(high)
+			r.demand["a"] = 0
+			r.play(3 * time.Second)
+		}
+		r.play(2400 * time.Millisecond)
+		r.c.Assert(r.size("a") <= 3, qt.IsTrue, qt.Commentf("%d", r.size("a")))
+	})
 	t.Run("ask for what a rising demand will be when a host is there", func(t *testing.T) {
 		r := newRig(qt.New(t), map[glade.Service]int{"a": 2, "b": 2, spare: 8})
 		r.play(3 * time.Second)
--- a/moves/turns.go
+++ b/moves/turns.go
@@ -36,6 +36,8 @@
 	lateTurn  = 1200 * time.Millisecond
 	// alike is the share by which two periods may differ to count as one.
 	alike = 0.2
+	// leastGaps must be alike: two rises may be one turn with a dip.
+	leastGaps = 2
 )
 
 func (t *turns) see(level float64, now time.Time) {
@@ -88,7 +90,7 @@
 			near++
 		}
 	}
-	if near*2 <= len(gaps) {
+	if near < leastGaps || near*2 <= len(gaps) {
 		return 0
 	}
 	return middle
