--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -9,39 +9,13 @@
 	"time"
 
 	glade "indigoglade"
-	"indigoglade/link"
 	"indigoglade/moves"
-	"indigoglade/sched"
 )
 
 // fleetDuty is the duty of maintaining and moving hosts. It is led like a
 // service; no service has this name, as the platform's have no slash.
 const fleetDuty glade.Service = "fleet/"
 
-// tableWave holds the progress of waves, in the partition of the fleet duty.
-const tableWave = "wave"
-
-// WaveRow is the progress of a wave.
-type WaveRow struct {
-	// Since is when the wave was first seen, in milliseconds since 1970.
-	Since int64 `json:"since"`
-	// Begun lists hosts whose maintenance has begun, Ordered those for which an
-	// order may be under way.
-	Begun   []glade.Host `json:"begun,omitempty"`
-	Ordered []glade.Host `json:"ordered,omitempty"`
-	// Done waves were told to be completed.
-	Done bool `json:"done,omitempty"`
-}
-
-// waveState is a state of a wave that the operator is told.
-type waveState int
-
-const (
-	waveUntold waveState = iota
-	waveRunning
-	waveDone
-)
-
 // Fleet is the lead of the fleet duty.
 type Fleet struct {
 	*tenure
@@ -236,19 +210,6 @@
 	go o.run(ctx)
 }
 
-func (f *Fleet) takeWave(wave glade.WaveOrder, now time.Time) {
-	row, ok := f.rows[wave.Wave]
-	if row.Done {
-		return
-	}
-	if !ok {
-		row = WaveRow{Since: now.UnixMilli()}
-		f.rows[wave.Wave] = row
-	}
-	since := now.Add(-time.Duration(max(now.UnixMilli()-row.Since, 0)) * time.Millisecond)
-	f.plan.SetWave(wave, row.Begun, row.Ordered, since, now)
-}
-
 func (f *Fleet) readHosts(ctx context.Context, now time.Time) {
 	if now.Sub(f.listed) < listPeriod {
 		return
@@ -266,208 +227,6 @@
 	f.listed = now
 }
 
-// CloseArgs asks for the load of a service, and for runners to be emptied.
-type CloseArgs struct {
-	Service glade.Service    `json:"service"`
-	Runners []glade.RunnerID `json:"runners,omitempty"`
-	// Lend is the room that other pools can lend, in thousandths of a core.
-	Lend int `json:"lend"`
-	// Gone names silent runners that the inventory did not know as up when it was
-	// read, Age milliseconds ago.
-	Gone []glade.RunnerID `json:"gone,omitempty"`
-	Age  int64            `json:"age,omitempty"`
-}
-
-// CloseReply tells the load of a service.
-type CloseReply struct {
-	Leads bool       `json:"leads"`
-	Load  sched.Load `json:"load"`
-}
-
-const methodClose = "close"
-
-// readLoads asks the lead of each service for its load, and to empty runners.
-func (f *Fleet) readLoads(ctx context.Context, rules glade.Rules) map[glade.Service]sched.Load {
-	f.mu.Lock()
-	closing := f.plan.Closing()
-	lend := f.plan.Lend()
-	gone := f.plan.Gone()
-	age := f.clock.Now().Sub(f.listed).Milliseconds()
-	f.mu.Unlock()
-	loads := make(map[glade.Service]sched.Load)
-	var mu sync.Mutex
-	var group sync.WaitGroup
-	for _, rule := range rules.Services {
-		if rule.Spare {
-			continue
-		}
-		a := &loadAsk{
-			fleet: f, mu: &mu, group: &group, loads: loads,
-			args: CloseArgs{Service: rule.Service, Runners: closing[rule.Service], Lend: lend[rule.Service], Gone: gone[rule.Service], Age: age},
-		}
-		group.Add(1)
-		go a.run(ctx)
-	}
-	group.Wait()
-	return loads
-}
-
-// loadAsk asks one lead. All are asked at once, as one that is out of reach
-// takes its whole time.
-type loadAsk struct {
-	fleet *Fleet
-	mu    *sync.Mutex
-	group *sync.WaitGroup
-	args  CloseArgs
-	loads map[glade.Service]sched.Load
-}
-
-func (a *loadAsk) run(ctx context.Context) {
-	defer a.group.Done()
-	k := a.fleet.keep
-	bounded, cancel := context.WithTimeout(ctx, loadTime)
-	defer cancel()
-	reply, _, err := reach(bounded, k.gate, a.args.Service, methodClose, a.args, func() (CloseReply, error) {
-		return k.closeHere(a.args), nil
-	})
-	if err != nil || !reply.Leads {
-		return
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.loads[a.args.Service] = reply.Load
-}
-
-func (k *Keep) closeHere(in CloseArgs) CloseReply {
-	seat, ok := k.Seat(in.Service)
-	if !ok {
-		return CloseReply{}
-	}
-	reply := CloseReply{Leads: true}
-	if !seat.with(func(built *sched.Sched) {
-		now := seat.clock.Now()
-		built.Close(in.Runners, now)
-		built.Lend(in.Lend, now)
-		built.Gone(in.Gone, now.Add(-time.Duration(in.Age)*time.Millisecond), now)
-		reply.Load = built.Demand(now)
-	}) {
-		return CloseReply{}
-	}
-	return reply
-}
-
-func (k *Keep) handleClose(mux *link.Mux) {
-	link.Handle(mux, methodClose, func(_ context.Context, in CloseArgs) (CloseReply, error) {
-		return k.closeHere(in), nil
-	})
-}
-
-// changedRows returns the progress of waves that is not written yet. The caller
-// holds the lock.
-func (f *Fleet) changedRows() []glade.PartRow {
-	var puts []glade.PartRow
-	for number, row := range f.rows {
-		if row.Done {
-			continue
-		}
-		next := WaveRow{Since: row.Since, Done: f.told[number] == waveDone}
-		next.Begun, next.Ordered = f.plan.Progress(number)
-		if string(encode(next)) == f.saved[number] {
-			continue
-		}
-		f.rows[number] = next
-		f.saved[number] = string(encode(next))
-		puts = append(puts, glade.PartRow{
-			Table: tableWave, Part: string(f.service), Key: fmt.Sprint(number), Value: encode(next),
-		})
-	}
-	return puts
-}
-
-// fleetWriter writes the progress of waves and renews the term, and then gives
-// the orders that the rows name.
-type fleetWriter struct {
-	fleet  *Fleet
-	puts   []glade.PartRow
-	orders []moves.Order
-	renew  bool
-}
-
-func (w *fleetWriter) run(ctx context.Context) {
-	f := w.fleet
-	err := w.write(ctx)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	close(f.writing)
-	f.writing, f.failed = nil, err
-	if err != nil {
-		return
-	}
-	f.proved = f.renewed
-	for _, order := range w.orders {
-		f.give(ctx, order)
-	}
-}
-
-// write tries until the rows are written. The error tells that another host
-// leads, or that ctx has ended.
-func (w *fleetWriter) write(ctx context.Context) error {
-	f := w.fleet
-	for {
-		result, err := f.commit(ctx, w.puts, nil, w.renew)
-		if err != nil || result == glade.Committed {
-			return err
-		}
-		if result == glade.Uncertain {
-			if err := f.settle(ctx); err != nil {
-				return err
-			}
-			w.renew = false
-		} else if err := f.clock.Sleep(ctx, storePause); err != nil {
-			return err
-		}
-	}
-}
-
-// tell tells the operator of waves that have begun or ended. A wave's row says
-// that it is done only after that, so that a next lead tells it again.
-func (f *Fleet) tell(ctx context.Context, finished []int64) {
-	f.mu.Lock()
-	news := make(map[int64]waveState)
-	away := f.writing != nil
-	for number, row := range f.rows {
-		if !row.Done && f.told[number] == waveUntold {
-			news[number] = waveRunning
-		}
-	}
-	f.mu.Unlock()
-	if away {
-		return // the store has not answered yet: moves must not wait for it
-	}
-	for _, number := range finished {
-		news[number] = waveDone
-	}
-	for number, state := range news {
-		f.report(ctx, number, state)
-	}
-}
-
-func (f *Fleet) report(ctx context.Context, number int64, state waveState) {
-	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	if err := f.keep.config.Inventory.Report(bounded, number, state == waveDone); err != nil {
-		f.keep.config.Log.Info("wave not reported", "wave", number, "done", state == waveDone, "error", err.Error())
-		return
-	}
-	f.keep.config.Log.Info("wave reported", "wave", number, "done", state == waveDone, "epoch", f.term.Epoch)
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.told[number] = state
-	if state == waveDone {
-		f.plan.SetDone(number)
-	}
-}
-
 // fleetOrder is one order on a host under way.
 type fleetOrder struct {
 	fleet *Fleet
--- /dev/null
+++ b/sched/copy.go
@@ -0,0 +1,51 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+// Bounds of copies.
+const (
+	// copyAfter times its estimate is when a task is slow enough for a copy.
+	copyAfter = 1.6
+	// minCopyAge is the least age: a shorter task ends before its copy.
+	minCopyAge = 600 * time.Millisecond
+)
+
+// copies starts second runs of slow tasks that allow it, where there is room that
+// nothing else waits for. The first run to end counts.
+func (s *Sched) copies(usable []*runner, now time.Time) []Start {
+	var starts []Start
+	room := -1
+	for st := range s.open {
+		if !st.rule.Copies || st.rule.Gang || st.rule.Lasting {
+			continue
+		}
+		for i := range st.tasks {
+			t := &st.tasks[i]
+			if t.done || len(t.runs) != 1 || !s.isSlow(t.runs[0], now) {
+				continue
+			}
+			if room < 0 {
+				room = s.findSlackRoom(now)
+			}
+			if room < st.rule.Need.CPU {
+				return starts
+			}
+			first := t.runs[0].runner
+			others := slices.DeleteFunc(slices.Clone(usable), func(r *runner) bool { return r == first })
+			if r := s.choose(st, t, others, now); r != nil {
+				room -= st.rule.Need.CPU
+				s.event("copy", "batch", st.round.batch.id, "step", st.index, "task", i, "from", first.info.ID, "to", r.info.ID)
+				starts = append(starts, s.start(st, i, t.next+1, r, now))
+			}
+		}
+	}
+	return starts
+}
+
+func (s *Sched) isSlow(n *run, now time.Time) bool {
+	usual := time.Duration(float64(n.step.rule.Estimate)*s.learnt.of(n.step.round.batch.queue)) * time.Millisecond
+	return n.phase == running && now.Sub(n.sent) > max(time.Duration(copyAfter*float64(usual)), minCopyAge)
+}
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -91,20 +91,5 @@
 	}
 }
 
-// failures counts the failed runs of a task. Those of a gang's tasks count
-// together: a run of it fails as a whole.
-func (st *step) failures(index int) int {
-	if !st.rule.Gang {
-		return len(st.tasks[index].failed)
-	}
-	failed := make(map[int64]bool)
-	for i := range st.tasks {
-		for _, run := range st.tasks[i].failed {
-			failed[run] = true
-		}
-	}
-	return len(failed)
-}
-
 // maxFailedOn bounds the runners that a task remembers to avoid.
 const maxFailedOn = 8
--- /dev/null
+++ b/sched/gang.go
@@ -0,0 +1,97 @@
+package sched
+
+import (
+	"time"
+
+	glade "indigoglade"
+)
+
+// placeGang starts all tasks of a gang or none.
+func (s *Sched) placeGang(st *step, usable []*runner, now time.Time) []Start {
+	number := int64(0)
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.done || len(t.runs) > 0 || (!t.lostAt.IsZero() && !s.confirmed(t.lostAt)) {
+			return nil
+		}
+		number = max(number, t.next+1)
+	}
+	for _, group := range s.gangRooms(st, usable) {
+		var placed []*run
+		for i := range st.tasks {
+			r := s.choose(st, &st.tasks[i], group, now)
+			if r == nil {
+				break
+			}
+			n := s.put(st, i, number, r, now)
+			n.saved = st.saved
+			placed = append(placed, n)
+		}
+		if len(placed) < len(st.tasks) {
+			for _, n := range placed {
+				s.unplace(n, now)
+			}
+			continue
+		}
+		starts := make([]Start, 0, len(placed))
+		for _, n := range placed {
+			starts = append(starts, Start{run: n})
+		}
+		return starts
+	}
+	return nil
+}
+
+// gangRooms returns the sets of runners to try for a gang, the best first: each
+// rack by itself when the gang is slow across racks, then all.
+func (s *Sched) gangRooms(st *step, usable []*runner) [][]*runner {
+	if !st.rule.OneRack {
+		return [][]*runner{usable}
+	}
+	racks := make(map[glade.Rack][]*runner)
+	var names []glade.Rack
+	for _, r := range usable {
+		if racks[r.info.Rack] == nil {
+			names = append(names, r.info.Rack)
+		}
+		racks[r.info.Rack] = append(racks[r.info.Rack], r)
+	}
+	var rooms [][]*runner
+	for _, name := range names {
+		rooms = append(rooms, racks[name])
+	}
+	return append(rooms, usable)
+}
+
+// breakGangs stops what runs of a gang that is not whole: a start was refused or
+// an end taken up. The rest would wait for the others in vain.
+func (s *Sched) breakGangs(now time.Time) {
+	for st := range s.open {
+		if !st.rule.Gang || st.idle == 0 || st.idle == len(st.tasks) || (st.round.batch.blind && s.anyBlind(now)) {
+			continue
+		}
+		for i := range st.tasks {
+			for _, n := range st.tasks[i].runs {
+				if n.phase == running {
+					n.phase = stopping
+					n.settled = time.Time{}
+				}
+			}
+		}
+	}
+}
+
+// failures counts the failed runs of a task. Those of a gang's tasks count
+// together: a run of it fails as a whole.
+func (st *step) failures(index int) int {
+	if !st.rule.Gang {
+		return len(st.tasks[index].failed)
+	}
+	failed := make(map[int64]bool)
+	for i := range st.tasks {
+		for _, run := range st.tasks[i].failed {
+			failed[run] = true
+		}
+	}
+	return len(failed)
+}
--- a/sched/place.go
+++ b/sched/place.go
@@ -85,51 +85,6 @@
 	return append(starts, s.copies(usable, now)...)
 }
 
-// Bounds of copies.
-const (
-	// copyAfter times its estimate is when a task is slow enough for a copy.
-	copyAfter = 1.6
-	// minCopyAge is the least age: a shorter task ends before its copy.
-	minCopyAge = 600 * time.Millisecond
-)
-
-// copies starts second runs of slow tasks that allow it, where there is room that
-// nothing else waits for. The first run to end counts.
-func (s *Sched) copies(usable []*runner, now time.Time) []Start {
-	var starts []Start
-	room := -1
-	for st := range s.open {
-		if !st.rule.Copies || st.rule.Gang || st.rule.Lasting {
-			continue
-		}
-		for i := range st.tasks {
-			t := &st.tasks[i]
-			if t.done || len(t.runs) != 1 || !s.isSlow(t.runs[0], now) {
-				continue
-			}
-			if room < 0 {
-				room = s.findSlackRoom(now)
-			}
-			if room < st.rule.Need.CPU {
-				return starts
-			}
-			first := t.runs[0].runner
-			others := slices.DeleteFunc(slices.Clone(usable), func(r *runner) bool { return r == first })
-			if r := s.choose(st, t, others, now); r != nil {
-				room -= st.rule.Need.CPU
-				s.event("copy", "batch", st.round.batch.id, "step", st.index, "task", i, "from", first.info.ID, "to", r.info.ID)
-				starts = append(starts, s.start(st, i, t.next+1, r, now))
-			}
-		}
-	}
-	return starts
-}
-
-func (s *Sched) isSlow(n *run, now time.Time) bool {
-	usual := time.Duration(float64(n.step.rule.Estimate)*s.learnt.of(n.step.round.batch.queue)) * time.Millisecond
-	return n.phase == running && now.Sub(n.sent) > max(time.Duration(copyAfter*float64(usual)), minCopyAge)
-}
-
 // reserve keeps new work off the runners that the idle tasks of a lasting step
 // wait for. Without it, short tasks take every gap of a full pool, and what
 // lasts is never restarted.
@@ -194,63 +149,6 @@
 	return starts
 }
 
-// placeGang starts all tasks of a gang or none.
-func (s *Sched) placeGang(st *step, usable []*runner, now time.Time) []Start {
-	number := int64(0)
-	for i := range st.tasks {
-		t := &st.tasks[i]
-		if t.done || len(t.runs) > 0 || (!t.lostAt.IsZero() && !s.confirmed(t.lostAt)) {
-			return nil
-		}
-		number = max(number, t.next+1)
-	}
-	for _, group := range s.gangRooms(st, usable) {
-		var placed []*run
-		for i := range st.tasks {
-			r := s.choose(st, &st.tasks[i], group, now)
-			if r == nil {
-				break
-			}
-			n := s.put(st, i, number, r, now)
-			n.saved = st.saved
-			placed = append(placed, n)
-		}
-		if len(placed) < len(st.tasks) {
-			for _, n := range placed {
-				s.unplace(n, now)
-			}
-			continue
-		}
-		starts := make([]Start, 0, len(placed))
-		for _, n := range placed {
-			starts = append(starts, Start{run: n})
-		}
-		return starts
-	}
-	return nil
-}
-
-// gangRooms returns the sets of runners to try for a gang, the best first: each
-// rack by itself when the gang is slow across racks, then all.
-func (s *Sched) gangRooms(st *step, usable []*runner) [][]*runner {
-	if !st.rule.OneRack {
-		return [][]*runner{usable}
-	}
-	racks := make(map[glade.Rack][]*runner)
-	var names []glade.Rack
-	for _, r := range usable {
-		if racks[r.info.Rack] == nil {
-			names = append(names, r.info.Rack)
-		}
-		racks[r.info.Rack] = append(racks[r.info.Rack], r)
-	}
-	var rooms [][]*runner
-	for _, name := range names {
-		rooms = append(rooms, racks[name])
-	}
-	return append(rooms, usable)
-}
-
 // choose returns the best runner for a task, and nil when there is none.
 func (s *Sched) choose(st *step, t *task, usable []*runner, now time.Time) *runner {
 	var best *runner
--- a/sched/step.go
+++ b/sched/step.go
@@ -134,24 +134,6 @@
 	}
 }
 
-// breakGangs stops what runs of a gang that is not whole: a start was refused or
-// an end taken up. The rest would wait for the others in vain.
-func (s *Sched) breakGangs(now time.Time) {
-	for st := range s.open {
-		if !st.rule.Gang || st.idle == 0 || st.idle == len(st.tasks) || (st.round.batch.blind && s.anyBlind(now)) {
-			continue
-		}
-		for i := range st.tasks {
-			for _, n := range st.tasks[i].runs {
-				if n.phase == running {
-					n.phase = stopping
-					n.settled = time.Time{}
-				}
-			}
-		}
-	}
-}
-
 // Bounds of a run that stands still.
 const (
 	stuckTime  = 2500 * time.Millisecond // no progress for so long, and
