A weak host does not take a lead back, and waits longer while the store is slow

Change: only a strong host takes back what it led before its restart; a weak one waits for its turn as others do. With a slow store the turns are as much longer.

--- a/lead/board.go
+++ b/lead/board.go
@@ -153,12 +153,9 @@
 	for _, s := range b.seats {
 		held[s.term.Node]++
 	}
-	most := 0
-	for _, row := range b.nodes {
-		most = max(most, row.Power)
-	}
+	most := b.mostPower()
 	class := func(node glade.Node) int {
-		if float64(b.nodes[node].Power) >= strongShare*float64(most) {
+		if float64(b.nodes[node].Power) >= strongShare*most {
 			return 0
 		}
 		return 1
@@ -176,6 +173,22 @@
 	return rank
 }
 
+// mostPower returns the power of the strongest host. The caller holds the lock.
+func (b *Board) mostPower() float64 {
+	most := 0
+	for _, row := range b.nodes {
+		most = max(most, row.Power)
+	}
+	return float64(most)
+}
+
+// IsStrong tells whether the own host is among the first to lead.
+func (b *Board) IsStrong() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return float64(b.config.Row.Power) >= strongShare*b.mostPower()
+}
+
 func weight(service glade.Service, node glade.Node) uint64 {
 	return xxhash.Sum64String(string(service) + "\x00" + string(node))
 }
--- a/lead/keep.go
+++ b/lead/keep.go
@@ -224,9 +224,10 @@
 	now := k.config.Clock.Now()
 	heard := k.config.Board.Silence(service, now)
 	term, idle := heard.Term, heard.Idle
-	wait := time.Duration(min(k.config.Board.Rank(service), maxTurns)) * turnTime
+	rank := min(k.config.Board.Rank(service), maxTurns)
+	wait := time.Duration(rank) * turnTime
 	switch {
-	case term.Node == k.config.Self:
+	case term.Node == k.config.Self && k.config.Board.IsStrong():
 		wait = 0 // an earlier process of this host
 	case heard.Version == 0:
 		wait += newcomers
@@ -237,7 +238,7 @@
 	if idle < wait {
 		return
 	}
-	if term.Node != "" && term.Node != k.config.Self && !k.isSilent(ctx, service, heard, idle-wait) {
+	if term.Node != "" && term.Node != k.config.Self && !k.isSilent(ctx, service, heard, idle-wait, rank) {
 		return
 	}
 	k.claim(ctx, service, term, heard.Version, idle)
@@ -249,8 +250,9 @@
 
 // isSilent reads the term itself before its lead is given up. A feed may lag, and
 // a slow store delays the signs of a lead that is well. Beyond is the silence
-// beyond what is usual.
-func (k *Keep) isSilent(ctx context.Context, service glade.Service, heard Silence, beyond time.Duration) bool {
+// beyond what is usual. With a slow store the turns of hosts are longer too, or a
+// weak one that happens to read first would lead.
+func (k *Keep) isSilent(ctx context.Context, service glade.Service, heard Silence, beyond time.Duration, rank int) bool {
 	began := k.config.Clock.Now()
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -263,7 +265,7 @@
 		k.config.Board.take([]glade.PartRow{row})
 		return false
 	}
-	return beyond >= slowFactor*took-quickCall
+	return beyond >= time.Duration(slowFactor+rank)*took-quickCall
 }
 
 // quickCall is what four calls to a sound store take, with some reserve.
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -204,6 +204,8 @@
 	stops  map[glade.Node]context.CancelFunc
 	ids    int
 	hosts  *hosts
+	// power is that of each host, in thousandths of a core.
+	power map[glade.Node]int
 }
 
 func newSite(c *qt.C, nodes ...glade.Node) *site {
@@ -219,7 +221,7 @@
 
 func (s *site) start(node glade.Node) {
 	ctx, cancel := context.WithCancel(context.Background())
-	board := lead.NewBoard(lead.BoardConfig{Self: node, Row: lead.NodeRow{Address: string(node)}, Ledger: s.ledger, Clock: clock.System{}, Log: logr.Discard()})
+	board := lead.NewBoard(lead.BoardConfig{Self: node, Row: lead.NodeRow{Address: string(node), Power: s.power[node]}, Ledger: s.ledger, Clock: clock.System{}, Log: logr.Discard()})
 	keep := lead.New(lead.Config{
 		Self: node, Address: string(node), Ledger: s.ledger, Runners: reach{s.pool, node}, Inventory: s.hosts,
 		Clock: clock.System{}, Log: logr.Discard(), Board: board, Bounds: lead.Bounds{HoldMax: 10 * time.Second, Keep: time.Minute},
@@ -539,3 +541,27 @@
 		s.ledger.SetFault(memory.LedgerSound)
 	})
 }
+
+func TestWeakHost(t *testing.T) {
+	expectLead := func(name string, power int, want glade.Node) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := newSite(qt.New(t))
+				defer s.end()
+				s.power = map[glade.Node]int{"h1": power, "h2": 800}
+				s.start("h1")
+				s.wait(4 * time.Second)
+				s.c.Assert(s.leader(), qt.Equals, glade.Node("h1"))
+				s.start("h2")
+				s.wait(time.Second)
+				s.kill("h1")
+				s.pool.cut = make(map[glade.Node]bool)
+				s.start("h1")
+				s.wait(5 * time.Second)
+				s.c.Assert(s.leader(), qt.Equals, want)
+			})
+		})
+	}
+	expectLead("leaves a service that it led before its restart to a strong one", 200, "h2")
+	expectLead("takes it back at once when it is strong", 800, "h1")
+}
