--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -43,7 +43,8 @@
 
 func newFleet(k *Keep, t *tenure) *Fleet {
 	return &Fleet{
-		tenure: t, quit: make(chan struct{}), rows: make(map[int64]WaveRow), proved: t.renewed, saved: make(map[int64]string), told: make(map[int64]waveState),
+		tenure: t, quit: make(chan struct{}), proved: t.renewed,
+		rows: make(map[int64]WaveRow), saved: make(map[int64]string), told: make(map[int64]waveState),
 		plan: moves.New(moves.Config{MoveTime: k.config.Bounds.MoveTime, MaintainTime: k.config.Bounds.MaintainTime}),
 	}
 }
@@ -92,7 +93,8 @@
 	f.ended.Wait()
 }
 
-// release gives the duty up. A write that is still under way is given up first.
+// release gives the duty up, after the write that is under way. When that does
+// not end in time, the term is left to lapse.
 func (f *Fleet) release(ctx context.Context) {
 	f.mu.Lock()
 	writing := f.writing
