--- a/lead/wave.go
+++ b/lead/wave.go
@@ -82,7 +82,8 @@
 	err := w.write(ctx)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	close(f.writing)
+	// Closed last: release goes on with the term after it.
+	defer close(f.writing)
 	f.writing, f.failed = nil, err
 	if err != nil {
 		return
