The fleet duty begins no order while it is given up

Cause: the race detector, once in about 150 runs of TestWeakHost: giveUp waited for the orders under way while the step in hand still added one. Change: orders are begun under the lock, and none after giveUp.

--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -39,6 +39,8 @@
 	proved time.Time
 	// held are orders whose rows wait to be written.
 	held []moves.Order
+	// leaving means that the duty is being given up.
+	leaving bool
 }
 
 func newFleet(k *Keep, t *tenure) *Fleet {
@@ -88,7 +90,11 @@
 	}
 }
 
+// giveUp begins no more orders and waits for those under way.
 func (f *Fleet) giveUp() {
+	f.mu.Lock()
+	f.leaving = true
+	f.mu.Unlock()
 	close(f.quit)
 	f.ended.Wait()
 }
@@ -207,6 +213,9 @@
 
 // give carries out an order. The caller holds the lock.
 func (f *Fleet) give(ctx context.Context, order moves.Order) {
+	if f.leaving {
+		return
+	}
 	f.ended.Add(1)
 	o := &fleetOrder{fleet: f, order: order}
 	go o.run(ctx)
