Review: one tunnel for stand-ins and soak, one way to give runs up, shared set-ups of tests

Cause: reading the whole change again. Ruled out: one codec for twin and store, one type for batch and job (docs/DESIGN.md says why they stand). Change: package tunnel with the modes of both, giveUpRuns, evicted, lastChance, giveAll; quietRig, spreadRig, fullRig, oneTask, expectAlone, expectLeads, announce.

--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -171,13 +171,13 @@
 		f.keep.config.Log.Info(e.Name, append(e.Pairs, "epoch", f.term.Epoch)...)
 	}
 	f.tell(ctx, finished)
-	return f.order(ctx, orders)
+	return f.giveAll(ctx, orders)
 }
 
-// order gives orders. Those of a wave wait until its row names them. Moves need
+// giveAll gives orders. Those of a wave wait until its row names them. Moves need
 // no row, so that they go on for a time while the store is away: the fence of
 // each host keeps a deposed lead out.
-func (f *Fleet) order(ctx context.Context, orders []moves.Order) error {
+func (f *Fleet) giveAll(ctx context.Context, orders []moves.Order) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -287,6 +287,13 @@
 	return nil
 }
 
+// setDeaf makes so many reports of an end fail.
+func (h *hosts) setDeaf(n int) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.deaf = n
+}
+
 func (h *hosts) moved() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -314,6 +321,21 @@
 	return ""
 }
 
+// expectLeads checks that a host leads as it has since it took this seat.
+func (s *site) expectLeads(node glade.Node, since *lead.Seat) {
+	s.c.Helper()
+	seat, ok := s.keeps[node].Seat(service)
+	s.c.Assert(ok, qt.IsTrue)
+	s.c.Assert(seat == since, qt.IsTrue)
+}
+
+// heal lets every host reach the runners again.
+func (s *site) heal() {
+	s.pool.mu.Lock()
+	defer s.pool.mu.Unlock()
+	s.pool.cut = make(map[glade.Node]bool)
+}
+
 // kill ends a host without any farewell.
 func (s *site) kill(node glade.Node) {
 	s.pool.mu.Lock()
@@ -429,7 +451,7 @@
 		s.wait(3 * time.Second)
 		s.expectState(s.leader(), "a", glade.BatchDone)
 	})
-	play(t, "that is silent moves no lead", func(c *qt.C, s *site) {
+	play(t, "that is silent moves no lead", func(_ *qt.C, s *site) {
 		node := s.leader()
 		seat, _ := s.keeps[node].Seat(service)
 		s.submit(node, "a", 4)
@@ -439,13 +461,11 @@
 		s.ledger.SetFault(memory.LedgerSound)
 		s.ledger.Release()
 		s.wait(3 * time.Second)
-		again, ok := s.keeps[node].Seat(service)
-		c.Assert(ok, qt.IsTrue)
-		c.Assert(again == seat, qt.IsTrue)
+		s.expectLeads(node, seat)
 		s.wait(3 * time.Second)
 		s.expectState(node, "a", glade.BatchDone)
 	})
-	play(t, "that is slow moves no lead", func(c *qt.C, s *site) {
+	play(t, "that is slow moves no lead", func(_ *qt.C, s *site) {
 		node := s.leader()
 		seat, _ := s.keeps[node].Seat(service)
 		s.ledger.SetDelay(1500 * time.Millisecond)
@@ -453,9 +473,7 @@
 		s.wait(8 * time.Second)
 		s.ledger.SetDelay(0)
 		s.wait(time.Second)
-		again, ok := s.keeps[node].Seat(service)
-		c.Assert(ok, qt.IsTrue)
-		c.Assert(again == seat, qt.IsTrue)
+		s.expectLeads(node, seat)
 		s.wait(2 * time.Second)
 		s.expectState(node, "a", glade.BatchDone)
 	})
@@ -491,26 +509,28 @@
 	h.site.ledger.SetFault(memory.LedgerSound)
 }
 
+// announce tells every host of waves, and waits until they should be done.
+func (s *site) announce(waves []glade.WaveOrder) {
+	for _, keep := range s.keeps {
+		keep.SetWaves(waves)
+	}
+	s.wait(15 * time.Second)
+}
+
 func TestWave(t *testing.T) {
 	wave := []glade.WaveOrder{{Wave: 7, Hosts: []glade.Host{"m1", "m2"}, Most: 1, Within: 20 * time.Second}}
 	play(t, "is told to run and to be done once each", func(c *qt.C, s *site) {
-		for _, keep := range s.keeps {
-			keep.SetWaves(wave)
-		}
-		s.wait(15 * time.Second)
+		s.announce(wave)
 		c.Assert(s.hosts.reports(), qt.DeepEquals, []string{"7 false", "7 true"})
 	})
 	play(t, "is told to be done by the next lead when the first could not", func(c *qt.C, s *site) {
-		s.hosts.deaf = 1 << 20
-		for _, keep := range s.keeps {
-			keep.SetWaves(wave)
-		}
-		s.wait(15 * time.Second)
+		s.hosts.setDeaf(1 << 20)
+		s.announce(wave)
 		c.Assert(s.hosts.reports(), qt.DeepEquals, []string{"7 false"})
 		s.kill("h1")
 		s.kill("h2")
-		s.hosts.deaf = 0
-		s.pool.cut = make(map[glade.Node]bool)
+		s.hosts.setDeaf(0)
+		s.heal()
 		s.start("h1")
 		s.keeps["h1"].SetWaves(wave)
 		s.wait(15 * time.Second)
@@ -555,7 +575,7 @@
 				s.start("h2")
 				s.wait(time.Second)
 				s.kill("h1")
-				s.pool.cut = make(map[glade.Node]bool)
+				s.heal()
 				s.start("h1")
 				s.wait(5 * time.Second)
 				s.c.Assert(s.leader(), qt.Equals, want)
--- a/moves/plan_test.go
+++ b/moves/plan_test.go
@@ -182,22 +182,18 @@
 		r.c.Assert(r.most, qt.Equals, 1)
 		r.c.Assert(r.plan.Finished(), qt.DeepEquals, []int64{1})
 	})
-	t.Run("leaves a host alone whose runner its service has not heard", func(t *testing.T) {
-		r := newRig(qt.New(t), map[glade.Service]int{"a": 9})
-		r.unheld["a0"] = true
-		r.plan.SetWave(wave(2, "a0", "a1"), nil, nil, r.now, r.now)
-		r.play(10 * time.Second)
-		r.c.Assert(r.hosts["a0"].kept, qt.Equals, 0)
-		r.c.Assert(r.hosts["a1"].kept, qt.Equals, 1)
-	})
-	t.Run("leaves a host alone whose runner its service does not list", func(t *testing.T) {
-		r := newRig(qt.New(t), map[glade.Service]int{"a": 9})
-		r.unlisted["a0"] = true
-		r.plan.SetWave(wave(2, "a0", "a1"), nil, nil, r.now, r.now)
-		r.play(10 * time.Second)
-		r.c.Assert(r.hosts["a0"].kept, qt.Equals, 0)
-		r.c.Assert(r.hosts["a1"].kept, qt.Equals, 1)
-	})
+	expectAlone := func(name string, hide func(r *rig)) {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(qt.New(t), map[glade.Service]int{"a": 9})
+			hide(r)
+			r.plan.SetWave(wave(2, "a0", "a1"), nil, nil, r.now, r.now)
+			r.play(10 * time.Second)
+			r.c.Assert(r.hosts["a0"].kept, qt.Equals, 0)
+			r.c.Assert(r.hosts["a1"].kept, qt.Equals, 1)
+		})
+	}
+	expectAlone("leaves a host alone whose runner its service has not heard", func(r *rig) { r.unheld["a0"] = true })
+	expectAlone("leaves a host alone whose runner its service does not list", func(r *rig) { r.unlisted["a0"] = true })
 	t.Run("goes on from what an earlier lead has ordered", func(t *testing.T) {
 		r := newRig(qt.New(t), map[glade.Service]int{"a": 9})
 		r.plan.SetWave(wave(2, "a0", "a1", "a2"), []glade.Host{"a0"}, []glade.Host{"a1"}, r.now, r.now)
--- a/sched/admit_test.go
+++ b/sched/admit_test.go
@@ -18,17 +18,24 @@
 	}
 	for range seconds * room / 1000 {
 		r.filled++
-		r.submit(glade.BatchID(fmt.Sprintf("fill%d", r.filled)), steps(glade.Step{Count: 1, Need: core, Estimate: 1000}))
+		r.submit(glade.BatchID(fmt.Sprintf("fill%d", r.filled)), oneTask(1000))
 	}
 }
 
+// fullRig returns a rig that has accepted as much as it takes.
+func fullRig(t *testing.T) *rig {
+	t.Helper()
+	r := newRig(qt.New(t), 2, twoFit)
+	r.play(time.Second)
+	r.fill(20)
+	return r
+}
+
 func TestAdmit(t *testing.T) {
-	short := steps(glade.Step{Count: 1, Need: core, Estimate: 100})
+	short := oneTask(100)
 	t.Run("refuses at once what can't be served, and tells when to come back", func(t *testing.T) {
-		r := newRig(qt.New(t), 2, twoFit)
-		r.play(time.Second)
-		r.fill(20)
-		v := r.submit("late", steps(glade.Step{Count: 1, Need: core, Estimate: 1000}))
+		r := fullRig(t)
+		v := r.submit("late", oneTask(1000))
 		r.c.Assert(v.Accepted, qt.IsFalse)
 		r.c.Assert(v.Reason, qt.Equals, "load")
 		r.c.Assert(v.After >= time.Second && v.After <= 20*time.Second, qt.IsTrue)
@@ -38,10 +45,8 @@
 		r.c.Assert(known, qt.IsFalse)
 	})
 	t.Run("takes a refused batch that comes back when there is room", func(t *testing.T) {
-		r := newRig(qt.New(t), 2, twoFit)
-		r.play(time.Second)
-		r.fill(20)
-		v := r.submit("again", steps(glade.Step{Count: 1, Need: core, Estimate: 1000}))
+		r := fullRig(t)
+		v := r.submit("again", oneTask(1000))
 		r.c.Assert(v.Accepted, qt.IsFalse)
 		for range int(v.After/time.Second) + 1 {
 			r.play(time.Second)
@@ -49,15 +54,13 @@
 				r.endAll(glade.BatchID(fmt.Sprintf("fill%d", i)), 0, glade.EndDone)
 			}
 		}
-		r.c.Assert(r.submit("again", steps(glade.Step{Count: 1, Need: core, Estimate: 1000})).Accepted, qt.IsTrue)
+		r.c.Assert(r.submit("again", oneTask(1000)).Accepted, qt.IsTrue)
 	})
 	t.Run("counts what other pools can lend", func(t *testing.T) {
-		r := newRig(qt.New(t), 2, twoFit)
-		r.play(time.Second)
-		r.fill(20)
-		r.c.Assert(r.submit("b", steps(glade.Step{Count: 1, Need: core, Estimate: 1000})).Accepted, qt.IsFalse)
+		r := fullRig(t)
+		r.c.Assert(r.submit("b", oneTask(1000)).Accepted, qt.IsFalse)
 		r.sched.Lend(40_000, r.now)
-		r.c.Assert(r.submit("c", steps(glade.Step{Count: 1, Need: core, Estimate: 1000})).Accepted, qt.IsTrue)
+		r.c.Assert(r.submit("c", oneTask(1000)).Accepted, qt.IsTrue)
 	})
 	t.Run("takes a batch that goes before a backlog with more slack", func(t *testing.T) {
 		r := newRig(qt.New(t), 2, twoFit)
@@ -71,8 +74,7 @@
 
 func TestOrder(t *testing.T) {
 	t.Run("what can still be in time goes before what is late", func(t *testing.T) {
-		r := newRig(qt.New(t), 1, twoFit)
-		r.play(time.Second)
+		r := quietRig(t)
 		r.submit("busy", steps(glade.Step{Count: 2, Need: core, Estimate: 4000}))
 		r.play(100 * time.Millisecond)
 		r.submit("late", steps(glade.Step{Count: 2, Need: core, Estimate: 300}))
@@ -91,7 +93,7 @@
 		r.play(100 * time.Millisecond)
 		for i := range 6 {
 			// Due in 1.1 s, wanted for 3.3 s.
-			r.submit(glade.BatchID(fmt.Sprint("late", i)), steps(glade.Step{Count: 1, Need: core, Estimate: 300}))
+			r.submit(glade.BatchID(fmt.Sprint("late", i)), oneTask(300))
 		}
 		r.play(2500 * time.Millisecond)
 		r.submit("fresh", steps(glade.Step{Count: 20, Need: core, Estimate: 1000}))
@@ -161,7 +163,7 @@
 		r.play(time.Second)
 		// Five cores: 0.1 s of work every 20 ms.
 		for i := range 35 {
-			r.submit(glade.BatchID(fmt.Sprint(i)), steps(glade.Step{Count: 1, Need: core, Estimate: 100}))
+			r.submit(glade.BatchID(fmt.Sprint(i)), oneTask(100))
 			r.play(20 * time.Millisecond)
 		}
 		r.c.Assert(r.sched.Demand(r.now).Offered > 3*core.CPU, qt.IsTrue)
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -26,8 +26,9 @@
 	fresh      bool // the row of the work itself is not written
 	// blind batches may have runs on runners that an earlier lead used.
 	blind bool
-	// last batches are late and go before others, to end while they are wanted.
-	last bool
+	// lastChance batches are late and go before others, to end while they are
+	// wanted.
+	lastChance bool
 }
 
 // round is one occurrence of a batch.
@@ -72,8 +73,8 @@
 	runs []*run
 	// failedOn lists runners on which it failed.
 	failedOn []glade.RunnerID
-	// left means that it was stopped once to free its host.
-	left bool
+	// evicted means that it was stopped once to free its host.
+	evicted bool
 	// since is when it became ready to start.
 	since time.Time
 	// lostAt is when a run of it was found missing. A newer lead may have seen
--- a/sched/close.go
+++ b/sched/close.go
@@ -130,11 +130,16 @@
 	if n.phase != running || n.step.rule.Gang {
 		return
 	}
-	if n.step.rule.Lasting {
+	switch {
+	case n.step.rule.Lasting:
 		if !s.mayMiss(n, now) || !s.hasRoomFor(n, now) {
 			return
 		}
-	} else if now.Sub(r.closed) < finishTime && !s.paysToMove(n, now) {
+	case now.Sub(r.closed) >= finishTime:
+	case s.paysToMove(n, now):
+		s.slackRoom -= n.step.rule.Need.CPU
+		n.task().evicted = true
+	default:
 		return
 	}
 	n.phase = stopping
@@ -154,8 +159,7 @@
 // host is then free for another pool seconds earlier. A shrinking pool closes
 // one host after the other; a task leaves only the first.
 func (s *Sched) paysToMove(n *run, now time.Time) bool {
-	t := n.task()
-	if !n.step.rule.Saves || t.left {
+	if !n.step.rule.Saves || n.task().evicted {
 		return false
 	}
 	if !s.slackKnown {
@@ -165,12 +169,7 @@
 		return false
 	}
 	whole := time.Duration(float64(n.step.rule.Estimate)*s.learnt.of(n.step.round.batch.queue)) * time.Millisecond
-	if whole-now.Sub(n.sent) < movePays*(stopTime+s.config.Restore) {
-		return false
-	}
-	s.slackRoom -= n.step.rule.Need.CPU
-	t.left = true
-	return true
+	return whole-now.Sub(n.sent) >= movePays*(stopTime+s.config.Restore)
 }
 
 // findSlackRoom returns the room of usable runners that neither runs, nor waiting
--- a/sched/order.go
+++ b/sched/order.go
@@ -118,11 +118,11 @@
 		next := &list[i]
 		b := next.step.round.batch
 		asks := next.step.idle * next.step.rule.Need.CPU
-		if next.class != classLate || next.key > lastTime || (!b.last && asks > room) {
+		if next.class != classLate || next.key > lastTime || (!b.lastChance && asks > room) {
 			continue
 		}
-		if !b.last {
-			b.last = true
+		if !b.lastChance {
+			b.lastChance = true
 			s.event("last chance", "batch", b.id, "queue", b.queue, "within", next.key.Milliseconds(), "room", room)
 		}
 		room -= asks
@@ -136,7 +136,7 @@
 func (s *Sched) lastRoom() int {
 	sum := 0
 	for b := range s.live {
-		if b.last {
+		if b.lastChance {
 			for n := range b.runs {
 				sum += n.step.rule.Need.CPU
 			}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -198,13 +198,7 @@
 		if !r.held && asOf.Sub(s.taken) < goneAfter {
 			continue
 		}
-		given := 0
-		for n := range r.runs {
-			if !n.calling {
-				given++
-				s.unplace(n, now)
-			}
-		}
+		given := s.giveUpRuns(r, now)
 		if given > 0 || s.isBlind(id, now) {
 			s.event("gone", "runner", id, "runs", given, "heard", sinceMillis(now, r.heard))
 			s.moved = true
@@ -399,6 +393,19 @@
 	}
 }
 
+// giveUpRuns takes every run off a runner, but for those with an order under way,
+// and returns how many there were.
+func (s *Sched) giveUpRuns(r *runner, now time.Time) int {
+	given := 0
+	for n := range r.runs {
+		if !n.calling {
+			given++
+			s.unplace(n, now)
+		}
+	}
+	return given
+}
+
 // lapse gives up what ran on runners whose leases have ended. A newer lead may
 // have renewed them meanwhile, so that the own lead must have been confirmed
 // after their end.
@@ -407,14 +414,7 @@
 		if len(r.runs) == 0 || !r.lapsed(now) || !s.confirmed(r.lapse()) {
 			continue
 		}
-		given := 0
-		for n := range r.runs {
-			if !n.calling {
-				given++
-				s.unplace(n, now)
-			}
-		}
-		if given > 0 {
+		if given := s.giveUpRuns(r, now); given > 0 {
 			s.stats.Lapsed += int64(given)
 			s.event("lapsed", "runner", r.info.ID, "runs", given, "heard", sinceMillis(now, r.heard), "renewed", sinceMillis(now, s.renewed))
 		}
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -82,6 +82,35 @@
 	return r, r.holder("a")
 }
 
+// oneTask is a batch of one task of a core.
+func oneTask(estimate int64) glade.Batch {
+	return steps(glade.Step{Count: 1, Need: core, Estimate: estimate})
+}
+
+// quietRig returns a rig of one runner that has been heard.
+func quietRig(t *testing.T) *rig {
+	t.Helper()
+	r := newRig(qt.New(t), 1, twoFit)
+	r.play(time.Second)
+	return r
+}
+
+// spreadRig returns a rig that runs a lasting step, and the runners of its tasks.
+func spreadRig(t *testing.T) (*rig, []glade.RunnerID) {
+	t.Helper()
+	r := newRig(qt.New(t), 5, twoFit)
+	r.submit("a", steps(glade.Step{Count: 3, Need: core, Lasting: true, Spread: 1, MayMiss: 1}))
+	r.play(time.Second)
+	var ids []glade.RunnerID
+	for _, info := range r.list {
+		if len(r.runs[info.ID].running) > 0 {
+			ids = append(ids, info.ID)
+		}
+	}
+	r.c.Assert(ids, qt.HasLen, 3)
+	return r, ids
+}
+
 func testConfig(epoch int64) sched.Config {
 	return sched.Config{
 		Service: service, Epoch: epoch, Lease: 4 * time.Second, Reach: 8 * time.Second, HoldMax: 10 * time.Second,
@@ -289,7 +318,7 @@
 	})
 	t.Run("fails after its attempts", func(t *testing.T) {
 		r := newRig(qt.New(t), 2, twoFit)
-		r.submit("a", steps(glade.Step{Count: 1, Need: core, Estimate: 500}))
+		r.submit("a", oneTask(500))
 		for range 3 {
 			r.play(time.Second)
 			r.endAll("a", 0, glade.EndFailed)
@@ -329,7 +358,7 @@
 	t.Run("is kept for lasting tasks in a full pool", func(t *testing.T) {
 		r := newRig(qt.New(t), 1, twoFit)
 		for i := range 20 {
-			r.submit(glade.BatchID(fmt.Sprintf("short%d", i)), steps(glade.Step{Count: 1, Need: core, Estimate: 5000}))
+			r.submit(glade.BatchID(fmt.Sprintf("short%d", i)), oneTask(5000))
 		}
 		r.play(time.Second)
 		r.submit("long", steps(glade.Step{Count: 1, Need: twoFit, Lasting: true}))
@@ -356,7 +385,7 @@
 func TestTakeover(t *testing.T) {
 	t.Run("counts a failure once that was written and not acknowledged", func(t *testing.T) {
 		r := newRig(qt.New(t), 1, twoFit)
-		r.submit("a", steps(glade.Step{Count: 1, Need: core, Estimate: 500}))
+		r.submit("a", oneTask(500))
 		r.play(time.Second)
 		r.endAll("a", 0, glade.EndFailed)
 		r.keepEnds = true
@@ -370,7 +399,7 @@
 	})
 	t.Run("counts failures in whatever order its runners tell of them", func(t *testing.T) {
 		r := newRig(qt.New(t), 2, twoFit)
-		r.submit("a", steps(glade.Step{Count: 1, Need: core, Estimate: 500}))
+		r.submit("a", oneTask(500))
 		r.play(time.Second)
 		first := r.holder("a")
 		r.cut = true // from here on nothing is written
@@ -463,10 +492,9 @@
 
 func TestAvoidedRunner(t *testing.T) {
 	t.Run("gets work again after its pause though nothing else happens", func(t *testing.T) {
-		r := newRig(qt.New(t), 1, twoFit)
-		r.play(time.Second)
+		r := quietRig(t)
 		r.refuseStarts = 1
-		r.submit("a", steps(glade.Step{Count: 1, Need: core, Estimate: 500}))
+		r.submit("a", oneTask(500))
 		r.play(2 * time.Second)
 		r.c.Assert(r.running("a"), qt.Equals, 1)
 	})
@@ -474,25 +502,23 @@
 
 func TestUsableRunner(t *testing.T) {
 	t.Run("an idle runner gets work until its next answer is due", func(t *testing.T) {
-		r := newRig(qt.New(t), 1, twoFit)
-		r.play(time.Second)
+		r := quietRig(t)
 		r.holdTime = 10 * time.Second
 		// The second long hold is under way for 1.7 s.
 		r.play(3700 * time.Millisecond)
-		r.submit("a", steps(glade.Step{Count: 1, Need: core, Estimate: 50}))
+		r.submit("a", oneTask(50))
 		r.play(60 * time.Millisecond)
 		r.c.Assert(r.running("a"), qt.Equals, 1)
 	})
 	t.Run("a lost answer keeps no work off a runner that is heard after it", func(t *testing.T) {
-		r := newRig(qt.New(t), 1, twoFit)
-		r.play(time.Second)
+		r := quietRig(t)
 		r.delay = true
-		r.submit("a", steps(glade.Step{Count: 1, Need: core, Estimate: 5000}))
+		r.submit("a", oneTask(5000))
 		r.play(700 * time.Millisecond)
 		r.delay = false
 		r.c.Assert(r.delayed, qt.HasLen, 1)
 		r.sched.Started(r.delayed[0], glade.RunAnswer{}, fmt.Errorf("no answer"), r.now)
-		r.submit("b", steps(glade.Step{Count: 1, Need: core, Estimate: 500}))
+		r.submit("b", oneTask(500))
 		r.play(100 * time.Millisecond)
 		r.c.Assert(r.running("b"), qt.Equals, 1)
 	})
@@ -500,8 +526,7 @@
 
 func TestLostStart(t *testing.T) {
 	t.Run("is given up and made again, however long holds wait", func(t *testing.T) {
-		r := newRig(qt.New(t), 1, twoFit)
-		r.play(time.Second)
+		r := quietRig(t)
 		r.holdTime = time.Second
 		r.loseStarts = 1
 		r.submit("a", steps(glade.Step{Count: 1, Need: core, Estimate: 500, Lasting: true}))
@@ -534,18 +559,8 @@
 }
 
 func TestClose(t *testing.T) {
-	lasting := glade.Step{Count: 3, Need: core, Lasting: true, Spread: 1, MayMiss: 1}
 	t.Run("moves lasting tasks one at a time", func(t *testing.T) {
-		r := newRig(qt.New(t), 5, twoFit)
-		r.submit("a", steps(lasting))
-		r.play(time.Second)
-		var ids []glade.RunnerID
-		for _, info := range r.list {
-			if len(r.runs[info.ID].running) > 0 {
-				ids = append(ids, info.ID)
-			}
-		}
-		r.c.Assert(ids, qt.HasLen, 3)
+		r, ids := spreadRig(t)
 		for range 20 {
 			r.sched.Close(ids[:2], r.now)
 			r.play(100 * time.Millisecond)
@@ -555,15 +570,7 @@
 		r.c.Assert(r.runs[ids[1]].running, qt.HasLen, 0)
 	})
 	t.Run("keeps a task while another of its step is out of sight", func(t *testing.T) {
-		r := newRig(qt.New(t), 5, twoFit)
-		r.submit("a", steps(lasting))
-		r.play(time.Second)
-		var ids []glade.RunnerID
-		for _, info := range r.list {
-			if len(r.runs[info.ID].running) > 0 {
-				ids = append(ids, info.ID)
-			}
-		}
+		r, ids := spreadRig(t)
 		r.runs[ids[0]].silent = true
 		r.play(200 * time.Millisecond)
 		for range 20 {
--- a/stand/internal/fleet/config.go
+++ b/stand/internal/fleet/config.go
@@ -7,7 +7,6 @@
 
 	glade "indigoglade"
 	"indigoglade/config"
-	"indigoglade/stand/internal/tunnel"
 )
 
 // Config configures the stand-in fleet.
@@ -37,7 +36,7 @@
 	// Lease is how long tasks run on when nobody asks for them; 0 is for ever.
 	Lease glade.Span `json:"lease"`
 	// Tunnels join processes of different zones.
-	Tunnels []tunnel.Spec `json:"tunnels"`
+	Tunnels []Tunnel `json:"tunnels"`
 }
 
 // ReadConfig reads and checks the settings of the stand-in fleet.
--- a/stand/main.go
+++ b/stand/main.go
@@ -18,7 +18,7 @@
 	"indigoglade/stand/internal/fleet"
 	"indigoglade/stand/internal/ledger"
 	"indigoglade/stand/internal/server"
-	"indigoglade/stand/internal/tunnel"
+	"indigoglade/tunnel"
 )
 
 type flags struct {
@@ -86,10 +86,12 @@
 	return nil
 }
 
-func addTunnels(group *daemon.Group, specs []tunnel.Spec, board *fault.Board) error {
+func addTunnels(group *daemon.Group, specs []fleet.Tunnel, board *fault.Board) error {
 	isCut := func(zone glade.Zone) bool { return board.IsCut(zone, clock.System{}.Now()) }
 	for _, spec := range specs {
-		one, err := tunnel.New(tunnel.Config{Spec: spec, IsCut: isCut})
+		one, err := tunnel.New(tunnel.Config{
+			Listen: spec.Listen, Address: spec.Address, Mode: func() tunnel.Mode { return spec.Mode(isCut) },
+		})
 		if err != nil {
 			return err
 		}
