Keep the orders of two leaders for one host apart where hosts check no tokens

Cause: no Go file read fencingEnabled. A fleet leader that has lost the store goes on to move hosts for 6 s (moveGrace), and the next leader begins after 2 s; only the host's check of the fencing token kept them apart.

Change: package fence decides, without I/O, when a leader may order a host there. Orders are recorded in a row in the transaction that renews the term; they expire 1.2 s after that write began (by the boot clock, which counts suspensions), just before their only write to the connection, which is reset when it ends. The next leader orders hosts that the row doesn't name at once and waits 4.9 s for the others, counted from the record and the last renewal that it had seen. Settings fencingEnabled and leaseMs are read and checked; where hosts check tokens nothing changes.

Also: a new leader counts adopted long-running tasks as away until the stops of the earlier leader have ended (stopTimeoutMs is read).

Tests: fence.TestModel (10000 schedules of three leaders: pauses, 2 % clocks, lost answers, late orders; fails with the window, the record of inherited waits or the age left out), lead.TestOrderedHosts (its second part shows the old rule break), call.TestPost, fake.TestInventory, TestEvacuation "stops no task while one that an earlier leader stops may still end" (failed before).

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -5,6 +5,9 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // System is the clock of the machine.
@@ -13,6 +16,15 @@
 // Now returns the current time.
 func (System) Now() time.Time { return time.Now() }
 
+// Uptime returns the time since the machine's start, including suspension.
+func (System) Uptime() time.Duration {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		panic(errors.Wrap(err, "read the boot clock")) // every Linux since 2.6.39 has it
+	}
+	return time.Duration(now.Nano())
+}
+
 // Sleep waits for d or until ctx ends.
 func (System) Sleep(ctx context.Context, d time.Duration) error {
 	timer := time.NewTimer(d)
@@ -28,13 +40,14 @@
 // Fake is a clock that only moves when Advance is called.
 type Fake struct {
 	mu    sync.Mutex
+	start time.Time
 	now   time.Time
 	moved chan struct{}
 }
 
 // NewFake returns a fake clock set to start.
 func NewFake(start time.Time) *Fake {
-	return &Fake{now: start, moved: make(chan struct{})}
+	return &Fake{start: start, now: start, moved: make(chan struct{})}
 }
 
 // Now returns the time of the fake clock.
@@ -44,6 +57,9 @@
 	return f.now
 }
 
+// Uptime returns the time by which the clock was advanced.
+func (f *Fake) Uptime() time.Duration { return f.Now().Sub(f.start) }
+
 // Advance moves the clock by d and wakes the sleepers whose time has come.
 func (f *Fake) Advance(d time.Duration) {
 	f.mu.Lock()
--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -9,6 +9,7 @@
 	"time"
 
 	glade "indigoglade"
+	"indigoglade/fence"
 	"indigoglade/moves"
 )
 
@@ -42,16 +43,24 @@
 	lastConfirmed time.Time
 	// pending holds maintenance actions whose wave row is not written yet.
 	pending []moves.Action
+	// gate tells which hosts may be ordered; it is nil where hosts check fencing tokens.
+	gate *fence.Gate
+	// savedOrders is the number of orders in the row that was last handed to a writer.
+	savedOrders int
 	// steppingDown is set when no new actions may start.
 	steppingDown bool
 }
 
 func newFleetLeader(m *Manager, l *leadership) *FleetLeader {
-	return &FleetLeader{
+	f := &FleetLeader{
 		leadership: l, quit: make(chan struct{}), lastConfirmed: l.confirmedAt,
 		waveRows: make(map[int64]WaveRow), savedRows: make(map[int64]string), reported: make(map[int64]waveState),
 		planner: moves.New(moves.Config{MoveDowntime: m.config.Limits.MoveDowntime, MaintenanceDowntime: m.config.Limits.MaintenanceDowntime}),
 	}
+	if !m.config.Limits.HostsCheckFences {
+		f.gate = fence.New(fence.Config{Lease: m.config.Limits.HostLease})
+	}
+	return f
 }
 
 // Intervals and timeouts of the fleet leader.
@@ -70,7 +79,7 @@
 func (f *FleetLeader) run(ctx context.Context) {
 	defer f.manager.remove(f.service)
 	defer f.cancel()
-	if err := f.loadWaves(ctx); err != nil {
+	if err := f.loadRows(ctx); err != nil {
 		f.manager.config.Log.Error(err, "leadership not taken: the rows could not be read", "service", f.service)
 		return
 	}
@@ -110,6 +119,9 @@
 	f.mu.Lock()
 	done := f.writeDone
 	f.mu.Unlock()
+	if f.gate != nil {
+		f.inFlight.Wait() // the next leader must not meet orders under way
+	}
 	if done != nil {
 		select {
 		case <-done:
@@ -124,10 +136,14 @@
 	f.manager.config.Log.Info("leadership released", "service", f.service, "epoch", f.term.Epoch, "result", result.String(), "lost", err != nil)
 }
 
-// loadWaves reads the progress of the waves, and retries until the store answers.
-func (f *FleetLeader) loadWaves(ctx context.Context) error {
+// loadRows reads the progress of the waves, and the hosts that an earlier leader may
+// have ordered. It retries until the store answers.
+func (f *FleetLeader) loadRows(ctx context.Context) error {
 	for {
 		rows, _, err := f.manager.config.PartitionedTable.List(ctx, tableWave, string(f.service))
+		if err == nil {
+			err = f.loadOrdered(ctx)
+		}
 		if err == nil {
 			for _, row := range rows {
 				var progress WaveRow
@@ -181,21 +197,23 @@
 }
 
 // dispatchAll carries out actions. Maintenance waits until the row of its wave,
-// which lists the host, is written. Moves need no row, so they go on for moveGrace
-// while the store is unreachable: hosts check the fencing token and refuse a former
-// leader.
+// which lists the host, is written. Moves need no row where hosts check the fencing
+// token and refuse a former leader, so they go on for moveGrace while the store is
+// unreachable. Where hosts don't, every action waits for the row of the gate.
 func (f *FleetLeader) dispatchAll(ctx context.Context, actions []moves.Action) error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := f.clock.Now()
 	for _, action := range actions {
 		switch {
-		case action.Kind == moves.KindMaintain:
+		case f.gate != nil && f.gate.Remaining(action.Host, f.clock.Uptime()) > 0:
+			// The planner sends it again later.
+		case action.Kind == moves.KindMaintain || f.gate != nil:
 			if !slices.Contains(f.pending, action) {
 				f.pending = append(f.pending, action)
 			}
 		case now.Sub(f.lastConfirmed) < moveGrace:
-			f.dispatch(ctx, action)
+			f.dispatch(ctx, action, 0)
 		}
 	}
 	if f.writeErr != nil {
@@ -204,12 +222,14 @@
 	if f.writeDone != nil {
 		return nil
 	}
-	puts := f.changedRows()
-	w := &waveWriter{fleet: f, puts: puts, actions: f.pending, renew: now.Sub(f.heartbeatAt) >= heartbeatPeriod-fleetStepPeriod}
+	w := &waveWriter{fleet: f, puts: f.changedRows(), actions: f.pending, renew: now.Sub(f.heartbeatAt) >= heartbeatPeriod-fleetStepPeriod}
 	f.pending = nil
-	if len(puts) == 0 && !w.renew {
+	if f.gate != nil {
+		w.record()
+	}
+	if len(w.puts) == 0 && !w.renew {
 		for _, action := range w.actions {
-			f.dispatch(ctx, action)
+			f.dispatch(ctx, action, 0)
 		}
 		return nil
 	}
@@ -218,13 +238,14 @@
 	return nil
 }
 
-// dispatch starts one action. The caller must hold the lock.
-func (f *FleetLeader) dispatch(ctx context.Context, action moves.Action) {
+// dispatch starts one action, which must be carried out before the uptime expiry
+// unless that is 0. The caller must hold the lock.
+func (f *FleetLeader) dispatch(ctx context.Context, action moves.Action, expiry time.Duration) {
 	if f.steppingDown {
 		return
 	}
 	f.inFlight.Add(1)
-	c := &hostCall{fleet: f, action: action}
+	c := &hostCall{fleet: f, action: action, permit: glade.Permit{Fence: f.term.Epoch, Expiry: expiry}}
 	go c.run(ctx)
 }
 
@@ -249,19 +270,24 @@
 type hostCall struct {
 	fleet  *FleetLeader
 	action moves.Action
+	permit glade.Permit
 }
 
 func (c *hostCall) run(ctx context.Context) {
 	f := c.fleet
 	defer f.inFlight.Done()
-	bounded, cancel := context.WithTimeout(ctx, inventoryTimeout)
+	timeout := inventoryTimeout
+	if c.permit.Expiry > 0 {
+		timeout = min(timeout, c.permit.Expiry-f.clock.Uptime())
+	}
+	bounded, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	var refusal glade.HostRefusal
 	var err error
 	if c.action.Kind == moves.KindMaintain {
-		refusal, err = f.manager.config.Inventory.Maintain(bounded, c.action.Host, c.action.Wave, f.term.Epoch)
+		refusal, err = f.manager.config.Inventory.Maintain(bounded, c.action.Host, c.action.Wave, c.permit)
 	} else {
-		refusal, err = f.manager.config.Inventory.Move(bounded, c.action.Host, c.action.Pool, f.term.Epoch)
+		refusal, err = f.manager.config.Inventory.Move(bounded, c.action.Host, c.action.Pool, c.permit)
 	}
 	f.mu.Lock()
 	f.planner.HandleAnswer(c.action, refusal, err, f.clock.Now())
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -207,12 +208,55 @@
 	inventory *inventory
 	// capacity is that of each host, in millicores.
 	capacity map[glade.Node]int
+	// links are the connections of the hosts to the table service.
+	links map[glade.Node]*tableLink
+	// limits are those of the managers that start from now on.
+	limits lead.Limits
+}
+
+// testClock is the clock of a synctest bubble.
+type testClock struct {
+	clock.System
+	began time.Time
+}
+
+func (t testClock) Uptime() time.Duration { return time.Since(t.began) }
+
+// tableLink is the connection of one host to the table service, which can be cut.
+type tableLink struct {
+	*memory.PartitionedTable
+	cut atomic.Bool
+}
+
+func (l *tableLink) Commit(ctx context.Context, txn glade.PartitionTxn) (int64, []glade.PartitionRow, glade.CommitResult) {
+	if l.cut.Load() {
+		<-ctx.Done()
+		return 0, nil, glade.Uncertain
+	}
+	return l.PartitionedTable.Commit(ctx, txn)
+}
+
+func (l *tableLink) Get(ctx context.Context, table, part, key string) (glade.PartitionRow, error) {
+	if l.cut.Load() {
+		<-ctx.Done()
+		return glade.PartitionRow{}, errNoAnswer
+	}
+	return l.PartitionedTable.Get(ctx, table, part, key)
+}
+
+func (l *tableLink) Feed(ctx context.Context, table string, after int64, wait time.Duration) ([]glade.PartitionRow, int64, error) {
+	rows, version, err := l.PartitionedTable.Feed(ctx, table, after, wait)
+	if l.cut.Load() {
+		return nil, 0, errNoAnswer
+	}
+	return rows, version, err
 }
 
 func newCluster(c *qt.C, nodes ...glade.Node) *cluster {
 	s := &cluster{
 		c: c, table: memory.NewPartitionedTable(), runners: newFakeRunners(3), inventory: &inventory{},
-		managers: make(map[glade.Node]*lead.Manager), cancels: make(map[glade.Node]context.CancelFunc),
+		managers: make(map[glade.Node]*lead.Manager), cancels: make(map[glade.Node]context.CancelFunc), links: make(map[glade.Node]*tableLink),
+		limits: lead.Limits{MaxLease: 10 * time.Second, Retention: time.Minute, HostsCheckFences: true},
 	}
 	for _, node := range nodes {
 		s.start(node)
@@ -222,10 +266,12 @@
 
 func (s *cluster) start(node glade.Node) {
 	ctx, cancel := context.WithCancel(context.Background())
-	directory := lead.NewDirectory(lead.DirectoryConfig{Self: node, Row: lead.NodeRow{Address: string(node), Capacity: s.capacity[node]}, PartitionedTable: s.table, Clock: clock.System{}, Log: logr.Discard()})
+	link := &tableLink{PartitionedTable: s.table}
+	s.links[node] = link
+	directory := lead.NewDirectory(lead.DirectoryConfig{Self: node, Row: lead.NodeRow{Address: string(node), Capacity: s.capacity[node]}, PartitionedTable: link, Clock: clock.System{}, Log: logr.Discard()})
 	manager := lead.New(lead.Config{
-		Self: node, Address: string(node), PartitionedTable: s.table, Runners: route{s.runners, node}, Inventory: s.inventory,
-		Clock: clock.System{}, Log: logr.Discard(), Directory: directory, Limits: lead.Limits{MaxLease: 10 * time.Second, Retention: time.Minute},
+		Self: node, Address: string(node), PartitionedTable: link, Runners: route{s.runners, node}, Inventory: hostLink{s.inventory, node},
+		Clock: testClock{began: s.runners.began}, Log: logr.Discard(), Directory: directory, Limits: s.limits,
 	})
 	manager.SetRules(glade.Rules{Version: 1, Services: []glade.ServiceRule{{Service: service}, {Service: sparePool, Spare: true}}, Queues: []glade.QueueRule{{
 		Queue: queue, Service: service, MaxFailures: 3, Stretch: 2, Slack: time.Second,
@@ -252,6 +298,8 @@
 type inventory struct {
 	mu       sync.Mutex
 	reported []string
+	// orders are the calls that move a host.
+	orders []hostOrder
 	// moveCalls counts the calls that move a host.
 	moveCalls int
 	// failReports is how many of the next reports that a wave is done fail.
@@ -266,14 +314,59 @@
 	return list, nil
 }
 
-func (i *inventory) Move(context.Context, glade.Host, glade.Service, int64) (glade.HostRefusal, error) {
+// hostOrder is an order for a host, as the inventory has received it.
+type hostOrder struct {
+	host  glade.Host
+	from  glade.Node
+	fence int64
+	at    time.Time
+}
+
+// hostLink is the connection of one leader to the inventory.
+type hostLink struct {
+	*inventory
+	node glade.Node
+}
+
+func (l hostLink) Move(_ context.Context, host glade.Host, _ glade.Service, permit glade.Permit) (glade.HostRefusal, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.moveCalls++
+	l.orders = append(l.orders, hostOrder{host: host, from: l.node, fence: permit.Fence, at: time.Now()})
+	return glade.HostLimited, nil
+}
+
+// mixedOrders returns the orders for a host that follow one of a newer leader, or one
+// of another leader within the lease.
+func (i *inventory) mixedOrders(lease time.Duration) []hostOrder {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.moveCalls++
-	return glade.HostLimited, nil
+	last := make(map[glade.Host]hostOrder)
+	var mixed []hostOrder
+	for _, o := range i.orders {
+		before, ok := last[o.host]
+		if ok && (o.fence < before.fence || (o.from != before.from && o.at.Sub(before.at) < lease)) {
+			mixed = append(mixed, o)
+		}
+		last[o.host] = o
+	}
+	return mixed
+}
+
+// ordersFrom returns the number of orders of a leader.
+func (i *inventory) ordersFrom(node glade.Node) int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	n := 0
+	for _, o := range i.orders {
+		if o.from == node {
+			n++
+		}
+	}
+	return n
 }
 
-func (i *inventory) Maintain(context.Context, glade.Host, int64, int64) (glade.HostRefusal, error) {
+func (i *inventory) Maintain(context.Context, glade.Host, int64, glade.Permit) (glade.HostRefusal, error) {
 	return glade.HostAccepted, nil
 }
 
--- a/lead/leadership.go
+++ b/lead/leadership.go
@@ -27,8 +27,11 @@
 	// heartbeatAt is when the last successful write of the term row itself was sent:
 	// other hosts see only that as a heartbeat.
 	heartbeatAt time.Time
-	clock       glade.Clock
-	stepWake    chan struct{}
+	// predecessorSeen is when this host had seen the last renewal of the earlier
+	// leader's term.
+	predecessorSeen time.Time
+	clock           glade.Clock
+	stepWake        chan struct{}
 }
 
 // Timeout and retry pause of calls to the store.
--- a/lead/manager.go
+++ b/lead/manager.go
@@ -31,11 +31,18 @@
 	MaxLease time.Duration
 	// RestoreTime is how long a task takes to resume from its checkpoint.
 	RestoreTime time.Duration
+	// StopTimeout is how long a runner takes at most to stop a run.
+	StopTimeout time.Duration
 	// Retention is how long the state of an ended batch must stay available.
 	Retention time.Duration
 	// MoveDowntime and MaintenanceDowntime are how long a host is unavailable for a move and for
 	// maintenance.
 	MoveDowntime, MaintenanceDowntime time.Duration
+	// HostsCheckFences means that hosts refuse orders with a fencing token lower than
+	// one that they have seen. Where they don't, HostLease is the least time between
+	// the orders of two leaders for one host.
+	HostsCheckFences bool
+	HostLease        time.Duration
 }
 
 // Manager claims services and holds their leaders in this process.
@@ -255,7 +262,7 @@
 	if term.Node != "" && term.Node != m.config.Self && !m.isLeaderGone(ctx, service, heartbeat, idle-wait, rank) {
 		return
 	}
-	m.claim(ctx, service, term, heartbeat.Version, idle)
+	m.claim(ctx, service, heartbeat, now)
 }
 
 // slowStoreFactor times the duration of a store call is added to the wait for a
@@ -287,9 +294,10 @@
 // healthyCallsTime is the time of four calls to a healthy store, with some reserve.
 const healthyCallsTime = 100 * time.Millisecond
 
-// claim writes a term of this host over the old one and starts the leader if the
-// write took effect.
-func (m *Manager) claim(ctx context.Context, service glade.Service, old Term, version int64, idle time.Duration) {
+// claim writes a term of this host over the old one, whose last heartbeat was looked
+// up at the given time, and starts the leader if the write took effect.
+func (m *Manager) claim(ctx context.Context, service glade.Service, heartbeat Heartbeat, at time.Time) {
+	old, version, idle := heartbeat.Term, heartbeat.Version, heartbeat.Age
 	term := Term{Node: m.config.Self, Address: m.config.Address, Epoch: old.Epoch + 1}
 	sent := m.config.Clock.Now()
 	bounded, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -317,19 +325,20 @@
 		return
 	}
 	m.config.Directory.RecordTerm(service, term, next)
-	m.startLeader(ctx, service, term, next, sent)
+	m.startLeader(ctx, service, term, next, sent, at.Add(-idle))
 }
 
 // startLeader starts the leader of a service whose term this host has just
-// committed with a write sent at the given time.
-func (m *Manager) startLeader(ctx context.Context, service glade.Service, term Term, version int64, sent time.Time) {
+// committed with a write sent at the given time. It had seen the last renewal of the
+// earlier term at predecessorSeen.
+func (m *Manager) startLeader(ctx context.Context, service glade.Service, term Term, version int64, sent, predecessorSeen time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stopping {
 		return
 	}
 	m.running.Add(1)
-	l := &leadership{manager: m, service: service, term: term, version: version, confirmedAt: sent, heartbeatAt: sent, clock: m.config.Clock, stepWake: make(chan struct{}, 1)}
+	l := &leadership{manager: m, service: service, term: term, version: version, confirmedAt: sent, heartbeatAt: sent, predecessorSeen: predecessorSeen, clock: m.config.Clock, stepWake: make(chan struct{}, 1)}
 	if service == fleetService {
 		m.fleet = newFleetLeader(m, l)
 		ctx, m.fleet.cancel = context.WithCancel(ctx)
@@ -358,6 +367,6 @@
 func (m *Manager) schedConfig(service glade.Service, epoch int64) sched.Config {
 	return sched.Config{
 		Service: service, Epoch: epoch, LeaseTime: runLease, RenewalTTL: renewalTTL, MaxLease: m.config.Limits.MaxLease, RestoreTime: m.config.Limits.RestoreTime,
-		Retention: m.config.Limits.Retention * 3 / 2, HeartbeatWait: heartbeatWait,
+		Retention: m.config.Limits.Retention * 3 / 2, HeartbeatWait: heartbeatWait, StopTimeout: m.config.Limits.StopTimeout,
 	}
 }
--- a/lead/wave.go
+++ b/lead/wave.go
@@ -78,6 +78,8 @@
 	puts    []glade.PartitionRow
 	actions []moves.Action
 	renew   bool
+	// expiry is the uptime at which the recorded actions expire; 0 if they don't.
+	expiry time.Duration
 }
 
 func (w *waveWriter) run(ctx context.Context) {
@@ -93,7 +95,7 @@
 	}
 	f.lastConfirmed = f.confirmedAt
 	for _, action := range w.actions {
-		f.dispatch(ctx, action)
+		f.dispatch(ctx, action, w.expiry)
 	}
 }
 
--- a/moves/plan.go
+++ b/moves/plan.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -61,6 +62,8 @@
 	demands map[glade.Service]*demandTracker
 	// arrivedAt is when each host's last move ends.
 	arrivedAt map[glade.Host]time.Time
+	// held maps hosts that may not be chosen for an action yet to when that ends.
+	held map[glade.Host]time.Time
 	// lastPools holds the pools as the last step saw them.
 	lastPools map[glade.Service]*poolState
 	// reportedAt is when the sizes of the pools were last logged.
@@ -84,6 +87,7 @@
 		config: config, hosts: make(map[glade.Host]glade.HostInfo), loads: make(map[glade.Service]sched.Load),
 		isSpare: make(map[glade.Service]bool), waves: make(map[int64]*wave), pending: make(map[glade.Host]*hostAction),
 		demands: make(map[glade.Service]*demandTracker), arrivedAt: make(map[glade.Host]time.Time),
+		held: make(map[glade.Host]time.Time),
 	}
 }
 
@@ -133,6 +137,15 @@
 	p.waves[spec.Wave] = w
 }
 
+// Hold keeps a host from being chosen for an action until a time.
+func (p *Planner) Hold(host glade.Host, until time.Time) { p.held[host] = until }
+
+// isHeld reports whether a host may not be chosen for an action.
+func (p *Planner) isHeld(host glade.Host) bool {
+	_, held := p.held[host]
+	return held
+}
+
 // downMargin is how long a host still counts as down after MoveDowntime or
 // MaintenanceDowntime, because the inventory and its answers lag.
 const downMargin = 500 * time.Millisecond
@@ -205,6 +218,7 @@
 // Step plans new actions and returns those to send now: their hosts are drained, and
 // their waves allow one more host to be down.
 func (p *Planner) Step(now time.Time) []Action {
+	maps.DeleteFunc(p.held, func(_ glade.Host, until time.Time) bool { return !now.Before(until) })
 	p.dropFinished(now)
 	p.planWaves(now)
 	p.planMoves(now)
@@ -415,7 +429,7 @@
 	for _, host := range w.spec.Hosts {
 		_, started := w.started[host]
 		info, listed := p.hosts[host]
-		if _, busy := p.pending[host]; started || busy || !listed || info.State != glade.HostUp {
+		if _, busy := p.pending[host]; started || busy || !listed || p.isHeld(host) || info.State != glade.HostUp {
 			continue
 		}
 		list = append(list, host)
--- a/moves/pools.go
+++ b/moves/pools.go
@@ -212,7 +212,7 @@
 				joining++
 			}
 			switch {
-			case !ok || a != nil || info.State != glade.HostUp || !r.Responsive || !p.hasStayed(host, now):
+			case !ok || a != nil || info.State != glade.HostUp || !r.Responsive || !p.hasStayed(host, now) || p.isHeld(host):
 			case r.Runs == 0:
 				pool.idle = append(pool.idle, host)
 			case r.LongRunning == 0:
@@ -287,7 +287,7 @@
 func (p *Planner) idleSpareHosts() []glade.Host {
 	var idle []glade.Host
 	for host, info := range p.hosts {
-		if _, busy := p.pending[host]; !busy && p.isSpare[info.Pool] && info.State == glade.HostUp {
+		if _, busy := p.pending[host]; !busy && !p.isHeld(host) && p.isSpare[info.Pool] && info.State == glade.HostUp {
 			idle = append(idle, host)
 		}
 	}
--- a/runner.go
+++ b/runner.go
@@ -228,11 +228,20 @@
 	HostLimited HostRefusal = "limited"
 )
 
+// Permit is a leader's right to order hosts.
+type Permit struct {
+	// Fence is the fencing token of the leader.
+	Fence int64
+	// Expiry is the uptime of this machine after which no byte of the order may be
+	// sent; 0 where hosts check fencing tokens.
+	Expiry time.Duration
+}
+
 // Inventory moves hosts between pools and takes them down for maintenance.
 type Inventory interface {
 	Hosts(ctx context.Context) ([]HostInfo, error)
-	Move(ctx context.Context, host Host, pool Service, fence int64) (HostRefusal, error)
-	Maintain(ctx context.Context, host Host, wave, fence int64) (HostRefusal, error)
+	Move(ctx context.Context, host Host, pool Service, permit Permit) (HostRefusal, error)
+	Maintain(ctx context.Context, host Host, wave int64, permit Permit) (HostRefusal, error)
 	// Report tells the operator that a wave has begun, or with done set that it
 	// is complete. The beginning is reported only if there is no report of the
 	// wave yet.
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -96,17 +96,19 @@
 	// settledAt is when the newest order, a start or stop, was answered or the run
 	// was first listed; it is zero before that. A heartbeat that is sent later lists
 	// the run, or the run is gone.
-	settledAt       time.Time
-	leaseEnd        int64 // end of the lease given with the start, on the runner's clock
-	startedAt       time.Time
-	percent         int       // reported progress
-	progressedAt    time.Time // when percent last changed
-	metric          float64   // tail latency in ms for a task with a target, else CPU in millicores
-	speedPercent    int
-	lastOrderAt     time.Time
-	orderInFlight   bool // an order for the run is in flight
-	checkpoint      string
-	overTargetSince time.Time // not used
+	settledAt     time.Time
+	leaseEnd      int64 // end of the lease given with the start, on the runner's clock
+	startedAt     time.Time
+	percent       int       // reported progress
+	progressedAt  time.Time // when percent last changed
+	metric        float64   // tail latency in ms for a task with a target, else CPU in millicores
+	speedPercent  int
+	lastOrderAt   time.Time
+	orderInFlight bool // an order for the run is in flight
+	checkpoint    string
+	// adoptedAt is when this leader found the run of an earlier one. It is zero for its
+	// own runs, and once the run is known not to be stopping for the earlier leader.
+	adoptedAt time.Time
 }
 
 type phase int
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -266,7 +266,7 @@
 		s.needsPlacement = true
 		s.addEvent("held", "runner", id, "running", len(answer.Running), "ended", len(answer.Ended))
 	}
-	s.applyRunning(r, answer.Running, now)
+	s.applyRunning(r, answer.Running, sent, now)
 	s.applyEnds(r, answer.Ended, now)
 	s.giveUpMissing(r, sent, answer, now)
 	r.advanceWritten()
@@ -309,9 +309,9 @@
 	r.health = health{}
 }
 
-// applyRunning updates the runs that a runner lists as active, and adopts those
-// that are not known.
-func (s *Scheduler) applyRunning(r *runner, list []glade.ActiveRun, now time.Time) {
+// applyRunning updates the runs that a runner lists as active in its answer to a
+// heartbeat that was sent at the given time, and adopts those that are not known.
+func (s *Scheduler) applyRunning(r *runner, list []glade.ActiveRun, sent, now time.Time) {
 	for _, active := range list {
 		n := s.findRun(r, active.Task, active.Run)
 		if n == nil {
@@ -325,6 +325,10 @@
 			n.settledAt = now
 			s.markStarted(n.step.occurrence.batch)
 		}
+		if sent.Sub(n.adoptedAt) > time.Duration(float64(s.config.StopTimeout)*clockDriftFactor)+leaseMargin {
+			// The runner has refused stops of the earlier leader since adoptedAt.
+			n.adoptedAt = time.Time{}
+		}
 		if active.Percent != n.percent {
 			n.percent, n.progressedAt = active.Percent, now
 		}
@@ -373,7 +377,7 @@
 	}
 	n := &run{
 		step: st, index: active.Task.Index, number: active.Run, runner: r, phase: running, settledAt: now,
-		startedAt: now, progressedAt: now, speedPercent: fullSpeedPercent, leaseEnd: r.leaseEnd,
+		startedAt: now, progressedAt: now, adoptedAt: now, speedPercent: fullSpeedPercent, leaseEnd: r.leaseEnd,
 	}
 	if len(t.runs) == 0 && !t.done {
 		st.pending--
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -39,6 +39,8 @@
 	MaxLease time.Duration
 	// RestoreTime is how long a task takes to resume from its checkpoint.
 	RestoreTime time.Duration
+	// StopTimeout is how long a runner takes at most to stop a run.
+	StopTimeout time.Duration
 	// Retention is how long the state of an ended batch stays available to callers.
 	Retention time.Duration
 	// HeartbeatWait is how long a runner may delay the answer to a heartbeat
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -119,7 +119,7 @@
 func testConfig(epoch int64) sched.Config {
 	return sched.Config{
 		Service: service, Epoch: epoch, LeaseTime: 4 * time.Second, RenewalTTL: 8 * time.Second, MaxLease: 10 * time.Second,
-		Retention: time.Minute, HeartbeatWait: time.Second,
+		Retention: time.Minute, HeartbeatWait: time.Second, StopTimeout: 500 * time.Millisecond,
 	}
 }
 
@@ -584,6 +584,26 @@
 		}
 		r.c.Assert(r.runners[ids[1]].running, qt.HasLen, 1)
 	})
+	// A run that the earlier leader stops is listed as active until it has ended.
+	t.Run("stops no task while one that an earlier leader stops may still end", func(t *testing.T) {
+		r, ids := newSpreadHarness(t)
+		r.reload(2)
+		for i := range 20 {
+			r.sched.Evacuate(ids[1:2], r.now)
+			r.advance(20 * time.Millisecond)
+			if i == 1 {
+				stopped := r.runners[ids[0]].running[0]
+				r.runners[ids[0]].end(stopped.Task, stopped.Run, glade.EndStopped)
+			}
+			r.c.Assert(r.running("a") >= 2, qt.IsTrue)
+		}
+		for range 30 {
+			r.sched.Evacuate(ids[1:2], r.now)
+			r.advance(100 * time.Millisecond)
+			r.c.Assert(r.running("a") >= 2, qt.IsTrue)
+		}
+		r.c.Assert(r.runners[ids[1]].running, qt.HasLen, 0)
+	})
 }
 
 func TestEvacuationOfShortTasks(t *testing.T) {
