--- a/lead/calls.go
+++ b/lead/calls.go
@@ -113,6 +113,7 @@
 	tickets, valid, err := c.leader.manager.config.Advisor.Advise(bounded, c.advice.Batch, c.advice.Occurrence, c.advice.Step, c.advice.Runners)
 	if err != nil {
 		c.leader.manager.config.Log.Info("request to the advice service failed", "batch", c.advice.Batch, "step", c.advice.Step, "error", err.Error())
+		c.leader.withSched(func(scheduler *sched.Scheduler) { scheduler.AdviceFailed(c.advice, c.leader.clock.Now()) })
 		return
 	}
 	c.leader.withSched(func(scheduler *sched.Scheduler) { scheduler.Advised(c.advice, tickets, valid, c.leader.clock.Now()) })
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -547,6 +547,31 @@
 		s.sleep(3 * time.Second)
 		s.expectState(s.leader(), "a", glade.BatchDone)
 	})
+	// The first write may still take effect, so that the batch may run.
+	runCluster(t, "without answers: a repeated submission is not refused", func(c *qt.C, s *cluster) {
+		node := s.leader()
+		s.submit(node, "a", 1)
+		s.table.SetFault(memory.PartitionedUnresponsive)
+		c.Assert(s.submit(node, "b", 1).Code, qt.Equals, lead.SubmitUnknown)
+		s.sleep(time.Second)
+		c.Assert(s.submit(node, "c", 1).Code, qt.Equals, lead.SubmitRefused)
+		c.Assert(s.submit(node, "b", 1).Code, qt.Equals, lead.SubmitUnknown)
+		s.table.SetFault(memory.PartitionedHealthy)
+		s.table.ApplyDelayed()
+		s.sleep(3 * time.Second)
+		s.expectState(s.leader(), "b", glade.BatchDone)
+	})
+	runCluster(t, "an invalid row of runners in use does not keep the service without a leader", func(c *qt.C, s *cluster) {
+		node := s.leader()
+		s.submit(node, "a", 2)
+		row := glade.PartitionRow{Table: "crew", Part: string(service), Key: "it", Value: []byte("{")}
+		_, _, result := s.table.Commit(context.Background(), glade.PartitionTxn{Puts: []glade.PartitionRow{row}})
+		c.Assert(result, qt.Equals, glade.Committed)
+		s.crash(node)
+		next := s.leader()
+		s.sleep(8 * time.Second)
+		s.expectState(next, "a", glade.BatchDone)
+	})
 	runCluster(t, "without answers: the leader stays", func(_ *qt.C, s *cluster) {
 		node := s.leader()
 		leader, _ := s.managers[node].LocalLeader(service)
--- a/lead/router.go
+++ b/lead/router.go
@@ -108,8 +108,7 @@
 	now := s.clock.Now()
 	storeFailing := false
 	if !s.withSched(func(scheduler *sched.Scheduler) {
-		_, known := scheduler.State(in.ID)
-		storeFailing = !known && s.isStoreFailing(now)
+		storeFailing = !scheduler.IsKnown(in.ID) && s.isStoreFailing(now)
 		if storeFailing {
 			scheduler.RecordRefused(in.ID, in.Queue, in.Batch, now)
 			return
--- a/lead/service.go
+++ b/lead/service.go
@@ -117,17 +117,19 @@
 	var ids []glade.RunnerID
 	if runnersRow.Version > 0 {
 		if err := json.Unmarshal(runnersRow.Value, &ids); err != nil {
-			return errors.Wrap(err, "decode the list of runners in use")
+			s.manager.config.Log.Error(err, "list of runners in use is not valid JSON: tasks may run on any runner", "service", s.service)
+			for _, info := range s.listedRunners() {
+				ids = append(ids, info.ID)
+			}
 		}
 	}
 	scheduler.LoadRegistered(ids)
 	scheduler.LeaderRenewed(s.confirmedAt)
 	s.manager.mu.Lock()
 	rules := s.manager.rules
-	runners := s.manager.runners[s.service]
 	s.manager.mu.Unlock()
 	scheduler.SetRules(rules)
-	scheduler.SetRunners(runners, now)
+	scheduler.SetRunners(s.listedRunners(), now)
 	s.mu.Lock()
 	s.sched = scheduler
 	s.mu.Unlock()
@@ -135,6 +137,13 @@
 	return nil
 }
 
+// listedRunners returns the runners of the service in the platform's list.
+func (s *ServiceLeader) listedRunners() []glade.RunnerInfo {
+	s.manager.mu.Lock()
+	defer s.manager.mu.Unlock()
+	return s.manager.runners[s.service]
+}
+
 // loadBatches passes the rows to the scheduler. An invalid row does not stop it; the
 // error is that of the last one.
 func loadBatches(scheduler *sched.Scheduler, batchRows, progressRows []glade.PartitionRow, now time.Time) error {
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -26,7 +26,7 @@
 	// maxAskedRunners bounds the runners of one request: each of them takes time,
 	// and the advice service answers one call at a time.
 	maxAskedRunners   = 12
-	adviceRetry       = 1500 * time.Millisecond
+	adviceRetry       = 300 * time.Millisecond // after a request that failed
 	maxAdviceRequests = 2 // in one tick
 	// ticketMargin is how long before its expiry a ticket is no longer used.
 	ticketMargin = 100 * time.Millisecond
@@ -48,7 +48,7 @@
 		if len(requests) == maxAdviceRequests {
 			break
 		}
-		if !s.rules[st.occurrence.batch.queue].NeedsAdvice || (st.adviceInFlight && now.Sub(st.adviceSentAt) < adviceRetry) {
+		if !s.rules[st.occurrence.batch.queue].NeedsAdvice || st.adviceInFlight || now.Before(st.adviceRetryAt) {
 			continue
 		}
 		var ids []glade.RunnerID
@@ -60,7 +60,7 @@
 		if len(ids) == 0 {
 			continue
 		}
-		st.adviceSentAt, st.adviceInFlight = now, true
+		st.adviceInFlight = true
 		requests = append(requests, AdviceRequest{
 			step: st, Batch: st.occurrence.batch.id, Occurrence: st.occurrence.number, Step: st.index, Runners: ids,
 		})
@@ -68,6 +68,11 @@
 	return requests
 }
 
+// AdviceFailed records that a request got no answer. It is repeated after adviceRetry.
+func (s *Scheduler) AdviceFailed(request AdviceRequest, now time.Time) {
+	request.step.adviceInFlight, request.step.adviceRetryAt = false, now.Add(adviceRetry)
+}
+
 // Advised records the tickets of a step, valid from now on for the given time.
 // Runners that were asked about and got no ticket are denied to the step for good.
 func (s *Scheduler) Advised(request AdviceRequest, tickets map[glade.RunnerID]string, valid time.Duration, now time.Time) {
--- a/sched/answers.go
+++ b/sched/answers.go
@@ -14,7 +14,7 @@
 	n.orderInFlight = false
 	n.runner.checkRestart(n, answer, err)
 	if !n.runner.runs[n] {
-		return true
+		return err != nil || refused != glade.RefusedFence
 	}
 	switch {
 	case err != nil && wasNotCarriedOut(err):
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -57,10 +57,10 @@
 	tickets map[glade.RunnerID]ticket
 	// denied runners may not run the step: the advice on a step does not change.
 	denied map[glade.RunnerID]bool
-	// adviceSentAt is when the last advice request was sent, adviceInFlight whether
-	// its answer is due.
-	adviceSentAt   time.Time
+	// adviceInFlight means that the answer to an advice request is due, adviceRetryAt
+	// is when the next one may be sent after one that failed.
 	adviceInFlight bool
+	adviceRetryAt  time.Time
 	// checkpoint is the newest one of any task. The tasks of a gang all resume from
 	// it.
 	checkpoint string
--- a/sched/health.go
+++ b/sched/health.go
@@ -38,9 +38,12 @@
 
 func wasNotCarriedOut(err error) bool { return errors.Is(err, glade.ErrNotExecuted) }
 
-func (r *runner) backOff(now time.Time) {
-	if until := now.Add(unansweredBackoff); until.After(r.health.quarantinedUntil) {
-		r.health.quarantinedUntil = until
+func (r *runner) backOff(now time.Time) { r.health.extendQuarantine(now.Add(unansweredBackoff)) }
+
+// extendQuarantine keeps new work off the runner until a time at least.
+func (h *health) extendQuarantine(until time.Time) {
+	if until.After(h.quarantinedUntil) {
+		h.quarantinedUntil = until
 	}
 }
 
@@ -62,7 +65,7 @@
 			return
 		}
 		pause := min(minQuarantine<<h.quarantines, maxQuarantine)
-		h.quarantinedUntil = now.Add(pause)
+		h.extendQuarantine(now.Add(pause))
 		h.quarantines = min(h.quarantines+1, maxQuarantineDoublings)
 		h.consecutiveFailures = quarantineFailures - 1 // the next failure is enough for another quarantine
 		s.addEvent("sick", "runner", n.runner.info.ID, "pause", pause.Milliseconds())
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -128,7 +128,7 @@
 				s.addEvent("stuck", "runner", r.info.ID, "batch", b.id, "step", n.step.index, "task", n.index, "percent", n.percent)
 				n.phase = stopping
 				n.settledAt = time.Time{}
-				r.health.quarantinedUntil = now.Add(minQuarantine)
+				r.health.extendQuarantine(now.Add(minQuarantine))
 			}
 			if r.info.Draining && n.phase == running && n.step.rule.LongRunning && !n.step.rule.Gang {
 				n.phase = stopping
--- a/sched/rules_test.go
+++ b/sched/rules_test.go
@@ -134,6 +134,20 @@
 		}
 		r.c.Assert(sum <= 30, qt.IsTrue, qt.Commentf("%v", r.askedCounts))
 	})
+	// The advice service takes one call at a time, so that a second call waits for the first.
+	t.Run("is not requested again while an answer is due, and is after a failure", func(t *testing.T) {
+		r := newHarness(qt.New(t), 2, twoCores)
+		r.sched.SetRules(glade.Rules{Version: 2, Queues: []glade.QueueRule{{
+			Queue: queue, Service: service, MaxFailures: 3, Stretch: 2, Slack: time.Second, NeedsAdvice: true,
+		}}})
+		r.loseAdvice = true
+		r.submit("a", oneTask(1000))
+		r.advance(3 * time.Second)
+		r.c.Assert(r.lostAdvice, qt.HasLen, 1)
+		r.sched.AdviceFailed(r.lostAdvice[0], r.now)
+		r.advance(time.Second)
+		r.c.Assert(r.lostAdvice, qt.HasLen, 2)
+	})
 }
 
 func TestSpeculation(t *testing.T) {
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -215,6 +215,10 @@
 		if !r.contacted && asOf.Sub(s.leaderSince) < goneAfter {
 			continue
 		}
+		for n := range r.runs {
+			// A newer leader may have seen the end of the run before the runner was gone.
+			n.task().lostAt = now
+		}
 		dropped := s.giveUpRuns(r, now)
 		if dropped > 0 || s.mayHaveUnknownRuns(id, now) {
 			s.addEvent("gone", "runner", id, "runs", dropped, "heard", sinceMillis(now, r.lastAnswerAt))
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -205,6 +205,13 @@
 	return glade.BatchQueued, true
 }
 
+// IsKnown reports whether a batch was submitted or cancelled before, even if its row
+// is not written yet.
+func (s *Scheduler) IsKnown(id glade.BatchID) bool {
+	_, ok := s.batches[id]
+	return ok
+}
+
 // Waiting returns the number of accepted batches of a queue that have not
 // started.
 func (s *Scheduler) Waiting(queue glade.Queue) int {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -45,6 +45,9 @@
 	// askedCounts holds the number of runners in each advice request.
 	askedCounts []int
 	startOrders []glade.StartOrder
+	// loseAdvice keeps answers of the advice service back; lostAdvice holds those requests.
+	loseAdvice bool
+	lostAdvice []sched.AdviceRequest
 	// refuseStarts is the number of next starts that are refused.
 	refuseStarts int
 	firstSeen    map[glade.ActiveRun]time.Time
@@ -168,6 +171,10 @@
 		r.sched.Stopped(o, glade.RunAnswer{}, nil, r.now)
 	}
 	for _, o := range orders.AdviceRequests {
+		if r.loseAdvice {
+			r.lostAdvice = append(r.lostAdvice, o)
+			continue
+		}
 		r.askedCounts = append(r.askedCounts, len(o.Runners))
 		tickets := make(map[glade.RunnerID]string)
 		for _, id := range o.Runners {
@@ -463,6 +470,21 @@
 		r.advance(200 * time.Millisecond)
 		r.c.Assert(r.running("a"), qt.Equals, 1)
 	})
+	// A leader that was cut off may learn of a gone runner before it learns that another
+	// host leads, which has seen the ends of the runs there.
+	t.Run("a leader that is not confirmed does not restart what ran on a runner that is gone", func(t *testing.T) {
+		r, first := newLongRunningHarness(qt.New(t))
+		r.storeDown = true
+		r.runners[first].unresponsive = true
+		r.runners[first].running = nil
+		r.advance(time.Second)
+		r.sched.RunnersGone([]glade.RunnerID{first}, r.now, r.now)
+		r.advance(time.Second)
+		r.c.Assert(r.running("a"), qt.Equals, 0)
+		r.storeDown = false
+		r.advance(200 * time.Millisecond)
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+	})
 	t.Run("an unresponsive runner that started after the inventory was read keeps its runs", func(t *testing.T) {
 		r, first := newLongRunningHarness(qt.New(t))
 		read := r.now.Add(-500 * time.Millisecond)
@@ -540,6 +562,21 @@
 	})
 }
 
+// The answer to a start may come after the run was given up. It still tells that
+// another host leads.
+func TestFencedStart(t *testing.T) {
+	t.Run("shows a newer leader even if the run was given up", func(t *testing.T) {
+		r := newIdleHarness(t)
+		r.delayAnswers = true
+		r.submit("a", oneTask(500))
+		r.advance(40 * time.Millisecond)
+		r.c.Assert(r.delayed, qt.HasLen, 1)
+		r.runners["r0"].end(glade.TaskID{Batch: "a"}, r.runners["r0"].running[0].Run, glade.EndDone)
+		r.advance(100 * time.Millisecond)
+		r.c.Assert(r.sched.Started(r.delayed[0], glade.RunAnswer{Refused: glade.RefusedFence}, nil, r.now), qt.IsFalse)
+	})
+}
+
 func TestLeaderWithoutStore(t *testing.T) {
 	t.Run("restarts no run whose lease a newer leader may have renewed", func(t *testing.T) {
 		r, first := newLongRunningHarness(qt.New(t))
