Scheduling steps cost what changed; heartbeats don't wait for orders

And one semaphore of 192 calls was shared by starts, stops and heartbeats that wait for up to a second.

Change: a step looks at touched and evacuating runners; all are reviewed each 100 ms. The list of usable runners is built once a step, paths are cached, a failed search bounds the later ones of the same pass. After a step the loop rests for four times its duration, so that steps take a fifth of the processor at most and the others' events wait no longer than a few times a step. Heartbeats have no semaphore, stops one of their own. Tasks of batches that ended 15 s ago are freed.

--- a/lead/calls.go
+++ b/lead/calls.go
@@ -41,14 +41,17 @@
 	adviceTimeout  = 3 * time.Second
 )
 
-// run waits for a free slot, makes the call and passes the answer to the scheduler.
+// run waits for a free slot if the call needs one, makes the call and passes the answer
+// to the scheduler. The timeout of a call begins when it has its slot.
 func (c *call) run(ctx context.Context) {
 	s := c.leader
-	select {
-	case s.callSlots <- struct{}{}:
-		defer func() { <-s.callSlots }()
-	case <-ctx.Done():
-		return
+	if slots := c.slots(); slots != nil {
+		select {
+		case slots <- struct{}{}:
+			defer func() { <-slots }()
+		case <-ctx.Done():
+			return
+		}
 	}
 	ok := true
 	switch c.kind {
@@ -68,6 +71,17 @@
 	}
 }
 
+// slots returns the semaphore that bounds calls of this kind, or nil.
+func (c *call) slots() chan struct{} {
+	switch c.kind {
+	case callStart, callThrottle:
+		return c.leader.startSlots
+	case callStop:
+		return c.leader.stopSlots
+	}
+	return nil
+}
+
 func (c *call) sendStart(ctx context.Context) (ok bool) {
 	bounded, cancel := context.WithTimeout(ctx, runnerTimeout)
 	defer cancel()
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -32,10 +32,13 @@
 	unreachable map[glade.Node]bool // leaders that reach no runner
 	completed   map[glade.TaskID]int
 	duplicates  int
+	// hangStarts makes runners answer no start.
+	hangStarts atomic.Bool
 }
 
 type fakeRunner struct {
 	fence    int64
+	heldAt   time.Time // of the last heartbeat
 	running  map[glade.TaskID]*execution
 	ended    []glade.EndedRun
 	endCount int64
@@ -107,6 +110,10 @@
 	if err := c.simulateCall(ctx); err != nil {
 		return glade.RunAnswer{}, err
 	}
+	if c.hangStarts.Load() {
+		<-ctx.Done()
+		return glade.RunAnswer{}, errNoAnswer
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.byID[to.ID]
@@ -182,7 +189,7 @@
 	if o.Fence < r.fence {
 		return glade.HeartbeatAnswer{Refused: glade.RefusedFence}
 	}
-	r.fence = o.Fence
+	r.fence, r.heldAt = o.Fence, time.Now()
 	c.endRuns(r)
 	for len(r.ended) > 0 && r.ended[0].Seq <= o.AckedSeq {
 		r.ended = r.ended[1:]
@@ -531,6 +538,32 @@
 	})
 }
 
+// Leases end when heartbeats wait for other calls.
+func TestHeartbeats(t *testing.T) {
+	t.Run("are sent while runners answer no start", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newCluster(qt.New(t))
+			defer s.shutdown()
+			s.runners = newFakeRunners(300)
+			s.start("h1")
+			s.c.Assert(s.leader(), qt.Equals, glade.Node("h1"))
+			s.sleep(time.Second)
+			s.runners.hangStarts.Store(true)
+			for i := range 800 {
+				s.submit("h1", glade.BatchID(fmt.Sprint(i)), 1)
+			}
+			for range 10 {
+				s.sleep(500 * time.Millisecond)
+				s.runners.mu.Lock()
+				for id, r := range s.runners.byID {
+					s.c.Check(time.Since(r.heldAt) < 2500*time.Millisecond, qt.IsTrue, qt.Commentf("runner %s has had no heartbeat for %s", id, time.Since(r.heldAt)))
+				}
+				s.runners.mu.Unlock()
+			}
+		})
+	})
+}
+
 func TestStoreFaults(t *testing.T) {
 	runCluster(t, "down: submissions are refused at once and running tasks go on", func(c *qt.C, s *cluster) {
 		node := s.leader()
--- a/lead/service.go
+++ b/lead/service.go
@@ -21,7 +21,8 @@
 	runners        []glade.RunnerInfo
 	writeAttempted chan struct{} // closed and replaced after each attempt to write
 	writeWake      chan struct{} // wakes the writer
-	callSlots      chan struct{} // semaphore that bounds the calls in flight
+	startSlots     chan struct{} // semaphore that bounds the starts and throttles in flight
+	stopSlots      chan struct{} // semaphore that bounds the stops in flight
 	adviceMu       sync.Mutex    // the advice service takes one call at a time
 	cancel         context.CancelFunc
 	quit           chan struct{} // closed when this host steps down on its own
@@ -30,13 +31,17 @@
 	failingSince time.Time
 }
 
-// maxCalls bounds the calls in flight to runners and to the advice service.
-const maxCalls = 192
+// Limits of the orders in flight. Heartbeats need none: each runner has one in flight,
+// and renews its leases with it, so that it must not wait for orders.
+const (
+	maxStarts = 192
+	maxStops  = 64
+)
 
 func newServiceLeader(m *Manager, l *leadership) *ServiceLeader {
 	return &ServiceLeader{
 		leadership: l, writeAttempted: make(chan struct{}), writeWake: make(chan struct{}, 1), runners: m.runners[l.service],
-		callSlots: make(chan struct{}, maxCalls), quit: make(chan struct{}),
+		startSlots: make(chan struct{}, maxStarts), stopSlots: make(chan struct{}, maxStops), quit: make(chan struct{}),
 	}
 }
 
@@ -66,11 +71,35 @@
 		case <-s.stepWake:
 		case <-timer.C:
 		}
+		began := s.clock.Now()
 		next := s.step(ctx)
+		if s.clock.Sleep(ctx, restAfter(s.clock.Now().Sub(began))) != nil {
+			return
+		}
 		timer.Reset(max(next.Sub(s.clock.Now()), minStepPause))
 	}
 }
 
+// restRatio is the ratio of the rest after a scheduling step to the time of the step.
+// A step costs about the same for one event as for many, so that a leader with many
+// events spends at most a fifth of the processor on steps, and delays none of them by
+// more than a few times a step.
+const restRatio = 4
+
+// restAfter returns how long to rest after a step that took a given time, during which
+// further events arrive. Rests below the resolution of timers are left out.
+func restAfter(step time.Duration) time.Duration {
+	if rest := restRatio * step; rest >= minRest {
+		return min(rest, maxRest)
+	}
+	return 0
+}
+
+const (
+	minRest = 200 * time.Microsecond
+	maxRest = 40 * time.Millisecond // a step that took longer was interrupted
+)
+
 // minStepPause is the shortest pause before a scheduling step that no event has
 // triggered.
 const minStepPause = 5 * time.Millisecond
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -47,6 +47,7 @@
 		s.addEvent("refuse", "batch", id, "queue", queue, "why", reason, "wait", wait.Milliseconds(), "after", after.Milliseconds())
 		return Admission{Reason: reason, After: after}
 	}
+	s.hasGangs = s.hasGangs || hasGang(work)
 	b.workUnwritten = true
 	s.batches[id] = b
 	s.live[b] = true
@@ -203,16 +204,12 @@
 // runners which are not draining, without what long-running tasks take.
 func (s *Scheduler) pool() int {
 	sum := 0
-	for _, r := range s.runners {
+	for _, r := range s.ordered {
 		if !r.listed || r.info.Draining {
 			continue
 		}
 		sum += r.info.Capacity.CPU
-		for n := range r.runs {
-			if n.step.rule.LongRunning {
-				sum -= allocation(n.step.rule).CPU
-			}
-		}
+		sum -= r.longRunningCPU
 	}
 	return sum
 }
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -27,7 +27,7 @@
 	// and the advice service answers one call at a time.
 	maxAskedRunners   = 12
 	adviceRetry       = 300 * time.Millisecond // after a request that failed
-	maxAdviceRequests = 2 // in one tick
+	maxAdviceRequests = 2                      // in one tick
 	// ticketMargin is how long before its expiry a ticket is no longer used.
 	ticketMargin = 100 * time.Millisecond
 )
@@ -42,6 +42,9 @@
 // adviceRequests returns the requests that ready steps with pending tasks need,
 // the most urgent first.
 func (s *Scheduler) adviceRequests(now time.Time) []AdviceRequest {
+	if !s.needsAdvice {
+		return nil
+	}
 	var requests []AdviceRequest
 	for _, next := range s.ranked(now) {
 		st := next.step
--- a/sched/answers.go
+++ b/sched/answers.go
@@ -25,6 +25,7 @@
 		s.addEvent("unanswered", "runner", n.runner.info.ID, "batch", n.step.occurrence.batch.id, "step", n.step.index,
 			"task", n.index, "run", n.number, "error", err.Error())
 		n.phase = unconfirmed
+		s.touched[n.runner] = true
 		if !n.runner.lastAnswerAt.After(n.startedAt) {
 			n.runner.backOff(now)
 		}
@@ -33,6 +34,9 @@
 			n.phase = running
 		}
 		n.settledAt = now
+		if n.step.occurrence.batch.state.IsFinal() || n.task().done {
+			s.touched[n.runner] = true
+		}
 		s.stats.Started++
 		s.markStarted(n.step.occurrence.batch)
 	default:
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -41,6 +41,9 @@
 	steps   []*step
 	left    int // steps that are not done
 	started bool
+	// path is the longest chain of estimates of dependent steps in milliseconds,
+	// pathLeft that of the steps that are not done; -1 means that it is not known.
+	path, pathLeft float64
 }
 
 // step is one step of an occurrence.
@@ -136,7 +139,7 @@
 func newBatch(id glade.BatchID, queue glade.Queue, work glade.Batch, submittedAt time.Time) *batch {
 	b := &batch{id: id, queue: queue, work: work, submittedAt: submittedAt, runs: make(map[*run]bool)}
 	for k := range work.Occurrences() {
-		o := &occurrence{batch: b, number: k, left: len(work.Steps)}
+		o := &occurrence{batch: b, number: k, left: len(work.Steps), path: -1, pathLeft: -1}
 		if work.Times > 0 {
 			o.due = time.UnixMilli(work.FirstDue + int64(k)*work.Interval)
 		}
@@ -202,6 +205,10 @@
 	}
 	b.state = state
 	b.endedAt = now
+	s.ended = append(s.ended, b)
+	for n := range b.runs {
+		s.touched[n.runner] = true
+	}
 	delete(s.live, b)
 	for _, o := range b.occurrences {
 		for _, st := range o.steps {
@@ -222,6 +229,9 @@
 	}
 	t.done = true
 	st.left--
+	for _, n := range t.runs {
+		s.touched[n.runner] = true
+	}
 	if len(t.runs) == 0 {
 		st.pending--
 	}
@@ -232,6 +242,7 @@
 	delete(s.ready, st)
 	o := st.occurrence
 	o.left--
+	o.pathLeft = -1
 	if o.left > 0 {
 		s.addReady(o, now)
 		return
@@ -268,6 +279,8 @@
 		}
 	}
 	r.runner.remove(r)
+	delete(s.stopping, r)
+	s.touched[r.runner] = true
 	b := r.step.occurrence.batch
 	delete(b.runs, r)
 	if len(t.runs) == 0 && !t.done {
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -51,3 +51,89 @@
 		}
 	}
 }
+
+// BenchmarkEvent measures one event of a leader: a runner reports the end of a task,
+// and one scheduling step follows. Every runner is full and a second of work waits, as
+// in the peak of a service. The cost must not grow with the number of runners.
+func BenchmarkEvent(b *testing.B) {
+	for _, runners := range []int{30, 100, 300, 1000, 5000} {
+		b.Run(fmt.Sprint(runners), func(b *testing.B) {
+			e := newEventHarness(b, runners)
+			n := 0
+			for b.Loop() {
+				e.event(e.infos[n%runners].ID)
+				n++
+			}
+		})
+	}
+}
+
+// eventHarness delivers the answer to one heartbeat at a time.
+type eventHarness struct {
+	*harness
+	waiting   map[glade.RunnerID]pendingHeartbeat
+	submitted int
+	ended     int
+	work      glade.Batch
+	interval  time.Duration // between two events
+}
+
+const (
+	tasksPerRunner = 8
+	tasksPerBatch  = 8
+)
+
+func newEventHarness(b *testing.B, runners int) *eventHarness {
+	b.Helper()
+	e := &eventHarness{
+		harness: newHarness(qt.New(b), runners, glade.Need{CPU: 16000, Memory: 32000}), waiting: make(map[glade.RunnerID]pendingHeartbeat),
+		work:     batchOf(glade.Step{Count: tasksPerBatch, Need: glade.Need{CPU: 2000, Memory: 1300}, Estimate: 1000}),
+		interval: time.Second / time.Duration(runners*tasksPerRunner),
+	}
+	e.sched.SetRules(glade.Rules{Version: 1, Queues: []glade.QueueRule{{Queue: queue, Service: service, MaxFailures: 3, Stretch: 2, Slack: time.Minute}}})
+	e.advance(time.Second)
+	for range 2 * runners {
+		e.submitNext()
+	}
+	e.longPoll = time.Hour
+	e.advance(time.Second)
+	for _, p := range e.heartbeats {
+		e.waiting[p.heartbeat.To.ID] = p
+	}
+	e.heartbeats = nil
+	return e
+}
+
+func (e *eventHarness) submitNext() {
+	e.submitted++
+	e.submit(glade.BatchID(fmt.Sprint(e.submitted)), e.work)
+}
+
+// event ends one task of a runner and runs one step.
+func (e *eventHarness) event(id glade.RunnerID) {
+	e.now = e.now.Add(e.interval)
+	f := e.runners[id]
+	if len(f.running) > 0 {
+		f.end(f.running[0].Task, f.running[0].Run, glade.EndDone)
+	}
+	e.ended++
+	if e.ended%tasksPerBatch == 0 {
+		e.submitNext()
+	}
+	if p, ok := e.waiting[id]; ok {
+		delete(e.waiting, id)
+		e.heartbeat(p.heartbeat, p.sent)
+	}
+	e.sched.LeaderRenewed(e.now)
+	orders := e.sched.Step(e.now)
+	for _, o := range orders.Starts {
+		e.start(o)
+	}
+	for _, o := range orders.Heartbeats {
+		e.waiting[o.To.ID] = pendingHeartbeat{heartbeat: o, sent: e.now.Add(-time.Millisecond)}
+	}
+	e.startOrders, e.orderLog = nil, nil
+	if e.ended%tasksPerBatch == 0 && e.sched.HasWrites() {
+		e.sched.FinishWrite(e.sched.BeginWrite(), true, e.now)
+	}
+}
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -116,17 +116,19 @@
 			s.addEvent("close", "runner", id, "runs", len(r.runs))
 		}
 		r.evacuateAskedAt = now
+		s.evacuating[r], s.touched[r] = true, true
 	}
 }
 
 // endEvacuations makes runners usable again when nobody asks for their evacuation
 // any more.
 func (s *Scheduler) endEvacuations(now time.Time) {
-	for id, r := range s.runners {
-		if !r.evacuateAskedAt.IsZero() && now.Sub(r.evacuateAskedAt) > evacuationTTL {
+	for r := range s.evacuating {
+		if now.Sub(r.evacuateAskedAt) > evacuationTTL {
 			r.evacuateAskedAt, r.evacuatingSince = time.Time{}, time.Time{}
-			s.needsPlacement = true
-			s.addEvent("reopen", "runner", id)
+			delete(s.evacuating, r)
+			s.needsPlacement, s.touched[r] = true, true
+			s.addEvent("reopen", "runner", r.info.ID)
 		}
 	}
 }
@@ -151,8 +153,7 @@
 	default:
 		return
 	}
-	n.phase = stopping
-	n.settledAt = time.Time{}
+	s.markStopping(n)
 }
 
 // Costs of moving a task that saves checkpoints.
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	glade "indigoglade"
@@ -42,6 +43,10 @@
 	return nil
 }
 
+func hasGang(work glade.Batch) bool {
+	return slices.ContainsFunc(work.Steps, func(st glade.Step) bool { return st.Gang })
+}
+
 // gangCandidates returns the sets of runners to try for a gang, the best first:
 // each rack by itself if the gang is slow across racks, then all runners.
 func (s *Scheduler) gangCandidates(st *step, usable []*runner) [][]*runner {
@@ -74,8 +79,7 @@
 		for i := range st.tasks {
 			for _, n := range st.tasks[i].runs {
 				if n.phase == running {
-					n.phase = stopping
-					n.settledAt = time.Time{}
+					s.markStopping(n)
 				}
 			}
 		}
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -85,15 +85,24 @@
 // orders for them.
 func (s *Scheduler) Step(now time.Time) Orders {
 	orders := Orders{Next: now.Add(tickPeriod)}
-	s.lapse(now)
+	s.usableKnown, s.spareKnown = false, false
 	s.endEvacuations(now)
-	for b := range s.live {
-		if b.work.Times > 0 {
-			s.startDue(b, now)
-		}
+	if now.Sub(s.reviewedAt) >= tickPeriod {
+		s.reviewedAt = now
+		s.reviewAll(now)
+		orders.Throttles = s.throttles(now)
+	}
+	if s.hasGangs {
+		s.stopPartialGangs(now)
+	}
+	for r := range s.touched {
+		s.updateRegistry(r)
+		s.markUnwanted(r, now)
+	}
+	clear(s.touched)
+	for r := range s.evacuating {
+		s.markUnwanted(r, now)
 	}
-	s.updateRegistry()
-	s.markUnwanted(now)
 	orders.Stops = s.stops(now)
 	// Runners can also become usable without a recorded change, for example when a
 	// backoff ends.
@@ -105,38 +114,52 @@
 			o.run.orderInFlight = true
 		}
 	}
-	orders.Throttles = s.throttles(now)
 	orders.Heartbeats = s.heartbeats(now)
 	return orders
 }
 
-// markUnwanted marks the runs that are to be stopped: those of ended batches, done
-// tasks and partial gangs, those whose start got no answer, stuck runs, and those
-// that must leave a draining runner or one under evacuation.
-func (s *Scheduler) markUnwanted(now time.Time) {
-	s.spareKnown = false
-	s.stopPartialGangs(now)
-	for _, r := range s.runners {
-		for n := range r.runs {
-			b := n.step.occurrence.batch
-			unneeded := b.state.IsFinal() || n.task().done
-			if n.phase == unconfirmed || (unneeded && n.phase == running) || (unneeded && n.phase == starting && !n.orderInFlight) {
-				n.phase = stopping
-				n.settledAt = time.Time{}
-			}
-			if s.isStuck(n, now) {
-				s.addEvent("stuck", "runner", r.info.ID, "batch", b.id, "step", n.step.index, "task", n.index, "percent", n.percent)
-				n.phase = stopping
-				n.settledAt = time.Time{}
-				r.health.extendQuarantine(now.Add(minQuarantine))
-			}
-			if r.info.Draining && n.phase == running && n.step.rule.LongRunning && !n.step.rule.Gang {
-				n.phase = stopping
-				n.settledAt = time.Time{}
-			}
-			if !r.evacuateAskedAt.IsZero() {
-				s.evacuateRun(r, n, now)
-			}
+// reviewAll makes the decisions that depend on time alone, and looks at every runner.
+func (s *Scheduler) reviewAll(now time.Time) {
+	s.lapse(now)
+	s.releaseTasks(now)
+	for b := range s.live {
+		if b.work.Times > 0 {
+			s.startDue(b, now)
+		}
+	}
+	for _, r := range s.ordered {
+		s.touched[r] = true
+	}
+}
+
+// markStopping marks a run that is to be stopped.
+func (s *Scheduler) markStopping(n *run) {
+	n.phase = stopping
+	n.settledAt = time.Time{}
+	s.stopping[n] = true
+}
+
+// markUnwanted marks the runs of a runner that are to be stopped: those of ended
+// batches and done tasks, those whose start got no answer, stuck runs, and those that
+// must leave a draining runner or one under evacuation.
+func (s *Scheduler) markUnwanted(r *runner, now time.Time) {
+	for n := range r.runs {
+		b := n.step.occurrence.batch
+		unneeded := b.state.IsFinal() || n.task().done
+		if n.phase == unconfirmed || (unneeded && n.phase == running) || (unneeded && n.phase == starting && !n.orderInFlight) {
+			s.markStopping(n)
+		}
+		if s.isStuck(n, now) {
+			s.addEvent("stuck", "runner", r.info.ID, "batch", b.id, "step", n.step.index, "task", n.index, "percent", n.percent)
+			s.markStopping(n)
+			s.usableKnown = false
+			r.health.extendQuarantine(now.Add(minQuarantine))
+		}
+		if r.info.Draining && n.phase == running && n.step.rule.LongRunning && !n.step.rule.Gang {
+			s.markStopping(n)
+		}
+		if !r.evacuateAskedAt.IsZero() {
+			s.evacuateRun(r, n, now)
 		}
 	}
 }
@@ -159,18 +182,16 @@
 // stops returns the stop orders that are due.
 func (s *Scheduler) stops(now time.Time) []Stop {
 	var stops []Stop
-	for _, r := range s.runners {
-		for n := range r.runs {
-			if n.phase != stopping || n.orderInFlight || now.Sub(n.lastOrderAt) < stopRetry {
-				continue
-			}
-			if !n.settledAt.IsZero() && now.Sub(n.settledAt) < stopRepeat {
-				continue
-			}
-			n.lastOrderAt = now
-			n.orderInFlight = true
-			stops = append(stops, Stop{run: n})
+	for n := range s.stopping {
+		if n.orderInFlight || now.Sub(n.lastOrderAt) < stopRetry {
+			continue
+		}
+		if !n.settledAt.IsZero() && now.Sub(n.settledAt) < stopRepeat {
+			continue
 		}
+		n.lastOrderAt = now
+		n.orderInFlight = true
+		stops = append(stops, Stop{run: n})
 	}
 	return stops
 }
@@ -178,8 +199,8 @@
 // heartbeats returns the heartbeats that are due.
 func (s *Scheduler) heartbeats(now time.Time) []Heartbeat {
 	var heartbeats []Heartbeat
-	for _, r := range s.runners {
-		if r.heartbeatInFlight || r.info.Address == "" || now.Before(r.nextHeartbeat) || len(heartbeats) == maxHeartbeats {
+	for r := range s.idleBeat {
+		if r.info.Address == "" || now.Before(r.nextHeartbeat) || len(heartbeats) == maxHeartbeats {
 			continue
 		}
 		if !r.listed && len(r.runs) == 0 && r.contacted {
@@ -208,6 +229,7 @@
 			order.Wait = 0
 		}
 		r.heartbeatInFlight = true
+		delete(s.idleBeat, r)
 		if due := now.Add(order.Wait + heartbeatSlack); due.After(r.answerDue) {
 			r.answerDue = due
 		}
--- a/sched/place.go
+++ b/sched/place.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -28,26 +29,25 @@
 		(r.restartedAt.IsZero() || s.confirmedSince(r.restartedAt)) && r.isResponsive(now) && !now.Before(r.health.quarantinedUntil) && s.grantLease(r, now) > 0
 }
 
-// updateRegistry registers runners, so that the row names them before they are
-// used, and deregisters those that are leaving and run nothing.
-func (s *Scheduler) updateRegistry() {
-	for id, r := range s.runners {
-		leaving := !r.listed || !r.evacuateAskedAt.IsZero()
-		if leaving && len(r.runs) == 0 && r.registryGen > 0 {
-			// Nothing runs there, so that the next leader need not wait for it.
-			s.deregister(id)
-		}
-		if leaving || !r.contacted || r.registryGen > 0 {
-			continue
-		}
-		r.registryGen = loadedRegistryGen
-		if !s.registered[id] {
-			s.registered[id] = true
-			s.registryGen++
-			r.registryGen = s.registryGen
-		}
-		s.needsPlacement = true
+// updateRegistry registers a runner, so that the row names it before it is used, and
+// deregisters one that is leaving and runs nothing.
+func (s *Scheduler) updateRegistry(r *runner) {
+	id := r.info.ID
+	leaving := !r.listed || !r.evacuateAskedAt.IsZero()
+	if leaving && len(r.runs) == 0 && r.registryGen > 0 {
+		// Nothing runs there, so that the next leader need not wait for it.
+		s.deregister(id)
 	}
+	if leaving || !r.contacted || r.registryGen > 0 {
+		return
+	}
+	r.registryGen = loadedRegistryGen
+	if !s.registered[id] {
+		s.registered[id] = true
+		s.registryGen++
+		r.registryGen = s.registryGen
+	}
+	s.needsPlacement = true
 }
 
 // deregister removes a runner from the registered ones.
@@ -72,6 +72,7 @@
 		return nil
 	}
 	unknownRuns := s.anyUnknownRuns(now)
+	s.largestFree = math.MaxInt
 	var starts []Start
 	for _, next := range s.ranked(now) {
 		if next.step.occurrence.batch.inherited && unknownRuns {
@@ -93,20 +94,21 @@
 // long-running step wait for. Otherwise short tasks take every gap in a full
 // pool, and long-running tasks are never restarted.
 func (s *Scheduler) reserve(st *step, usable []*runner, now time.Time) []*runner {
+	left := slices.Clone(usable)
 	for range st.pending {
-		var best *runner
-		for _, r := range usable {
+		best := -1
+		for i, r := range left {
 			if s.allows(r, st, now) && allocation(st.rule).Fits(r.info.Capacity) &&
-				(best == nil || r.utilization() < best.utilization()) {
-				best = r
+				(best < 0 || r.utilization() < left[best].utilization()) {
+				best = i
 			}
 		}
-		if best == nil {
-			return usable
+		if best < 0 {
+			break
 		}
-		usable = slices.DeleteFunc(slices.Clone(usable), func(r *runner) bool { return r == best })
+		left = slices.Delete(left, best, best+1)
 	}
-	return usable
+	return left
 }
 
 // utilization returns the allocated share of a runner's CPU or memory, whichever
@@ -119,20 +121,19 @@
 // reaches it.
 const maxStarts = 256
 
+// usable returns the runners that new work may go to, by id. The list is shared by all
+// decisions of a step and must not be changed.
 func (s *Scheduler) usable(now time.Time) []*runner {
-	list := make([]*runner, 0, len(s.runners))
-	for _, r := range s.runners {
+	if s.usableKnown {
+		return s.usableRunners
+	}
+	s.usableKnown, s.usableRunners = true, s.usableRunners[:0]
+	for _, r := range s.ordered {
 		if s.isUsable(r, now) {
-			list = append(list, r)
+			s.usableRunners = append(s.usableRunners, r)
 		}
 	}
-	slices.SortFunc(list, func(a, b *runner) int {
-		if a.info.ID < b.info.ID {
-			return -1
-		}
-		return 1
-	})
-	return list
+	return s.usableRunners
 }
 
 // placeStep starts the pending tasks of a step as far as there is room.
@@ -140,6 +141,9 @@
 	if st.rule.Gang {
 		return s.placeGang(st, usable, now)
 	}
+	if allocation(st.rule).CPU > s.largestFree {
+		return nil
+	}
 	var starts []Start
 	for i := range st.tasks {
 		t := &st.tasks[i]
@@ -148,6 +152,7 @@
 		}
 		r := s.chooseRunner(st, t, usable, now)
 		if r == nil {
+			s.noteFull(usable)
 			break
 		}
 		starts = append(starts, s.startRun(st, i, t.lastNumber+1, r, now))
@@ -155,6 +160,16 @@
 	return starts
 }
 
+// noteFull records the largest free CPU of the usable runners, after a search for one
+// has failed: later steps of the same pass that need more are not searched for.
+func (s *Scheduler) noteFull(usable []*runner) {
+	largest := 0
+	for _, r := range usable {
+		largest = max(largest, r.info.Capacity.CPU-r.used.CPU)
+	}
+	s.largestFree = min(s.largestFree, largest)
+}
+
 // chooseRunner returns the cheapest runner that can take a task, or nil.
 func (s *Scheduler) chooseRunner(st *step, t *task, usable []*runner, now time.Time) *runner {
 	var best *runner
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -9,19 +9,32 @@
 // criticalPath returns the estimated run time of the longest chain of dependent
 // steps: of those that are not done, or of all steps if whole is set.
 func (s *Scheduler) criticalPath(o *occurrence, whole bool) time.Duration {
-	ends := make([]time.Duration, len(o.steps))
-	longest := time.Duration(0)
-	factor := s.estimates.factor(o.batch.queue)
+	if o.path < 0 {
+		o.path = o.longestChain(true)
+	}
+	path := o.path
+	if !whole {
+		if o.pathLeft < 0 {
+			o.pathLeft = o.longestChain(false)
+		}
+		path = o.pathLeft
+	}
+	return time.Duration(path * s.estimates.factor(o.batch.queue) * float64(time.Millisecond))
+}
+
+// longestChain returns the longest chain of the estimates of dependent steps in
+// milliseconds: of those that are not done, or of all steps if whole is set.
+func (o *occurrence) longestChain(whole bool) float64 {
+	ends := make([]float64, len(o.steps))
+	longest := 0.0
 	for i, st := range o.steps {
-		start := time.Duration(0)
 		for _, j := range st.rule.After {
 			if j < i {
-				start = max(start, ends[j])
+				ends[i] = max(ends[i], ends[j])
 			}
 		}
-		ends[i] = start
 		if whole || st.left > 0 {
-			ends[i] += time.Duration(float64(st.rule.Estimate)*factor) * time.Millisecond
+			ends[i] += float64(st.rule.Estimate)
 		}
 		longest = max(longest, ends[i])
 	}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -1,6 +1,8 @@
 package sched
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	glade "indigoglade"
@@ -46,6 +48,8 @@
 	maybeRestarted bool
 	runs           map[*run]bool
 	used           glade.Need
+	// longRunningCPU is what long-running tasks reserve, in millicores.
+	longRunningCPU int
 	registryGen    int64 // the change of the registry that names the runner; 0 for none
 	health         health
 	// evacuateAskedAt is when the evacuation of the runner was last asked for,
@@ -85,12 +89,18 @@
 	if r.runs[n] {
 		delete(r.runs, n)
 		r.used = r.used.Minus(allocation(n.step.rule))
+		if n.step.rule.LongRunning {
+			r.longRunningCPU -= allocation(n.step.rule).CPU
+		}
 	}
 }
 
 func (r *runner) add(n *run) {
 	r.runs[n] = true
 	r.used = r.used.Plus(allocation(n.step.rule))
+	if n.step.rule.LongRunning {
+		r.longRunningCPU += allocation(n.step.rule).CPU
+	}
 }
 
 // allocation returns the resources that a task of a step reserves on a runner. A
@@ -150,13 +160,25 @@
 			s.needsPlacement = true
 		}
 		r.info, r.listed = info, true
+		s.touched[r] = true
 	}
 	for id, r := range s.runners {
 		if !r.listed && !r.heartbeatInFlight && len(r.runs) == 0 && r.leasesExpired(now) && !s.mayHaveUnknownRuns(id, now) {
 			s.deregister(id)
-			delete(s.runners, id)
+			s.forget(r)
 		}
 	}
+	s.reviewedAt = time.Time{} // of the runners that are no longer listed
+}
+
+// forget drops a runner on which nothing can run.
+func (s *Scheduler) forget(r *runner) {
+	id := r.info.ID
+	delete(s.runners, id)
+	s.ordered = slices.DeleteFunc(s.ordered, func(other *runner) bool { return other == r })
+	for _, set := range []map[*runner]bool{s.touched, s.evacuating, s.idleBeat} {
+		delete(set, r)
+	}
 }
 
 func (s *Scheduler) runner(id glade.RunnerID) *runner {
@@ -164,6 +186,9 @@
 	if !ok {
 		r = &runner{info: glade.RunnerInfo{ID: id}, runs: make(map[*run]bool)}
 		s.runners[id] = r
+		i, _ := slices.BinarySearchFunc(s.ordered, id, func(other *runner, id glade.RunnerID) int { return cmp.Compare(other.info.ID, id) })
+		s.ordered = slices.Insert(s.ordered, i, r)
+		s.touched[r], s.idleBeat[r] = true, true
 	}
 	return r
 }
@@ -181,15 +206,21 @@
 // runner that has not answered this one yet.
 func (s *Scheduler) mayHaveUnknownRuns(id glade.RunnerID, now time.Time) bool {
 	r, ok := s.runners[id]
-	if !s.registered[id] || (ok && r.contacted) || r.registryGen > 0 {
-		return false
-	}
-	return now.Sub(s.leaderSince) <= time.Duration(float64(s.config.RenewalTTL)*clockDriftFactor)+leaseMargin
+	return !s.inheritedLeasesOver(now) && s.registered[id] && !(ok && r.contacted) && r.registryGen == 0
+}
+
+// inheritedLeasesOver reports whether every lease that earlier leaders have granted
+// has ended.
+func (s *Scheduler) inheritedLeasesOver(now time.Time) bool {
+	return now.Sub(s.leaderSince) > time.Duration(float64(s.config.RenewalTTL)*clockDriftFactor)+leaseMargin
 }
 
 // anyUnknownRuns reports whether runs of an earlier leader may be active on any
 // runner that has not answered yet.
 func (s *Scheduler) anyUnknownRuns(now time.Time) bool {
+	if s.inheritedLeasesOver(now) {
+		return false
+	}
 	for id := range s.registered {
 		if s.mayHaveUnknownRuns(id, now) {
 			return true
@@ -238,6 +269,7 @@
 		return true
 	}
 	r.heartbeatInFlight = false
+	s.idleBeat[r], s.touched[r] = true, true
 	if err != nil {
 		r.missed++
 		if r.missed == 1 || r.missed%10 == 0 {
@@ -392,7 +424,8 @@
 	r.add(n)
 	st.occurrence.batch.runs[n] = true
 	if unwanted {
-		n.phase = stopping
+		s.markStopping(n)
+		n.settledAt = now
 	}
 	return n
 }
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -55,12 +55,32 @@
 // Scheduler holds the batches and runners of a service. It is not safe for
 // concurrent use.
 type Scheduler struct {
-	config  Config
-	rules   map[glade.Queue]glade.QueueRule
-	batches map[glade.BatchID]*batch
+	config Config
+	rules  map[glade.Queue]glade.QueueRule
+	// needsAdvice means that a queue needs the advice service.
+	needsAdvice bool
+	batches     map[glade.BatchID]*batch
 	// live holds the batches that have not ended.
 	live    map[*batch]bool
 	runners map[glade.RunnerID]*runner
+	// ordered holds the runners by id.
+	ordered []*runner
+	// touched holds the runners of which something has changed since the last step,
+	// evacuating those under evacuation, and idleBeat those without a heartbeat in flight.
+	touched, evacuating, idleBeat map[*runner]bool
+	// stopping holds the runs that are to be stopped.
+	stopping map[*run]bool
+	// reviewedAt is when all runners were last reviewed.
+	reviewedAt time.Time
+	// usableRunners is the result of usable in the present step, if usableKnown is set.
+	usableRunners []*runner
+	usableKnown   bool
+	// largestFree bounds the free CPU of every usable runner in the present placement
+	// pass, in millicores.
+	largestFree int
+	hasGangs    bool // a batch with a gang was submitted
+	// ended holds batches in a final state whose tasks are kept, the oldest first.
+	ended []*batch
 	// ready holds the unfinished steps whose dependencies are done.
 	ready map[*step]bool
 	// renewedAt is when the last confirmed renewal of the leader row was sent.
@@ -120,6 +140,10 @@
 		live:            make(map[*batch]bool),
 		runners:         make(map[glade.RunnerID]*runner),
 		ready:           make(map[*step]bool),
+		touched:         make(map[*runner]bool),
+		evacuating:      make(map[*runner]bool),
+		idleBeat:        make(map[*runner]bool),
+		stopping:        make(map[*run]bool),
 		registered:      make(map[glade.RunnerID]bool),
 		loadAverages:    make(map[glade.Queue]*loadAverage),
 		refused:         make(map[glade.BatchID]bool),
@@ -180,10 +204,11 @@
 
 // SetRules replaces the rules of the service's queues.
 func (s *Scheduler) SetRules(rules glade.Rules) {
-	s.rules = make(map[glade.Queue]glade.QueueRule)
+	s.rules, s.needsAdvice = make(map[glade.Queue]glade.QueueRule), false
 	for _, rule := range rules.Queues {
 		if rule.Service == s.config.Service {
 			s.rules[rule.Queue] = rule
+			s.needsAdvice = s.needsAdvice || rule.NeedsAdvice
 		}
 	}
 	s.needsPlacement = true
@@ -224,6 +249,23 @@
 	return n
 }
 
+// taskRetention is how long the tasks of an ended batch are kept: an order that was
+// delayed may still start one of them, which must then be stopped.
+const taskRetention = 15 * time.Second
+
+// releaseTasks frees the tasks of batches that ended long ago. Their state stays until
+// Sweep drops them.
+func (s *Scheduler) releaseTasks(now time.Time) {
+	for len(s.ended) > 0 {
+		b := s.ended[0]
+		if now.Sub(b.endedAt) < taskRetention || !b.writtenState.IsFinal() || len(b.runs) > 0 {
+			return
+		}
+		b.work, b.occurrences = glade.Batch{}, nil
+		s.ended = s.ended[1:]
+	}
+}
+
 // Sweep drops ended batches whose retention time has passed and returns their
 // ids, at most maxSweepBatches of them.
 func (s *Scheduler) Sweep(now time.Time) []glade.BatchID {
--- a/sched/write.go
+++ b/sched/write.go
@@ -253,8 +253,10 @@
 	if progress != nil && progress.State.IsFinal() {
 		b.started = progress.Started
 		b.state, b.writtenState, b.endedAt = progress.State, progress.State, now
+		s.ended = append(s.ended, b)
 		return nil
 	}
+	s.hasGangs = s.hasGangs || hasGang(work.Work)
 	s.live[b] = true
 	if progress == nil {
 		s.startDue(b, now)
