--- a/lead/manager.go
+++ b/lead/manager.go
@@ -23,6 +23,8 @@
 	Log              logr.Logger
 	Directory        *Directory
 	Limits           Limits
+	// OnLead is called when this process begins to lead a service, unless it is nil.
+	OnLead func()
 }
 
 // Limits holds the time limits that the platform guarantees or requires.
@@ -345,6 +347,9 @@
 		go m.fleet.run(ctx)
 		return
 	}
+	if m.config.OnLead != nil {
+		m.config.OnLead()
+	}
 	leader := newServiceLeader(m, l)
 	ctx, leader.cancel = context.WithCancel(ctx)
 	m.leaders[service] = leader
--- a/moves/plan.go
+++ b/moves/plan.go
@@ -56,6 +56,8 @@
 	config  Config
 	hosts   map[glade.Host]glade.HostInfo
 	loads   map[glade.Service]sched.Load
+	// runners holds the runner loads of each service's load.
+	runners map[glade.Service]map[glade.RunnerID]sched.RunnerLoad
 	isSpare map[glade.Service]bool
 	waves   map[int64]*wave
 	pending map[glade.Host]*hostAction
@@ -84,7 +86,7 @@
 // New returns a planner without hosts, loads and waves.
 func New(config Config) *Planner {
 	return &Planner{
-		config: config, hosts: make(map[glade.Host]glade.HostInfo), loads: make(map[glade.Service]sched.Load),
+		config: config, hosts: make(map[glade.Host]glade.HostInfo), loads: make(map[glade.Service]sched.Load), runners: make(map[glade.Service]map[glade.RunnerID]sched.RunnerLoad),
 		isSpare: make(map[glade.Service]bool), waves: make(map[int64]*wave), pending: make(map[glade.Host]*hostAction),
 		demands: make(map[glade.Service]*demandTracker), arrivedAt: make(map[glade.Host]time.Time),
 		held: make(map[glade.Host]time.Time),
@@ -207,6 +209,11 @@
 // SetLoad updates the load of a service.
 func (p *Planner) SetLoad(service glade.Service, load sched.Load, now time.Time) {
 	p.loads[service] = load
+	runners := make(map[glade.RunnerID]sched.RunnerLoad, len(load.Runners))
+	for _, runner := range load.Runners {
+		runners[runner.ID] = runner
+	}
+	p.runners[service] = runners
 	t, ok := p.demands[service]
 	if !ok {
 		t = &demandTracker{}
@@ -273,14 +280,10 @@
 	if p.isSpare[info.Pool] || info.Runner == "" {
 		return true
 	}
-	for _, runner := range p.loads[info.Pool].Runners {
-		if runner.ID == info.Runner {
-			return runner.Responsive && runner.Evacuating && runner.Runs == 0
-		}
-	}
-	// The service's leader does not list the runner. The runner may still run what an
-	// earlier leader started: the list may be old, or the runner cut off from the store.
-	return false
+	// A runner that the service's leader does not list may still run what an earlier
+	// leader started: the list may be old, or the runner cut off from the store.
+	runner, listed := p.runners[info.Pool][info.Runner]
+	return listed && runner.Responsive && runner.Evacuating && runner.Runs == 0
 }
 
 // HandleAnswer applies the answer to an action.
@@ -394,13 +397,16 @@
 		if quota <= 0 {
 			continue
 		}
+		usage := p.poolUsage()
 		for _, host := range p.candidates(w) {
 			if quota == 0 {
 				break
 			}
-			if !p.canSpare(w, host, now) {
+			pool := usage[p.hosts[host].Pool]
+			if !p.canSpare(w, host, pool, now) {
 				continue
 			}
+			pool.unavailable++
 			p.pending[host] = &hostAction{spec: Action{Host: host, Kind: KindMaintain, Wave: w.spec.Wave}, since: now}
 			p.event("empty", "host", host, "wave", w.spec.Wave, "pool", p.hosts[host].Pool)
 			quota--
@@ -457,37 +463,40 @@
 // longRunningTasks returns the number of long-running tasks on a host.
 func (p *Planner) longRunningTasks(host glade.Host) int {
 	info := p.hosts[host]
-	for _, runner := range p.loads[info.Pool].Runners {
-		if runner.ID == info.Runner {
-			return runner.LongRunning
+	return p.runners[info.Pool][info.Runner].LongRunning
+}
+
+// poolUse counts the hosts of a pool, and those with a pending action or not up.
+type poolUse struct{ size, unavailable int }
+
+func (p *Planner) poolUsage() map[glade.Service]*poolUse {
+	usage := make(map[glade.Service]*poolUse)
+	for host, info := range p.hosts {
+		pool, ok := usage[info.Pool]
+		if !ok {
+			pool = &poolUse{}
+			usage[info.Pool] = pool
+		}
+		pool.size++
+		if _, busy := p.pending[host]; busy || info.State != glade.HostUp {
+			pool.unavailable++
 		}
 	}
-	return 0
+	return usage
 }
 
 // canSpare reports whether a host's pool can do without one more host now. A wave
 // that is behind schedule may take as many hosts of a pool with a high load as of
 // any other.
-func (p *Planner) canSpare(w *wave, host glade.Host, now time.Time) bool {
-	pool := p.hosts[host].Pool
-	if p.isSpare[pool] {
+func (p *Planner) canSpare(w *wave, host glade.Host, pool *poolUse, now time.Time) bool {
+	if p.isSpare[p.hosts[host].Pool] {
 		return true
 	}
-	size, unavailable := 0, 0
-	for other, info := range p.hosts {
-		if info.Pool != pool {
-			continue
-		}
-		size++
-		if _, busy := p.pending[other]; busy || info.State != glade.HostUp {
-			unavailable++
-		}
-	}
 	share := lowLoadShare
 	if p.poolLoad(host) > highLoad && !p.isBehindSchedule(w, now) {
 		share = highLoadShare
 	}
-	return unavailable+1 <= max(int(share*float64(size)), 1)
+	return pool.unavailable+1 <= max(int(share*float64(pool.size)), 1)
 }
 
 // isBehindSchedule reports whether the share of a wave's hosts whose maintenance has
--- a/moves/pools.go
+++ b/moves/pools.go
@@ -192,10 +192,7 @@
 	}
 	pool := &poolState{service: service}
 	hostCPU, hostMemory, joining := 0, 0, 0
-	runners := make(map[glade.RunnerID]sched.RunnerLoad, len(load.Runners))
-	for _, r := range load.Runners {
-		runners[r.ID] = r
-	}
+	runners := p.runners[service]
 	for host, info := range p.hosts {
 		a := p.pending[host]
 		switch {
