--- a/jrpc/jrpc.go
+++ b/jrpc/jrpc.go
@@ -13,6 +13,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
+
+	"indigoglade/wire"
 )
 
 // Mux maps method names to handlers.
@@ -115,6 +117,8 @@
 	TLS *tls.Config
 	// Timeout bounds one call, including the time to connect.
 	Timeout time.Duration
+	// Traffic counts the bytes of the connection unless it is nil.
+	Traffic *wire.Counter
 }
 
 // Client calls one peer over one connection, which is opened when needed.
@@ -172,7 +176,11 @@
 func (c *Client) dial(ctx context.Context) (net.Conn, error) {
 	dialer := &net.Dialer{}
 	if c.config.TLS == nil {
-		return dialer.DialContext(ctx, "tcp", c.config.Address)
+		conn, err := dialer.DialContext(ctx, "tcp", c.config.Address)
+		if err != nil || c.config.Traffic == nil {
+			return conn, err
+		}
+		return c.config.Traffic.Wrap(conn), nil
 	}
 	tlsDialer := &tls.Dialer{NetDialer: dialer, Config: c.config.TLS}
 	return tlsDialer.DialContext(ctx, "tcp", c.config.Address)
--- a/lead/manager.go
+++ b/lead/manager.go
@@ -9,6 +9,7 @@
 
 	glade "indigoglade"
 	"indigoglade/sched"
+	"indigoglade/wire"
 )
 
 // Config configures a manager of leaders.
@@ -23,6 +24,8 @@
 	Log              logr.Logger
 	Directory        *Directory
 	Limits           Limits
+	// PeerTraffic counts the bytes of calls to other hosts, unless it is nil.
+	PeerTraffic *wire.Counter
 	// OnLead is called when this process begins to lead a service, unless it is nil.
 	OnLead func()
 }
--- a/lead/router.go
+++ b/lead/router.go
@@ -253,7 +253,7 @@
 	defer r.mu.Unlock()
 	c, ok := r.clients[address]
 	if !ok {
-		c = jrpc.NewClient(jrpc.Config{Address: address, Timeout: callTimeout + searchTimeout})
+		c = jrpc.NewClient(jrpc.Config{Address: address, Timeout: callTimeout + searchTimeout, Traffic: r.manager.config.PeerTraffic})
 		r.clients[address] = c
 	}
 	return c
--- a/moves/plan.go
+++ b/moves/plan.go
@@ -53,9 +53,9 @@
 // Planner plans the actions on hosts and tracks those that are pending. It is
 // not safe for concurrent use.
 type Planner struct {
-	config  Config
-	hosts   map[glade.Host]glade.HostInfo
-	loads   map[glade.Service]sched.Load
+	config Config
+	hosts  map[glade.Host]glade.HostInfo
+	loads  map[glade.Service]sched.Load
 	// runners holds the runner loads of each service's load.
 	runners map[glade.Service]map[glade.RunnerID]sched.RunnerLoad
 	isSpare map[glade.Service]bool
