Hosts for long-running tasks go before those for bursts

From the log of the fleet's leader: its pool had 20 hosts and wanted 24 for it, another pool's burst wanted more hosts than there are, and a pool gives hosts only beyond what it wants itself.

Change: pools are first filled to the size that long-running tasks need (their CPU, their spread, the tasks that fit nowhere), if need be from pools that want more for short tasks; then as before.

Measured: TestMoves "take a host for a long-running task from a pool whose burst exceeds all hosts" failed before.

--- a/moves/plan_test.go
+++ b/moves/plan_test.go
@@ -236,6 +236,25 @@
 		s.run(1800 * time.Millisecond)
 		s.c.Assert(s.moved, qt.Equals, 3)
 	})
+	t.Run("take a host for a long-running task from a pool whose burst exceeds all hosts", func(t *testing.T) {
+		s := newSimulation(qt.New(t), map[glade.Service]int{"a": 2, "b": 6, spare: 0})
+		for _, h := range s.hosts {
+			h.runs = 1
+			if h.info.Pool == "a" {
+				h.longRunning = 1
+			}
+		}
+		s.unplaced = 1
+		s.demand["b"] = 20 * hostCPU
+		s.run(200 * time.Millisecond)
+		for _, h := range s.hosts {
+			if h.longRunning == 0 {
+				h.runs = 0 // short tasks end
+			}
+		}
+		s.run(3 * time.Second)
+		s.c.Assert(s.poolSize("a") >= 3, qt.IsTrue)
+	})
 	t.Run("size a pool by memory if that is the limit", func(t *testing.T) {
 		s := newSimulation(qt.New(t), map[glade.Service]int{"a": 2, spare: 6})
 		s.memoryDemand = 5 * hostMemory
--- a/moves/pools.go
+++ b/moves/pools.go
@@ -58,7 +58,10 @@
 type poolState struct {
 	service glade.Service
 	size    int
-	wanted  int
+	// base is the size that long-running tasks need. Their users are without service
+	// until they run, so that it goes before what any pool wants for short tasks.
+	base   int
+	wanted int
 	// ahead is the size wanted for the demand that is forecast, for a rising demand and
 	// for work that is already late. Hosts for these are assigned only while no pool
 	// wants them for work that can still finish in time.
@@ -89,11 +92,16 @@
 		p.lastPools[pool.service] = pool
 	}
 	idle := p.idleSpareHosts()
+	base := func(pool *poolState) int { return pool.base }
+	wanted := func(pool *poolState) int { return pool.wanted }
 	for _, pool := range pools {
-		idle = p.fill(pool, pool.wanted, idle, pools, now)
+		idle = p.fill(pool, pool.base, base, idle, pools, now)
 	}
 	for _, pool := range pools {
-		idle = p.fill(pool, pool.ahead, idle, pools, now)
+		idle = p.fill(pool, pool.wanted, wanted, idle, pools, now)
+	}
+	for _, pool := range pools {
+		idle = p.fill(pool, pool.ahead, wanted, idle, pools, now)
 	}
 	p.releaseSurplus(pools, now)
 	p.logPools(pools, len(idle), now)
@@ -118,15 +126,16 @@
 }
 
 // fill moves hosts to a pool until it has the given number or none can be moved,
-// and returns the idle spare hosts that are left.
-func (p *Planner) fill(pool *poolState, hosts int, idle []glade.Host, pools []*poolState, now time.Time) []glade.Host {
+// and returns the idle spare hosts that are left. No other pool gets smaller than
+// keep says.
+func (p *Planner) fill(pool *poolState, hosts int, keep func(*poolState) int, idle []glade.Host, pools []*poolState, now time.Time) []glade.Host {
 	for pool.size < hosts && len(idle) > 0 {
 		p.planMove(idle[0], pool.service, now)
 		idle = idle[1:]
 		pool.size++
 	}
 	for pool.size < hosts {
-		host := takeSurplus(pools, pool)
+		host := takeSurplus(pools, pool, keep)
 		if host == "" {
 			break
 		}
@@ -151,15 +160,15 @@
 	}
 }
 
-// takeSurplus takes a host from the pool with the largest surplus: an idle host, or
+// takeSurplus takes a host from the pool with the largest surplus over keep: an idle host, or
 // else one that will be idle once its short tasks have ended. After a burst there
 // are many of these, and the next queue waits for them. It returns "" if no other
 // pool has a surplus.
-func takeSurplus(pools []*poolState, target *poolState) glade.Host {
+func takeSurplus(pools []*poolState, target *poolState, keep func(*poolState) int) glade.Host {
 	var best *poolState
 	for _, pool := range pools {
-		if pool != target && pool.size > pool.wanted && len(pool.idle)+len(pool.busy) > 0 &&
-			(best == nil || pool.size-pool.wanted > best.size-best.wanted) {
+		if pool != target && pool.size > keep(pool) && len(pool.idle)+len(pool.busy) > 0 &&
+			(best == nil || pool.size-keep(pool) > best.size-keep(best)) {
 			best = pool
 		}
 	}
@@ -230,12 +239,13 @@
 	if hostMemory > 0 {
 		hosts = max(hosts, float64(load.Memory)/float64(hostMemory))
 	}
-	pool.wanted = max(int(math.Ceil(hosts)), load.MinRunners) + reserveHosts
+	pool.base = max(int(math.Ceil(float64(load.LongRunning)/float64(hostCPU))), load.MinRunners)
 	if load.Unplaced > 0 {
 		// Enough capacity in sum can still leave no place for tasks that are large or
 		// must be spread. Hosts that are about to join the pool may be enough.
-		pool.wanted = max(pool.wanted, pool.size-joining+load.Unplaced)
+		pool.base = max(pool.base, pool.size-joining+load.Unplaced)
 	}
+	pool.wanted = max(int(math.Ceil(hosts))+reserveHosts, load.MinRunners+reserveHosts, pool.base)
 	slices.SortFunc(pool.busy, func(a, b glade.Host) int {
 		return cmp.Or(cmp.Compare(runners[p.hosts[a].Runner].Runs, runners[p.hosts[b].Runner].Runs), cmp.Compare(a, b))
 	})
