Reservations for one long-running task don't bind another

Change: reservations bind short tasks only; they are computed with one copy of the list. Starts stop when the pace of the next commit is closed. Measured: TestReserve failed before.

--- a/sched/place.go
+++ b/sched/place.go
@@ -67,10 +67,11 @@
 
 // place starts the pending tasks that there is room for, the most urgent first.
 func (s *Scheduler) place(now time.Time) []Start {
-	usable := s.usable(now)
-	if len(usable) == 0 {
+	all := s.usable(now)
+	if len(all) == 0 {
 		return nil
 	}
+	unreserved := all
 	unknownRuns := s.anyUnknownRuns(now)
 	s.largestFree = math.MaxInt
 	var starts []Start
@@ -78,16 +79,20 @@
 		if next.step.occurrence.batch.inherited && unknownRuns {
 			continue
 		}
-		starts = append(starts, s.placeStep(next.step, usable, now)...)
-		if next.class == classLongRunning && next.step.pending > 0 {
-			usable = s.reserve(next.step, usable, now)
+		if next.class != classLongRunning {
+			starts = append(starts, s.placeStep(next.step, unreserved, now)...)
+		} else {
+			starts = append(starts, s.placeStep(next.step, all, now)...)
+			if next.step.pending > 0 {
+				unreserved = s.reserve(next.step, unreserved, now)
+			}
 		}
-		if len(starts) >= maxStarts {
+		if len(starts) >= maxStarts || !s.pace.isOpen() {
 			s.needsPlacement = true
 			break
 		}
 	}
-	return append(starts, s.speculate(usable, now)...)
+	return append(starts, s.speculate(unreserved, now)...)
 }
 
 // reserve returns the usable runners without those that the pending tasks of a
@@ -150,6 +155,9 @@
 		if t.done || len(t.runs) > 0 || (!t.lostAt.IsZero() && !s.confirmedSince(t.lostAt)) {
 			continue
 		}
+		if !s.pace.isOpen() {
+			break
+		}
 		r := s.chooseRunner(st, t, usable, now)
 		if r == nil {
 			s.noteFull(usable)
@@ -240,6 +248,7 @@
 // the runs of the task from 1 under this leader.
 func (s *Scheduler) assignRun(st *step, index int, number int64, r *runner, now time.Time) *run {
 	t := &st.tasks[index]
+	s.pace.take(startBytes(&st.occurrence.batch.work))
 	n := &run{
 		step: st, index: index, number: (s.config.Epoch-1)*runsPerEpoch + number, runner: r,
 		phase: starting, startedAt: now, progressedAt: now, speedPercent: fullSpeedPercent, leaseEnd: s.grantLease(r, now), checkpoint: t.checkpoint,
--- a/sched/rules_test.go
+++ b/sched/rules_test.go
@@ -186,6 +186,22 @@
 	})
 }
 
+// A long-running task that fits nowhere must not keep smaller ones from the runners that
+// it waits for: nothing there may end for minutes.
+func TestReserve(t *testing.T) {
+	t.Run("for one long-running task leaves room to another", func(t *testing.T) {
+		r := newHarness(qt.New(t), 2, twoCores)
+		r.submit("0", batchOf(glade.Step{Count: 2, Need: core, LongRunning: true, MaxPerRunner: 1}))
+		r.advance(time.Second)
+		r.submit("a", batchOf(glade.Step{Count: 2, Need: twoCores, LongRunning: true}))
+		r.advance(time.Second)
+		r.submit("b", batchOf(glade.Step{Count: 1, Need: core, LongRunning: true}))
+		r.advance(time.Second)
+		r.c.Assert(r.running("a"), qt.Equals, 0)
+		r.c.Assert(r.running("b"), qt.Equals, 1)
+	})
+}
+
 func TestPlacementRules(t *testing.T) {
 	t.Run("a label is required", func(t *testing.T) {
 		r := newHarness(qt.New(t), 3, twoCores)
