Starts are paced by the link; what it can't carry in time is refused at once

Cause: in the small twin (links of 2 Mbit/s) a service's peak asks for about three times the bytes of starts that its leader's link carries.

A batch is refused ("link") when the starts of what is accepted take more than 0.7 of its slack. Pools ask for no more hosts than can be started on. The log line "link" says what waits. A leader of several services shares the rate among them.

--- a/lead/manager.go
+++ b/lead/manager.go
@@ -43,6 +43,9 @@
 	// MoveDowntime and MaintenanceDowntime are how long a host is unavailable for a move and for
 	// maintenance.
 	MoveDowntime, MaintenanceDowntime time.Duration
+	// StartRate is how many bytes of starts this host may send per second beside its
+	// other traffic; 0 means no limit.
+	StartRate float64
 	// HostsCheckFences means that hosts refuse orders with a fencing token lower than
 	// one that they have seen. Where they don't, HostLease is the least time between
 	// the orders of two leaders for one host.
@@ -356,6 +359,7 @@
 	leader := newServiceLeader(m, l)
 	ctx, leader.cancel = context.WithCancel(ctx)
 	m.leaders[service] = leader
+	m.shareStartRate()
 	go leader.run(ctx)
 }
 
@@ -367,10 +371,19 @@
 		m.fleet = nil
 	} else {
 		delete(m.leaders, service)
+		m.shareStartRate()
 	}
 	m.running.Done()
 }
 
+// shareStartRate divides the rate of starts among the services that this process leads.
+// The caller must hold the lock.
+func (m *Manager) shareStartRate() {
+	for _, leader := range m.leaders {
+		leader.startRate.Store(int64(m.config.Limits.StartRate) / int64(len(m.leaders)))
+	}
+}
+
 // schedConfig returns the configuration of a service's scheduler.
 func (m *Manager) schedConfig(service glade.Service, epoch int64) sched.Config {
 	return sched.Config{
--- a/lead/service.go
+++ b/lead/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,6 +22,7 @@
 	runners        []glade.RunnerInfo
 	writeAttempted chan struct{} // closed and replaced after each attempt to write
 	writeWake      chan struct{} // wakes the writer
+	startRate      atomic.Int64  // bytes of starts per second; 0 means no limit
 	startSlots     chan struct{} // semaphore that bounds the starts and throttles in flight
 	stopSlots      chan struct{} // semaphore that bounds the stops in flight
 	adviceMu       sync.Mutex    // the advice service takes one call at a time
@@ -73,7 +75,7 @@
 		}
 		began := s.clock.Now()
 		next := s.step(ctx)
-		if s.clock.Sleep(ctx, restAfter(s.clock.Now().Sub(began))) != nil {
+		if rest := restAfter(s.clock.Now().Sub(began)); rest > 0 && s.clock.Sleep(ctx, rest) != nil {
 			return
 		}
 		timer.Reset(max(next.Sub(s.clock.Now()), minStepPause))
@@ -244,6 +246,7 @@
 // the time at which the next step is due at the latest.
 func (s *ServiceLeader) step(ctx context.Context) time.Time {
 	s.mu.Lock()
+	s.sched.SetStartRate(float64(s.startRate.Load()))
 	orders := s.sched.Step(s.clock.Now())
 	for _, o := range orders.Starts {
 		s.startCall(ctx, &call{leader: s, kind: callStart, start: o, runOrder: o.Order(s.sched), runner: o.To()})
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -25,6 +25,9 @@
 	// a batch is refused. It exceeds 1 because estimates are imprecise and late
 	// batches still earn.
 	admitFactor = 2.5
+	// linkSlackShare is the share of a batch's slack that may pass until all accepted
+	// tasks are sent. The rest is for the batch's own tasks and for their answers.
+	linkSlackShare = 0.7
 	// maxRetryAfter and minRetryAfter bound the retry time of refused callers.
 	maxRetryAfter = 10 * time.Second
 	minRetryAfter = time.Second
@@ -94,6 +97,10 @@
 	objective := s.objective(b)
 	path := s.criticalPath(b.occurrences[0], true)
 	ahead, all := s.backlog(objective-path, now)
+	if wait, limit := s.pace.drainTime(all.startBytes), time.Duration(linkSlackShare*float64(objective-path)); wait > limit {
+		// No host can be moved to help, and all that is accepted is started.
+		return "link", wait - limit
+	}
 	if s.drainTime(ahead, float64(pool), now) <= objective-path {
 		return "", 0
 	}
@@ -113,14 +120,26 @@
 )
 
 // drainTime returns how long a backlog takes: with the pool's own capacity for
-// the first lendDelay, then also with what other pools can lend.
-func (s *Scheduler) drainTime(backlog, pool float64, now time.Time) time.Duration {
-	own := time.Duration(backlog/pool) * time.Millisecond
-	if own <= lendDelay || now.Sub(s.lendableAt) > lendableTTL {
-		return own
+// the first lendDelay, then also with what other pools can lend, and as long at least
+// as its starts take.
+func (s *Scheduler) drainTime(backlog waitingWork, pool float64, now time.Time) time.Duration {
+	own := time.Duration(backlog.work/pool) * time.Millisecond
+	if own > lendDelay && now.Sub(s.lendableAt) <= lendableTTL {
+		rest := backlog.work - pool*float64(lendDelay.Milliseconds())
+		own = lendDelay + time.Duration(rest/(pool+float64(s.lendable)))*time.Millisecond
 	}
-	rest := backlog - pool*float64(lendDelay.Milliseconds())
-	return lendDelay + time.Duration(rest/(pool+float64(s.lendable)))*time.Millisecond
+	return max(own, s.pace.drainTime(backlog.startBytes))
+}
+
+// waitingWork is accepted work that is not done.
+type waitingWork struct {
+	work       float64 // in millicores times milliseconds
+	startBytes float64 // of the tasks that are still to be started
+}
+
+func (w *waitingWork) add(other waitingWork) {
+	w.work += other.work
+	w.startBytes += other.startBytes
 }
 
 // Lendable records how much capacity other pools can lend now, in millicores.
@@ -162,12 +181,14 @@
 // recordArrival adds the work of a submitted batch, accepted or not, to the
 // offered load.
 func (s *Scheduler) recordArrival(b *batch, now time.Time) {
-	work := 0.0
+	work, bytes := 0.0, 0.0
 	for _, st := range b.occurrences[0].steps {
 		if !st.rule.LongRunning {
+			bytes += float64(st.rule.Count) * startBytes(&b.work)
 			work += float64(st.rule.Count) * float64(st.rule.Need.CPU) * float64(st.rule.Estimate) * s.estimates.factor(b.queue)
 		}
 	}
+	s.pace.recordArrival(work, bytes)
 	slack := s.objective(b) - s.criticalPath(b.occurrences[0], true)
 	window := max(minLoadWindow, time.Duration(loadWindowShare*float64(slack)))
 	f, ok := s.loadAverages[b.queue]
@@ -214,10 +235,9 @@
 	return sum
 }
 
-// backlog returns the accepted work that is not done, in millicores times
-// milliseconds: all of it, and the part that goes before a batch with the given
-// slack.
-func (s *Scheduler) backlog(slack time.Duration, now time.Time) (ahead, all float64) {
+// backlog returns the accepted work that is not done: all of it, and the part that
+// goes before a batch with the given slack.
+func (s *Scheduler) backlog(slack time.Duration, now time.Time) (ahead, all waitingWork) {
 	for b := range s.live {
 		factor := s.estimates.factor(b.queue)
 		objective := s.objective(b)
@@ -225,18 +245,19 @@
 			if !o.started && !o.due.IsZero() {
 				continue
 			}
-			work := 0.0
+			var waiting waitingWork
 			for _, st := range o.steps {
 				if !st.rule.LongRunning {
-					work += float64(st.left) * float64(st.rule.Need.CPU) * float64(st.rule.Estimate) * factor
+					waiting.work += float64(st.left) * float64(st.rule.Need.CPU) * float64(st.rule.Estimate) * factor
+					waiting.startBytes += float64(st.pending) * startBytes(&b.work)
 				}
 			}
-			if work == 0 {
+			if waiting.work == 0 {
 				continue
 			}
-			all += work
+			all.add(waiting)
 			if remaining := b.submittedAt.Add(objective).Sub(now) - s.criticalPath(o, false); remaining >= 0 && remaining <= slack {
-				ahead += work
+				ahead.add(waiting)
 			}
 		}
 	}
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -63,12 +63,16 @@
 func (s *Scheduler) Demand(now time.Time) Load {
 	var load Load
 	load.Offered, load.OfferedRise = s.offered(now)
+	if bound := s.pace.bound(load.Offered); bound < load.Offered {
+		load.Offered, load.OfferedRise = bound, 0
+	}
+	waiting := 0
 	for st := range s.ready {
 		load.Memory += st.left * st.rule.Need.Memory
 		if !st.rule.LongRunning {
 			load.Demand += (st.left - st.pending) * st.rule.Need.CPU
 			if s.rank(st, now).class < classLate {
-				load.Demand += st.pending * st.rule.Need.CPU
+				waiting += st.pending * st.rule.Need.CPU
 			} else {
 				load.Late += st.pending * st.rule.Need.CPU
 			}
@@ -82,6 +86,8 @@
 			load.MinRunners = max(load.MinRunners, (st.left+st.rule.MaxPerRunner-1)/st.rule.MaxPerRunner)
 		}
 	}
+	load.Demand += s.pace.bound(waiting)
+	load.Late = s.pace.bound(load.Late)
 	for id, r := range s.runners {
 		if s.mayHaveUnknownRuns(id, now) || (r.missed > 0 && len(r.runs) > 0) {
 			load.Unresponsive = append(load.Unresponsive, id)
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -86,6 +86,7 @@
 func (s *Scheduler) Step(now time.Time) Orders {
 	orders := Orders{Next: now.Add(tickPeriod)}
 	s.usableKnown, s.spareKnown = false, false
+	s.pace.refill(now)
 	s.endEvacuations(now)
 	if now.Sub(s.reviewedAt) >= tickPeriod {
 		s.reviewedAt = now
@@ -106,7 +107,7 @@
 	orders.Stops = s.stops(now)
 	// Runners can also become usable without a recorded change, for example when a
 	// backoff ends.
-	if s.needsPlacement || now.Sub(s.placedAt) >= tickPeriod {
+	if s.pace.isOpen() && (s.needsPlacement || now.Sub(s.placedAt) >= tickPeriod) {
 		s.needsPlacement, s.placedAt = false, now
 		orders.AdviceRequests = s.adviceRequests(now)
 		orders.Starts = s.place(now)
@@ -115,6 +116,11 @@
 		}
 	}
 	orders.Heartbeats = s.heartbeats(now)
+	if wait := s.pace.opensIn(); wait > 0 && now.Add(wait).Before(orders.Next) {
+		orders.Next = now.Add(wait)
+		s.needsPlacement = true
+		s.logPace(now)
+	}
 	return orders
 }
 
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -75,6 +75,7 @@
 	// usableRunners is the result of usable in the present step, if usableKnown is set.
 	usableRunners []*runner
 	usableKnown   bool
+	pace          pace
 	// largestFree bounds the free CPU of every usable runner in the present placement
 	// pass, in millicores.
 	largestFree int
--- a/sched/speculate.go
+++ b/sched/speculate.go
@@ -21,6 +21,9 @@
 	var starts []Start
 	spare := -1
 	for st := range s.ready {
+		if !s.pace.isOpen() {
+			break
+		}
 		if !st.rule.AllowsCopies || st.rule.Gang || st.rule.LongRunning {
 			continue
 		}
