A runner counts as empty only when the ends of its runs are written

Change: ends that are not written count as runs in the load, and keep the runner registered. Ruled out: rows read by the next leader before the last one's writes (its claim makes those fail), ends acknowledged before they are written.

Measured: TestEmptiedRunner failed before, in both parts.

--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -36,7 +36,7 @@
 // RunnerLoad counts the runs on one runner.
 type RunnerLoad struct {
 	ID glade.RunnerID `json:"id"`
-	// Runs counts all runs.
+	// Runs counts all runs, and those that have ended as long as that is not written.
 	Runs int `json:"runs"`
 	// LongRunning counts the runs of long-running tasks.
 	LongRunning int `json:"lasting"`
@@ -95,7 +95,7 @@
 		if !r.listed {
 			continue
 		}
-		entry := RunnerLoad{ID: id, Runs: len(r.runs), Responsive: r.contacted && r.missed == 0, Evacuating: !r.evacuateAskedAt.IsZero()}
+		entry := RunnerLoad{ID: id, Runs: len(r.runs) + len(r.unwrittenEnds), Responsive: r.contacted && r.missed == 0, Evacuating: !r.evacuateAskedAt.IsZero()}
 		for n := range r.runs {
 			if n.step.rule.LongRunning {
 				entry.LongRunning++
--- a/sched/place.go
+++ b/sched/place.go
@@ -34,8 +34,9 @@
 func (s *Scheduler) updateRegistry(r *runner) {
 	id := r.info.ID
 	leaving := !r.listed || !r.evacuateAskedAt.IsZero()
-	if leaving && len(r.runs) == 0 && r.registryGen > 0 {
-		// Nothing runs there, so that the next leader need not wait for it.
+	if leaving && len(r.runs) == 0 && len(r.unwrittenEnds) == 0 && r.registryGen > 0 {
+		// Nothing runs there and no end is unknown to the next leader, so that it need
+		// not wait for the runner.
 		s.deregister(id)
 	}
 	if leaving || !r.contacted || r.registryGen > 0 {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -643,6 +644,49 @@
 	})
 }
 
+// The end of a run is known to the next leader only if its row is written, or if the
+// runner that lists it is still there.
+func TestEmptiedRunner(t *testing.T) {
+	newEnded := func(t *testing.T) (*harness, glade.RunnerID) {
+		r := newHarness(qt.New(t), 2, twoCores)
+		r.submit("a", oneTask(500))
+		r.advance(200 * time.Millisecond)
+		id := r.runnerOf("a")
+		r.sched.Evacuate([]glade.RunnerID{id}, r.now)
+		r.storeDown = true
+		r.endAll("a", 0, glade.EndDone)
+		r.advance(100 * time.Millisecond)
+		return r, id
+	}
+	t.Run("does not count as empty before its ends are written", func(t *testing.T) {
+		r, id := newEnded(t)
+		r.c.Assert(r.runsOn(id) > 0, qt.IsTrue)
+		r.storeDown = false
+		r.advance(200 * time.Millisecond)
+		r.c.Assert(r.runsOn(id), qt.Equals, 0)
+	})
+	t.Run("stays registered until then", func(t *testing.T) {
+		r, id := newEnded(t)
+		w := r.sched.BeginWrite()
+		r.c.Assert(w.Registered == nil || slices.Contains(w.Registered, id), qt.IsTrue)
+		r.sched.FinishWrite(w, true, r.now)
+		r.storeDown = false
+		r.advance(200 * time.Millisecond)
+		r.c.Assert(slices.Contains(r.registered, id), qt.IsFalse)
+	})
+}
+
+// runsOn returns the runs that the load of the service reports for a runner.
+func (r *harness) runsOn(id glade.RunnerID) int {
+	for _, load := range r.sched.Demand(r.now).Runners {
+		if load.ID == id {
+			return load.Runs
+		}
+	}
+	r.c.Fatalf("runner %s is not in the load", id)
+	return 0
+}
+
 func TestEvacuationOfShortTasks(t *testing.T) {
 	expectMoved := func(name string, st glade.Step, busy int, want bool) {
 		t.Run(name, func(t *testing.T) {
