Hosts that won't lead soon poll the terms less often

Change: a host that leads nothing, and to which many are preferred for every service, pauses for 500 ms; it polls at once when it does not reach a leader.

--- a/lead/directory.go
+++ b/lead/directory.go
@@ -79,13 +79,16 @@
 	synced                  bool
 	lostAt                  time.Time
 	resync                  bool
+	// refresh ends the pause between two polls of the term feed.
+	refresh chan struct{}
 }
 
 // NewDirectory returns a directory that knows only its own host until its feeds run.
 func NewDirectory(config DirectoryConfig) *Directory {
 	return &Directory{
 		config: config, entries: make(map[glade.Service]*termEntry),
-		nodes: map[glade.Node]NodeRow{config.Self: config.Row},
+		nodes:   map[glade.Node]NodeRow{config.Self: config.Row},
+		refresh: make(chan struct{}, 1),
 	}
 }
 
@@ -235,9 +238,13 @@
 	termFeedWait = time.Second
 	// termPollPause is the pause between two polls of the term feed, so that one answer
 	// carries the heartbeats of several leaders.
-	termPollPause  = 120 * time.Millisecond
-	feedRetryPause = 200 * time.Millisecond // after an error
-	nodeFeedWait   = 20 * time.Second       // bounds a long poll of the node feed; hosts rarely change
+	termPollPause = 120 * time.Millisecond
+	// remotePollPause is the pause on hosts that many others are preferred to for every
+	// service. They need the terms only to find the leaders, and poll at once when a
+	// call to one fails.
+	remotePollPause = 500 * time.Millisecond
+	feedRetryPause  = 200 * time.Millisecond // after an error
+	nodeFeedWait    = 20 * time.Second       // bounds a long poll of the node feed; hosts rarely change
 )
 
 // FollowTerms reads the terms and follows their changes until ctx ends.
@@ -246,7 +253,7 @@
 		after, err := d.loadTerms(ctx)
 		for err == nil && ctx.Err() == nil && !d.needsResync() {
 			after, err = d.pollTerms(ctx, after)
-			if d.config.Clock.Sleep(ctx, termPollPause) != nil {
+			if d.pausePolls(ctx) != nil {
 				return nil
 			}
 		}
@@ -260,6 +267,42 @@
 	return nil
 }
 
+// Refresh polls the term feed without waiting for the end of the pause.
+func (d *Directory) Refresh() { wake(d.refresh) }
+
+// pausePolls waits for the pause between two polls of the term feed.
+func (d *Directory) pausePolls(ctx context.Context) error {
+	if err := d.config.Clock.Sleep(ctx, termPollPause); err != nil || d.mayClaim() {
+		return err
+	}
+	bounded, cancel := context.WithTimeout(ctx, remotePollPause-termPollPause)
+	defer cancel()
+	select {
+	case <-bounded.Done():
+	case <-d.refresh:
+	}
+	return ctx.Err()
+}
+
+// mayClaim reports whether this host leads a service, or is among the first that would
+// claim one.
+func (d *Directory) mayClaim() bool {
+	services, _ := d.Services()
+	for _, service := range services {
+		if d.Rank(service) < maxClaimRank {
+			return true
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, e := range d.entries {
+		if e.term.Node == d.config.Self {
+			return true
+		}
+	}
+	return false
+}
+
 func (d *Directory) needsResync() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/lead/router.go
+++ b/lead/router.go
@@ -269,9 +269,13 @@
 	}
 	term, ok := r.manager.config.Directory.Leader(service)
 	if !ok || term.Node == r.manager.config.Self {
+		r.manager.config.Directory.Refresh()
 		return none, false, nil
 	}
 	out, err := jrpc.Call[In, Out](ctx, r.peerClient(term.Address), method, in)
+	if err != nil {
+		r.manager.config.Directory.Refresh()
+	}
 	return out, true, err
 }
 
@@ -296,6 +300,8 @@
 				reply.Code = SubmitUnknown
 			}
 			return reply
+		case found:
+			r.manager.config.Directory.Refresh()
 		}
 		now := r.clock.Now()
 		expired := now.After(deadline) || r.clock.Sleep(ctx, searchInterval) != nil
