Runners that were emptied for a move are rarely asked again

Change: an empty runner under evacuation that doesn't answer is asked each 2 s, without a line. Measured: TestLeavingRunner failed before.

--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -134,7 +134,9 @@
 			r.evacuateAskedAt, r.evacuatingSince = time.Time{}, time.Time{}
 			delete(s.evacuating, r)
 			s.needsPlacement, s.touched[r] = true, true
-			s.addEvent("reopen", "runner", r.info.ID)
+			if r.missed == 0 {
+				s.addEvent("reopen", "runner", r.info.ID)
+			}
 		}
 	}
 }
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -272,10 +272,14 @@
 	s.idleBeat[r], s.touched[r] = true, true
 	if err != nil {
 		r.missed++
-		if r.missed == 1 || r.missed%10 == 0 {
+		leaving := len(r.runs) == 0 && !r.evacuateAskedAt.IsZero()
+		if !leaving && (r.missed == 1 || r.missed%10 == 0) {
 			s.addEvent("silent", "runner", id, "missed", r.missed, "heard", sinceMillis(now, r.lastAnswerAt), "error", err.Error())
 		}
 		r.nextHeartbeat = sent.Add(min(time.Duration(r.missed)*heartbeatBackoff, maxHeartbeatBackoff))
+		if leaving {
+			r.nextHeartbeat = sent.Add(leavingBackoff)
+		}
 		return true
 	}
 	if answer.Refused == glade.RefusedFence {
@@ -314,6 +318,9 @@
 const (
 	heartbeatBackoff    = 100 * time.Millisecond
 	maxHeartbeatBackoff = 500 * time.Millisecond
+	// leavingBackoff is for runners that were emptied: their hosts are moved, and the
+	// platform lists the runners for some seconds more.
+	leavingBackoff = 2 * time.Second
 )
 
 func sinceMillis(now, then time.Time) int64 {
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -46,6 +46,7 @@
 	// askedCounts holds the number of runners in each advice request.
 	askedCounts []int
 	startOrders []glade.StartOrder
+	attempts    int // heartbeats that have arrived or failed
 	// loseAdvice keeps answers of the advice service back; lostAdvice holds those requests.
 	loseAdvice bool
 	lostAdvice []sched.AdviceRequest
@@ -249,6 +250,7 @@
 
 func (r *harness) heartbeat(o sched.Heartbeat, sent time.Time) {
 	f := r.runners[o.To.ID]
+	r.attempts++
 	if f.unresponsive {
 		r.sched.HeartbeatAnswered(o.To.ID, sent, o.Order, glade.HeartbeatAnswer{}, fmt.Errorf("no answer"), r.now)
 		return
@@ -687,6 +689,23 @@
 	return 0
 }
 
+func TestLeavingRunner(t *testing.T) {
+	t.Run("that does not answer is rarely asked", func(t *testing.T) {
+		r := newHarness(qt.New(t), 1, twoCores)
+		r.longPoll = time.Second
+		r.advance(time.Second)
+		r.sched.Evacuate([]glade.RunnerID{"r0"}, r.now)
+		r.runners["r0"].unresponsive = true
+		r.advance(1500 * time.Millisecond)
+		r.attempts = 0
+		for range 30 {
+			r.sched.Evacuate([]glade.RunnerID{"r0"}, r.now)
+			r.advance(100 * time.Millisecond)
+		}
+		r.c.Assert(r.attempts <= 2, qt.IsTrue, qt.Commentf("%d heartbeats in 3 s", r.attempts))
+	})
+}
+
 func TestEvacuationOfShortTasks(t *testing.T) {
 	expectMoved := func(name string, st glade.Step, busy int, want bool) {
 		t.Run(name, func(t *testing.T) {
