A run is given up after its lease only when its runner was asked once more

Change: after the end of every lease the runner is asked once more, without a long poll; only if that gets no answer, and the leader's own steps came in time meanwhile, its runs are given up. Runners without an address are given up as before. Ruled out: a second leader (both runs have run numbers of one), a copy (the step allows none), RunnersGone and giveUpMissing (both need an answer or the inventory).

--- a/sched/orders.go
+++ b/sched/orders.go
@@ -66,6 +66,11 @@
 	// tickPeriod is the longest time between two calls of the scheduler (ticks).
 	// Leases, due times and backoffs are checked that often.
 	tickPeriod = 100 * time.Millisecond
+	// maxStepDelay is the time between two ticks above which this leader lacks processor
+	// time: answers are read late. After punctualTime without such a tick it counts as
+	// punctual again; a heartbeat without a wait takes less.
+	maxStepDelay = 4 * tickPeriod
+	punctualTime = 800 * time.Millisecond
 	// stopRetry is how long after an unanswered stop the next one is sent.
 	stopRetry = 300 * time.Millisecond
 	// stopRepeat is how long after an answered stop a run that has not ended is
@@ -85,6 +90,10 @@
 // orders for them.
 func (s *Scheduler) Step(now time.Time) Orders {
 	orders := Orders{Next: now.Add(tickPeriod)}
+	if !s.steppedAt.IsZero() && now.Sub(s.steppedAt) > maxStepDelay {
+		s.delayedAt = now
+	}
+	s.steppedAt = now
 	s.usableKnown, s.spareKnown = false, false
 	s.pace.refill(now)
 	s.endEvacuations(now)
@@ -223,8 +232,10 @@
 			if r.missed == 0 {
 				order.LeaseUntil = s.grantLease(r, now)
 			}
-			order.Wait = s.config.HeartbeatWait
-			if len(r.runs) == 0 {
+			if r.missed == 0 {
+				order.Wait = s.config.HeartbeatWait
+			}
+			if r.missed == 0 && len(r.runs) == 0 {
 				order.Wait = max(idleRunnerWait, s.config.HeartbeatWait)
 			}
 		}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -33,6 +33,9 @@
 	answerDue time.Time
 	// nextHeartbeat is the earliest time of the next heartbeat.
 	nextHeartbeat time.Time
+	// silentAfterLease means that a heartbeat which was sent after the end of every lease
+	// got no answer, although this leader was punctual.
+	silentAfterLease bool
 	// missed counts heartbeats in a row that were not answered or not accepted.
 	missed int
 	// processed is the number of the newest end report that was applied, written
@@ -272,6 +275,9 @@
 	s.idleBeat[r], s.touched[r] = true, true
 	if err != nil {
 		r.missed++
+		if r.leasesExpired(sent) && now.Sub(s.delayedAt) > punctualTime {
+			r.silentAfterLease = true
+		}
 		leaving := len(r.runs) == 0 && !r.evacuateAskedAt.IsZero()
 		if !leaving && (r.missed == 1 || r.missed%10 == 0) {
 			s.addEvent("silent", "runner", id, "missed", r.missed, "heard", sinceMillis(now, r.lastAnswerAt), "error", err.Error())
@@ -294,7 +300,7 @@
 	if r.missed > 0 {
 		s.addEvent("heard", "runner", id, "missed", r.missed)
 	}
-	r.missed, r.lastAnswerAt, r.maybeRestarted = 0, now, false
+	r.missed, r.lastAnswerAt, r.maybeRestarted, r.silentAfterLease = 0, now, false, false
 	r.answerDue = now.Add(s.config.HeartbeatWait + heartbeatSlack)
 	if r.incarnation != answer.Born {
 		s.startIncarnation(r, answer, now)
@@ -476,10 +482,12 @@
 
 // lapse gives up the runs on runners whose leases have ended. A newer leader may
 // have renewed those leases, so that a renewal of the leader row after their end
-// is needed first.
+// is needed first. A run may also have ended before its lease, and its runner may have
+// said so in an answer that this leader has not read yet: so the runner is asked once
+// more after the end of the leases, unless there is no address to ask.
 func (s *Scheduler) lapse(now time.Time) {
 	for _, r := range s.runners {
-		if len(r.runs) == 0 || !r.leasesExpired(now) || !s.confirmedSince(r.lapse()) {
+		if len(r.runs) == 0 || !r.leasesExpired(now) || (!r.silentAfterLease && r.info.Address != "") || !s.confirmedSince(r.lapse()) {
 			continue
 		}
 		if dropped := s.giveUpRuns(r, now); dropped > 0 {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -89,6 +89,8 @@
 	// confirmAfter is the time after which the leader row must be renewed before the
 	// actions that wait for a renewal can be carried out.
 	confirmAfter time.Time
+	// steppedAt is when the last step was run, delayedAt when one was last run late.
+	steppedAt, delayedAt time.Time
 	// leaderSince is when this leader took over.
 	leaderSince time.Time
 	// registered holds the runners that may run tasks of this leader or an earlier
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -689,6 +689,60 @@
 	return 0
 }
 
+// A leader without processor time reads answers seconds late. A run may have ended, and
+// its runner may have said so, when its lease ends on the leader's clock.
+func TestStarvedLeader(t *testing.T) {
+	newStarved := func(t *testing.T) *harness {
+		r := newHarness(qt.New(t), 2, twoCores)
+		r.longPoll = time.Second
+		r.submit("a", oneTask(500))
+		r.advance(600 * time.Millisecond)
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+		first := r.runnerOf("a")
+		r.endAll("a", 0, glade.EndDone)
+		r.now = r.now.Add(9 * time.Second)
+		// The call to one runner has timed out; the answer of the other one is read.
+		for _, w := range r.heartbeats {
+			if w.heartbeat.To.ID == first {
+				r.sched.HeartbeatAnswered(first, w.sent, w.heartbeat.Order, glade.HeartbeatAnswer{}, fmt.Errorf("no answer"), r.now)
+				continue
+			}
+			r.heartbeat(w.heartbeat, w.sent)
+		}
+		r.heartbeats = nil
+		return r
+	}
+	t.Run("asks the runner again before it restarts what ran there", func(t *testing.T) {
+		r := newStarved(t)
+		r.advance(3 * time.Second)
+		r.c.Assert(r.startOrders, qt.HasLen, 1)
+		r.expectState("a", glade.BatchDone)
+	})
+	t.Run("restarts what ran on a runner that is down", func(t *testing.T) {
+		r := newStarved(t)
+		for _, f := range r.runners {
+			f.unresponsive = len(f.unackedEnds) > 0
+		}
+		r.advance(2 * time.Second)
+		r.c.Assert(r.startOrders, qt.HasLen, 2)
+	})
+	t.Run("does not take its own delay for a silent runner", func(t *testing.T) {
+		r := newStarved(t)
+		for range 4 {
+			r.tick()
+			r.now = r.now.Add(1500 * time.Millisecond)
+			for _, w := range r.heartbeats {
+				r.sched.HeartbeatAnswered(w.heartbeat.To.ID, w.sent, w.heartbeat.Order, glade.HeartbeatAnswer{}, fmt.Errorf("no answer"), r.now)
+			}
+			r.heartbeats = nil
+		}
+		r.longPoll = 0
+		r.advance(3 * time.Second)
+		r.c.Assert(r.startOrders, qt.HasLen, 1)
+		r.expectState("a", glade.BatchDone)
+	})
+}
+
 func TestLeavingRunner(t *testing.T) {
 	t.Run("that does not answer is rarely asked", func(t *testing.T) {
 		r := newHarness(qt.New(t), 1, twoCores)
