A row of ordered hosts that can't be read closes the gate for all hosts

Cause, found by reading: the fleet's leader would have read the row again for ever and led without acting. Change: it waits for every host instead. Measured: TestGate.

--- a/fence/fence.go
+++ b/fence/fence.go
@@ -44,6 +44,8 @@
 // Gate decides which hosts one leader may order.
 type Gate struct {
 	wait time.Duration
+	// allClosedUntil is when the wait ends for hosts of which nothing is known.
+	allClosedUntil time.Duration
 	// closedUntil is when the wait for the orders of earlier leaders for a host ends.
 	closedUntil map[glade.Host]time.Duration
 	// recordedAt is when the last write that recorded an order for a host began.
@@ -76,11 +78,15 @@
 	}
 }
 
+// LoadUnknown closes the gate for every host, because the row of the earlier leader
+// can't be read. renewed is as for Load.
+func (g *Gate) LoadUnknown(renewed time.Duration) { g.allClosedUntil = renewed + g.wait }
+
 // Remaining returns how long this leader must still wait before it orders a host;
 // 0 if it may now.
 func (g *Gate) Remaining(host glade.Host, now time.Duration) time.Duration {
-	until, ok := g.closedUntil[host]
-	if !ok || now >= until {
+	until := max(g.closedUntil[host], g.allClosedUntil)
+	if now >= until {
 		delete(g.closedUntil, host)
 		return 0
 	}
--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -34,6 +34,12 @@
 		qt.Assert(t, g.Remaining("a", 0)-g.Remaining("b", 0), qt.Equals, time.Second)
 		qt.Assert(t, g.Remaining("a", longestWait), qt.Equals, time.Duration(0))
 	})
+	t.Run("is closed for every host after a row that can't be read", func(t *testing.T) {
+		g := fence.New(fence.Config{Lease: lease})
+		g.LoadUnknown(0)
+		qt.Assert(t, g.Remaining("a", lease) > 0, qt.IsTrue)
+		qt.Assert(t, g.Remaining("a", longestWait), qt.Equals, time.Duration(0))
+	})
 	t.Run("names its own orders and those that it waits for, until they are over", func(t *testing.T) {
 		g := fence.New(fence.Config{Lease: lease})
 		g.Load([]fence.Record{{Host: "b", AgeMs: 200}}, 0)
--- a/lead/ordered.go
+++ b/lead/ordered.go
@@ -5,8 +5,6 @@
 	"encoding/json"
 	"time"
 
-	"github.com/pkg/errors"
-
 	glade "indigoglade"
 	"indigoglade/fence"
 )
@@ -21,8 +19,8 @@
 	Orders []fence.Record `json:"orders"`
 }
 
-// loadOrdered closes the gate for the hosts that an earlier leader may have ordered.
-// An invalid row is an error, because it may name any host.
+// loadOrdered closes the gate for the hosts that an earlier leader may have ordered; for
+// all hosts if its row is invalid.
 func (f *FleetLeader) loadOrdered(ctx context.Context) error {
 	if f.gate == nil {
 		return nil
@@ -34,14 +32,17 @@
 	if found.Version == 0 {
 		return nil
 	}
-	var row OrderedRow
-	if err := json.Unmarshal(found.Value, &row); err != nil {
-		return errors.Wrap(err, "decode the row of ordered hosts")
-	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	uptime, now := f.clock.Uptime(), f.clock.Now()
-	f.gate.Load(row.Orders, uptime-now.Sub(f.predecessorSeen))
+	renewed := uptime - now.Sub(f.predecessorSeen)
+	var row OrderedRow
+	if err := json.Unmarshal(found.Value, &row); err != nil {
+		f.manager.config.Log.Error(err, "row of ordered hosts is not valid JSON: no host is ordered until any order of the earlier leader is over")
+		f.gate.LoadUnknown(renewed)
+		return nil
+	}
+	f.gate.Load(row.Orders, renewed)
 	f.savedOrders = len(row.Orders)
 	longest := time.Duration(0)
 	for _, record := range row.Orders {
