No copies by a leader that is behind; a start that waited too long is not sent

Copies are allowed, but not later than a second after the end.

Change: a leader whose starts are answered late, or whose steps come late, makes no copies. Each start is checked once more when it has its slot: after 400 ms, or when its task is done or cancelled, it is dropped unsent, and the task is placed anew by its rank. Heartbeats after a report of ends are spaced by 0.25 ms for each runner (200 ms at most), so that a leader of 925 runners, as at that peak, spends less on them.

Measured: TestLateStarts, TestHeartbeatSpacing.

--- a/lead/calls.go
+++ b/lead/calls.go
@@ -83,6 +83,11 @@
 }
 
 func (c *call) sendStart(ctx context.Context) (ok bool) {
+	send := false
+	c.leader.withSched(func(scheduler *sched.Scheduler) { send = scheduler.MaySend(c.start, c.leader.clock.Now()) })
+	if !send {
+		return true
+	}
 	bounded, cancel := context.WithTimeout(ctx, runnerTimeout)
 	defer cancel()
 	answer, err := c.leader.manager.config.Runners.Start(bounded, c.runner, c.runOrder)
--- a/sched/answers.go
+++ b/sched/answers.go
@@ -6,6 +6,26 @@
 	glade "indigoglade"
 )
 
+// maxStartWait is how long a start may wait until it is sent. The decision for it, and
+// the lease that it carries, are then too old.
+const maxStartWait = 400 * time.Millisecond
+
+// MaySend reports whether a start that has waited to be sent is still wanted. If it is
+// not, the start must not be sent: its run is dropped, and the task can be placed anew.
+func (s *Scheduler) MaySend(o Start, now time.Time) bool {
+	n := o.run
+	if !n.runner.runs[n] {
+		n.orderInFlight = false
+		return false
+	}
+	if n.phase == starting && !n.task().done && !n.step.occurrence.batch.state.IsFinal() && now.Sub(n.startedAt) <= maxStartWait {
+		return true
+	}
+	n.orderInFlight = false
+	s.removeRun(n, now)
+	return false
+}
+
 // Started processes the answer to a start. It returns false if the runner has
 // seen a newer leader. The answer for a run that was given up meanwhile only shows
 // whether the runner may have restarted.
--- a/sched/rules_test.go
+++ b/sched/rules_test.go
@@ -7,6 +7,7 @@
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/sched"
 )
 
 // runNumbers returns the run numbers of the starts so far, in their order.
@@ -150,6 +151,47 @@
 	})
 }
 
+// A leader that is behind can't tell a slow run from one whose end it has not read, and
+// its copy would start after that end.
+func TestLateStarts(t *testing.T) {
+	t.Run("a leader whose starts are answered late makes no copies", func(t *testing.T) {
+		r := newHarness(qt.New(t), 3, twoCores)
+		r.sched.SetStartRate(1e6)
+		r.advance(time.Second)
+		r.delayAnswers = true
+		r.submit("x", oneTask(100000))
+		r.advance(time.Second)
+		r.sched.Started(r.delayed[0], glade.RunAnswer{}, nil, r.now)
+		r.delayAnswers = false
+		r.submit("a", batchOf(glade.Step{Count: 1, Need: core, Estimate: 500, AllowsCopies: true}))
+		r.advance(2 * time.Second)
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+	})
+	newPlaced := func(t *testing.T) (*harness, sched.Start) {
+		r := newIdleHarness(t)
+		r.submit("a", oneTask(500))
+		r.sched.FinishWrite(r.sched.BeginWrite(), true, r.now)
+		orders := r.sched.Step(r.now)
+		r.c.Assert(orders.Starts, qt.HasLen, 1)
+		return r, orders.Starts[0]
+	}
+	t.Run("a start that is due may be sent", func(t *testing.T) {
+		r, start := newPlaced(t)
+		r.c.Assert(r.sched.MaySend(start, r.now.Add(10*time.Millisecond)), qt.IsTrue)
+	})
+	t.Run("one that has waited too long is placed anew", func(t *testing.T) {
+		r, start := newPlaced(t)
+		r.now = r.now.Add(600 * time.Millisecond)
+		r.c.Assert(r.sched.MaySend(start, r.now), qt.IsFalse)
+		r.c.Assert(r.sched.Step(r.now).Starts, qt.HasLen, 1)
+	})
+	t.Run("one of a cancelled batch is not sent", func(t *testing.T) {
+		r, start := newPlaced(t)
+		r.sched.Cancel("a", r.now)
+		r.c.Assert(r.sched.MaySend(start, r.now), qt.IsFalse)
+	})
+}
+
 func TestSpeculation(t *testing.T) {
 	expectRuns := func(name string, st glade.Step, busy int, want int) {
 		t.Run(name, func(t *testing.T) {
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -306,6 +306,9 @@
 		s.startIncarnation(r, answer, now)
 	}
 	r.clock, r.clockAt = answer.Clock, now
+	if len(answer.Ended) > 0 {
+		r.nextHeartbeat = now.Add(min(time.Duration(len(s.ordered))*heartbeatSpacing, maxHeartbeatSpacing))
+	}
 	first := !r.contacted
 	r.contacted = true
 	if first {
@@ -319,6 +322,14 @@
 	return true
 }
 
+// Pauses before the next heartbeat after one that has reported ends. Runners whose tasks
+// end some times a second are then asked less often and report several ends at once, so
+// that heartbeats take no more than a quarter of a strong host's processor.
+const (
+	heartbeatSpacing    = 250 * time.Microsecond // for each runner of the service
+	maxHeartbeatSpacing = 200 * time.Millisecond
+)
+
 // Backoff between heartbeats to an unresponsive runner: heartbeatBackoff for each
 // missed one, up to maxHeartbeatBackoff.
 const (
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -46,7 +46,9 @@
 	// askedCounts holds the number of runners in each advice request.
 	askedCounts []int
 	startOrders []glade.StartOrder
-	attempts    int // heartbeats that have arrived or failed
+	// attempts counts heartbeats that have arrived or failed, attemptsOn those of each runner.
+	attempts   int
+	attemptsOn map[glade.RunnerID]int
 	// loseAdvice keeps answers of the advice service back; lostAdvice holds those requests.
 	loseAdvice bool
 	lostAdvice []sched.AdviceRequest
@@ -251,6 +253,10 @@
 func (r *harness) heartbeat(o sched.Heartbeat, sent time.Time) {
 	f := r.runners[o.To.ID]
 	r.attempts++
+	if r.attemptsOn == nil {
+		r.attemptsOn = make(map[glade.RunnerID]int)
+	}
+	r.attemptsOn[o.To.ID]++
 	if f.unresponsive {
 		r.sched.HeartbeatAnswered(o.To.ID, sent, o.Order, glade.HeartbeatAnswer{}, fmt.Errorf("no answer"), r.now)
 		return
@@ -743,6 +749,31 @@
 	})
 }
 
+// A leader of many runners spends more on heartbeats than on starts if each end of a run
+// takes one.
+func TestHeartbeatSpacing(t *testing.T) {
+	expectAttempts := func(name string, runners int, check func(c *qt.C, attempts int)) {
+		t.Run(name, func(t *testing.T) {
+			r := newHarness(qt.New(t), runners, glade.Need{CPU: 100000, Memory: 1000000})
+			r.longPoll = time.Second
+			r.submit("a", batchOf(glade.Step{Count: 50, Need: core, Estimate: 100000}))
+			r.advance(500 * time.Millisecond)
+			id := r.runnerOf("a")
+			r.advance(time.Second)
+			f := r.runners[id]
+			before := r.attemptsOn[id]
+			for range 40 { // a run ends each 20 ms
+				f.end(f.running[0].Task, f.running[0].Run, glade.EndDone)
+				r.longPoll = 0
+				r.advance(20 * time.Millisecond)
+			}
+			check(r.c, r.attemptsOn[id]-before)
+		})
+	}
+	expectAttempts("few runners report each end at once", 2, func(c *qt.C, attempts int) { c.Assert(attempts >= 15, qt.IsTrue, qt.Commentf("%d", attempts)) })
+	expectAttempts("many report several ends at once", 800, func(c *qt.C, attempts int) { c.Assert(attempts <= 6, qt.IsTrue, qt.Commentf("%d", attempts)) })
+}
+
 func TestLeavingRunner(t *testing.T) {
 	t.Run("that does not answer is rarely asked", func(t *testing.T) {
 		r := newHarness(qt.New(t), 1, twoCores)
--- a/sched/speculate.go
+++ b/sched/speculate.go
@@ -18,6 +18,9 @@
 // speculate starts second runs of slow tasks whose step allows it, in capacity
 // that nothing else waits for. The first run to be done counts.
 func (s *Scheduler) speculate(usable []*runner, now time.Time) []Start {
+	if s.isBehind(now) {
+		return nil
+	}
 	var starts []Start
 	spare := -1
 	for st := range s.ready {
@@ -50,6 +53,12 @@
 	return starts
 }
 
+// isBehind reports whether this leader reads answers or sends starts late. A run that
+// looks slow to it may have ended long ago, and a second one would come too late.
+func (s *Scheduler) isBehind(now time.Time) bool {
+	return s.pace.rate < s.pace.limit || now.Sub(s.delayedAt) <= punctualTime
+}
+
 func (s *Scheduler) isSlow(n *run, now time.Time) bool {
 	estimate := time.Duration(float64(n.step.rule.Estimate)*s.estimates.factor(n.step.occurrence.batch.queue)) * time.Millisecond
 	return n.phase == running && now.Sub(n.startedAt) > max(time.Duration(speculationRatio*float64(estimate)), minSpeculationAge)
