--- a/lead/directory_test.go
+++ b/lead/directory_test.go
@@ -70,7 +70,7 @@
 // call to the store.
 func TestTermPolls(t *testing.T) {
 	polls := func(t *testing.T, hosts, refreshes int) (perSecond int64) {
-		synctest.Test(t, func(t *testing.T) {
+		synctest.Test(t, func(*testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			table := &feedCounter{PartitionedTable: memory.NewPartitionedTable()}
