--- a/sched/runner.go
+++ b/sched/runner.go
@@ -232,38 +232,6 @@
 	return false
 }
 
-// goneAfter is how long a runner must have been unresponsive before the inventory
-// was read. Otherwise its absence there does not prove that it is gone: the
-// inventory lags, and so does the entry of a new runner.
-const goneAfter = 700 * time.Millisecond
-
-// RunnersGone reports that runners were missing from the inventory when it was
-// read, at asOf. It gives up the runs of those that were unresponsive by then and
-// deregisters them. A runner that started later is not in the inventory either.
-func (s *Scheduler) RunnersGone(ids []glade.RunnerID, asOf, now time.Time) {
-	for _, id := range ids {
-		r, ok := s.runners[id]
-		if !ok || (r.contacted && (r.missed == 0 || asOf.Sub(r.lastAnswerAt) < goneAfter)) {
-			continue
-		}
-		if !r.contacted && asOf.Sub(s.leaderSince) < goneAfter {
-			continue
-		}
-		for n := range r.runs {
-			// A newer leader may have seen the end of the run before the runner was gone.
-			n.task().lostAt = now
-		}
-		dropped := s.giveUpRuns(r, now)
-		if dropped > 0 || s.mayHaveUnknownRuns(id, now) {
-			s.addEvent("gone", "runner", id, "runs", dropped, "heard", sinceMillis(now, r.lastAnswerAt))
-			s.needsPlacement = true
-		}
-		if len(r.runs) == 0 {
-			s.deregister(id)
-		}
-	}
-}
-
 // HeartbeatAnswered processes the answer to a heartbeat that was sent at the
 // given time. It returns false if the runner has seen a newer leader.
 func (s *Scheduler) HeartbeatAnswered(id glade.RunnerID, sent time.Time, order glade.HeartbeatOrder, answer glade.HeartbeatAnswer, err error, now time.Time) bool {
@@ -452,57 +420,3 @@
 	}
 	return n
 }
-
-// giveUpMissing gives up the runs that the runner should list and does not.
-func (s *Scheduler) giveUpMissing(r *runner, sent time.Time, answer glade.HeartbeatAnswer, now time.Time) {
-	listed := make(map[*run]bool, len(answer.Running))
-	for _, active := range answer.Running {
-		if n := s.findRun(r, active.Task, active.Run); n != nil {
-			listed[n] = true
-		}
-	}
-	for n := range r.runs {
-		if listed[n] || (n.orderInFlight && n.phase == starting) {
-			continue
-		}
-		settled := n.phase != unconfirmed && !n.settledAt.IsZero() && n.settledAt.Before(sent)
-		expired := n.phase != starting && n.leaseEnd > 0 && answer.Clock > n.leaseEnd && n.settledAt.IsZero()
-		if settled || expired {
-			s.stats.Lost++
-			s.addEvent("lost", "runner", r.info.ID, "batch", n.step.occurrence.batch.id, "step", n.step.index,
-				"task", n.index, "run", n.number, "phase", int(n.phase))
-			n.task().lostAt = now
-			s.removeRun(n, now)
-		}
-	}
-}
-
-// giveUpRuns detaches every run from a runner, except those with an order in
-// flight, and returns their number.
-func (s *Scheduler) giveUpRuns(r *runner, now time.Time) int {
-	dropped := 0
-	for n := range r.runs {
-		if !n.orderInFlight {
-			dropped++
-			s.removeRun(n, now)
-		}
-	}
-	return dropped
-}
-
-// lapse gives up the runs on runners whose leases have ended. A newer leader may
-// have renewed those leases, so that a renewal of the leader row after their end
-// is needed first. A run may also have ended before its lease, and its runner may have
-// said so in an answer that this leader has not read yet: so the runner is asked once
-// more after the end of the leases, unless there is no address to ask.
-func (s *Scheduler) lapse(now time.Time) {
-	for _, r := range s.runners {
-		if len(r.runs) == 0 || !r.leasesExpired(now) || (!r.silentAfterLease && r.info.Address != "") || !s.confirmedSince(r.lapse()) {
-			continue
-		}
-		if dropped := s.giveUpRuns(r, now); dropped > 0 {
-			s.stats.Lapsed += int64(dropped)
-			s.addEvent("lapsed", "runner", r.info.ID, "runs", dropped, "heard", sinceMillis(now, r.lastAnswerAt), "renewed", sinceMillis(now, s.renewedAt))
-		}
-	}
-}
