Give up runs on a runner that refuses heartbeats; a gang that fits nowhere uses no pace

Cause, found by rereading the change: since a run is given up only after one more unanswered heartbeat, a refused one did not count, so that the runs of a runner whose address refuses them (it went to another service, or the runner is unhealthy) were kept for ever unless the inventory said that it is gone. And each failed attempt to place a gang was charged to the pace of starts, which kept later steps waiting.

Change: a refusal after the leases counts like silence. The pace is charged where a start is made, not where a run is tried.

Measured: TestStarvedLeader "restarts what ran on a runner whose address now refuses heartbeats" and TestLateStarts "a gang that fits nowhere uses up no pace" failed before.

--- a/sched/gang.go
+++ b/sched/gang.go
@@ -36,6 +36,7 @@
 		}
 		starts := make([]Start, 0, len(placed))
 		for _, n := range placed {
+			s.pace.take(startBytes(&st.occurrence.batch.work))
 			starts = append(starts, Start{run: n})
 		}
 		return starts
--- a/sched/place.go
+++ b/sched/place.go
@@ -242,6 +242,7 @@
 
 // startRun assigns a new run to a runner and returns its start order.
 func (s *Scheduler) startRun(st *step, index int, number int64, r *runner, now time.Time) Start {
+	s.pace.take(startBytes(&st.occurrence.batch.work))
 	return Start{run: s.assignRun(st, index, number, r, now)}
 }
 
@@ -249,7 +250,6 @@
 // the runs of the task from 1 under this leader.
 func (s *Scheduler) assignRun(st *step, index int, number int64, r *runner, now time.Time) *run {
 	t := &st.tasks[index]
-	s.pace.take(startBytes(&st.occurrence.batch.work))
 	n := &run{
 		step: st, index: index, number: (s.config.Epoch-1)*runsPerEpoch + number, runner: r,
 		phase: starting, startedAt: now, progressedAt: now, speedPercent: fullSpeedPercent, leaseEnd: s.grantLease(r, now), checkpoint: t.checkpoint,
--- a/sched/rules_test.go
+++ b/sched/rules_test.go
@@ -167,6 +167,16 @@
 		r.advance(2 * time.Second)
 		r.c.Assert(r.running("a"), qt.Equals, 1)
 	})
+	t.Run("a gang that fits nowhere uses up no pace", func(t *testing.T) {
+		r := newHarness(qt.New(t), 2, twoCores)
+		r.advance(time.Second)
+		r.sched.SetStartRate(20_000)
+		r.submit("g", batchOf(glade.Step{Count: 8, Need: core, Estimate: 500, Gang: true}))
+		r.advance(40 * time.Millisecond)
+		r.submit("a", oneTask(500))
+		r.advance(300 * time.Millisecond)
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+	})
 	newPlaced := func(t *testing.T) (*harness, sched.Start) {
 		r := newIdleHarness(t)
 		r.submit("a", oneTask(500))
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -34,7 +34,7 @@
 	// nextHeartbeat is the earliest time of the next heartbeat.
 	nextHeartbeat time.Time
 	// silentAfterLease means that a heartbeat which was sent after the end of every lease
-	// got no answer, although this leader was punctual.
+	// got no answer or was refused, although this leader was punctual.
 	silentAfterLease bool
 	// missed counts heartbeats in a row that were not answered or not accepted.
 	missed int
@@ -241,11 +241,13 @@
 	}
 	r.heartbeatInFlight = false
 	s.idleBeat[r], s.touched[r] = true, true
+	// A refusal shows as well that this leader can learn nothing more from the runner.
+	unheard := err != nil || answer.Refused != glade.RunAccepted
+	if unheard && r.leasesExpired(sent) && now.Sub(s.delayedAt) > punctualTime {
+		r.silentAfterLease = true
+	}
 	if err != nil {
 		r.missed++
-		if r.leasesExpired(sent) && now.Sub(s.delayedAt) > punctualTime {
-			r.silentAfterLease = true
-		}
 		leaving := len(r.runs) == 0 && !r.evacuateAskedAt.IsZero()
 		if !leaving && (r.missed == 1 || r.missed%10 == 0) {
 			s.addEvent("silent", "runner", id, "missed", r.missed, "heard", sinceMillis(now, r.lastAnswerAt), "error", err.Error())
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -65,6 +65,9 @@
 	incarnation  int64
 	startedAt    time.Time
 	unresponsive bool
+	// refuses makes the runner refuse heartbeats, as one does that has taken over the
+	// address of another.
+	refuses bool
 	running      []glade.ActiveRun
 	unackedEnds  []glade.EndedRun
 	endCount     int64
@@ -261,6 +264,10 @@
 		r.sched.HeartbeatAnswered(o.To.ID, sent, o.Order, glade.HeartbeatAnswer{}, fmt.Errorf("no answer"), r.now)
 		return
 	}
+	if f.refuses {
+		r.sched.HeartbeatAnswered(o.To.ID, sent, o.Order, glade.HeartbeatAnswer{Refused: glade.RefusedOther}, nil, r.now)
+		return
+	}
 	f.leaseEnd = max(f.leaseEnd, o.Order.LeaseUntil)
 	for !r.loseAcks && len(f.unackedEnds) > 0 && f.unackedEnds[0].Seq <= o.Order.AckedSeq {
 		f.unackedEnds = f.unackedEnds[1:]
@@ -732,6 +739,13 @@
 		r.advance(2 * time.Second)
 		r.c.Assert(r.startOrders, qt.HasLen, 2)
 	})
+	t.Run("restarts what ran on a runner whose address now refuses heartbeats", func(t *testing.T) {
+		r, first := newLongRunningHarness(qt.New(t))
+		r.runners[first].refuses = true
+		r.runners[first].running = nil
+		r.advance(7 * time.Second)
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+	})
 	t.Run("does not take its own delay for a silent runner", func(t *testing.T) {
 		r := newStarved(t)
 		for range 4 {
