--- a/sched/rules_test.go
+++ b/sched/rules_test.go
@@ -171,7 +171,7 @@
 		r := newHarness(qt.New(t), 2, twoCores)
 		r.advance(time.Second)
 		r.sched.SetStartRate(20_000)
-		r.submit("g", batchOf(glade.Step{Count: 8, Need: core, Estimate: 500, Gang: true}))
+		r.submit("g", batchOf(glade.Step{Count: 8, Need: core, Estimate: 100, Gang: true}))
 		r.advance(40 * time.Millisecond)
 		r.submit("a", oneTask(500))
 		r.advance(300 * time.Millisecond)
