--- a/sched/admit_test.go
+++ b/sched/admit_test.go
@@ -111,6 +111,19 @@
 }
 
 func TestLoad(t *testing.T) {
+	// Hosts on which no task can be started stay idle in the pool, and others lack them.
+	t.Run("offered work is bounded by what the leader can start", func(t *testing.T) {
+		r := newHarness(qt.New(t), 4, twoCores)
+		r.sched.SetStartRate(10_000)
+		r.advance(time.Second)
+		for i := range 200 {
+			r.submit(glade.BatchID(fmt.Sprint(i)), batchOf(glade.Step{Count: 4, Need: core, Estimate: 400}))
+			r.advance(20 * time.Millisecond)
+		}
+		// 25 starts of 400 bytes and a little a second, 0.4 s on one core each.
+		offered := r.sched.Demand(r.now).Offered
+		r.c.Assert(offered > 0 && offered <= 25*400, qt.IsTrue, qt.Commentf("%d millicores", offered))
+	})
 	expectLoad := func(name string, late bool) {
 		t.Run(name, func(t *testing.T) {
 			r := newHarness(qt.New(t), 1, twoCores)
