--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -200,19 +200,19 @@
 	w.claim()
 	for range rapid.IntRange(20, 100).Draw(t, "actions") {
 		l := w.leaders[rapid.IntRange(max(len(w.leaders)-3, 0), len(w.leaders)-1).Draw(t, "leader")]
-		host := rapid.SampledFrom([]glade.Host{"a", "a", "b"}).Draw(t, "host")
+		host := rapid.SampledFrom([]glade.Host{"a", "a", "a", "b"}).Draw(t, "host")
 		switch action := rapid.IntRange(0, 11).Draw(t, "action"); {
 		case w.now < l.suspendedUntil:
 		case action < 4:
 			w.record(l, host)
 		case action < 8:
 			w.send(l, host)
-		case action == 8 && len(w.leaders) < maxLeaders:
+		case (action == 8 || action == 10) && len(w.leaders) < maxLeaders:
 			w.claim()
 		case action == 9:
 			l.suspendedUntil = w.now + delay(t, 8*time.Second)
 		}
-		w.advance(delay(t, time.Second))
+		w.advance(delay(t, 600*time.Millisecond))
 	}
 	w.advance(10 * time.Second)
 	return w.broken
