Service leaders refuse a fleet leader that another has replaced

Cause: a fleet leader that is cut off from the store and replaced still reaches the leaders of services. Ruled out: checking it at the fleet leader alone, which learns of its successor only from the store.

Change: LoadArgs carries the fencing token of the fleet leader. A process refuses a lower one than it knows from calls or from the stored terms, and names the newest; the replaced leader then stops. TestReplacedFleetLeader: without the check two of its three cases fail.

--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -172,7 +172,10 @@
 	waves := f.manager.waves
 	f.manager.mu.Unlock()
 	f.refreshInventory(ctx, now)
-	loads := f.fetchLoads(ctx, rules)
+	loads, err := f.fetchLoads(ctx, rules)
+	if err != nil {
+		return err
+	}
 	f.mu.Lock()
 	now = f.clock.Now()
 	f.planner.SetSparePools(rules)
--- /dev/null
+++ b/lead/load_test.go
@@ -0,0 +1,81 @@
+package lead
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-logr/logr"
+
+	glade "indigoglade"
+	"indigoglade/clock"
+	"indigoglade/sched"
+)
+
+const testService glade.Service = "quotes"
+
+// newLoadedManager returns the manager of a process that leads testService with the
+// runners r1 and r2.
+func newLoadedManager() *Manager {
+	m := New(Config{
+		Clock: clock.System{}, Log: logr.Discard(),
+		Directory: NewDirectory(DirectoryConfig{Self: "h1", Clock: clock.System{}, Log: logr.Discard()}),
+	})
+	leader := newServiceLeader(m, &leadership{manager: m, service: testService, clock: clock.System{}, stepWake: make(chan struct{}, 1)})
+	now := time.Now()
+	leader.sched = sched.New(sched.Config{Service: testService, Epoch: 1}, now)
+	leader.sched.SetRunners([]glade.RunnerInfo{{ID: "r1", Service: testService}, {ID: "r2", Service: testService}}, now)
+	m.leaders[testService] = leader
+	return m
+}
+
+// evacuating returns the runners that the service evacuates, as the fleet leader of an
+// epoch is told.
+func evacuating(m *Manager, epoch int64) []glade.RunnerID {
+	var ids []glade.RunnerID
+	for _, runner := range m.loadLocal(LoadArgs{Service: testService, Epoch: epoch}).Load.Runners {
+		if runner.Evacuating {
+			ids = append(ids, runner.ID)
+		}
+	}
+	return ids
+}
+
+// TestReplacedFleetLeader guards against two fleet leaders that are obeyed at once: one
+// that has lost the store and was replaced still reaches the leaders of services, and
+// has them evacuate runners that its successor needs.
+func TestReplacedFleetLeader(t *testing.T) {
+	evacuate := func(m *Manager, epoch int64, id glade.RunnerID) LoadReply {
+		return m.loadLocal(LoadArgs{Service: testService, Epoch: epoch, EvacuateRunners: []glade.RunnerID{id}})
+	}
+	expectRefused := func(c *qt.C, reply LoadReply, newest int64) {
+		c.Helper()
+		c.Assert(reply.IsLeader, qt.IsFalse)
+		c.Assert(reply.Load.Runners, qt.HasLen, 0)
+		c.Assert(reply.FleetEpoch, qt.Equals, newest)
+	}
+	t.Run("evacuates nothing once its successor has called", func(t *testing.T) {
+		c, m := qt.New(t), newLoadedManager()
+		c.Assert(evacuate(m, 1, "r1").IsLeader, qt.IsTrue)
+		c.Assert(evacuate(m, 2, "r1").IsLeader, qt.IsTrue)
+		expectRefused(c, evacuate(m, 1, "r2"), 2)
+		c.Assert(evacuating(m, 2), qt.DeepEquals, []glade.RunnerID{"r1"})
+	})
+	t.Run("evacuates nothing if only the stored term names its successor", func(t *testing.T) {
+		c, m := qt.New(t), newLoadedManager()
+		m.config.Directory.RecordTerm(fleetService, Term{Node: "h3", Epoch: 3}, 1)
+		expectRefused(c, evacuate(m, 2, "r2"), 3)
+	})
+	t.Run("stops leading when it hears of its successor", func(t *testing.T) {
+		c, m := qt.New(t), newLoadedManager()
+		f := newFleetLeader(m, &leadership{manager: m, service: fleetService, term: Term{Node: "h1", Epoch: 1}, clock: clock.System{}})
+		rules := glade.Rules{Services: []glade.ServiceRule{{Service: testService}}}
+		loads, err := f.fetchLoads(context.Background(), rules)
+		c.Assert(err, qt.IsNil)
+		c.Assert(loads, qt.HasLen, 1)
+		evacuate(m, 2, "r1")
+		_, err = f.fetchLoads(context.Background(), rules)
+		c.Assert(err, qt.Equals, errNotLeader)
+	})
+}
--- a/lead/manager.go
+++ b/lead/manager.go
@@ -55,16 +55,18 @@
 
 // Manager claims services and holds their leaders in this process.
 type Manager struct {
-	config   Config
-	mu       sync.Mutex
-	leaders  map[glade.Service]*ServiceLeader
-	fleet    *FleetLeader
-	router   *Router
-	rules    glade.Rules
-	runners  map[glade.Service][]glade.RunnerInfo
-	waves    []glade.WaveOrder
-	stopping bool
-	running  sync.WaitGroup
+	config  Config
+	mu      sync.Mutex
+	leaders map[glade.Service]*ServiceLeader
+	fleet   *FleetLeader
+	// fleetEpoch is the newest epoch of a fleet leader that has called this process.
+	fleetEpoch int64
+	router     *Router
+	rules      glade.Rules
+	runners    map[glade.Service][]glade.RunnerInfo
+	waves      []glade.WaveOrder
+	stopping   bool
+	running    sync.WaitGroup
 }
 
 // New returns a manager that leads no service until Run is called.
