moves: the line pools counts hosts by what keeps them in their pool

Cause: the log could not answer why pools hold more hosts than they want while none is idle. Change: poolState is split by concern, counts hosts that can't leave by reason, and the line names them, the hosts wanted ahead and late work. No decision changes.

--- a/moves/pools.go
+++ b/moves/pools.go
@@ -69,6 +69,26 @@
 	// idle are the hosts that could leave because nothing runs on them. busy are those
 	// that run only short tasks, the ones with the fewest first.
 	idle, busy []glade.Host
+	// kept counts the other hosts by what keeps them in the pool.
+	kept keptHosts
+	// joining counts the hosts on which the service can't run tasks yet.
+	joining int
+	// hostCPU and hostMemory are the size of the largest host, in millicores and
+	// megabytes.
+	hostCPU, hostMemory int
+}
+
+// keptHosts counts hosts that can't leave their pool now.
+type keptHosts struct {
+	arriving    int // on the way to the pool, or not listed by its service yet
+	unavailable int // down for maintenance, being drained for it, or unresponsive
+	held        int // may still get orders of an earlier leader
+	arrived     int // in the pool for less than minPoolStay
+	longRunning int // run long-running tasks
+}
+
+func (k keptHosts) String() string {
+	return fmt.Sprintf("arriving %d unavailable %d held %d arrived %d long-running %d", k.arriving, k.unavailable, k.held, k.arrived, k.longRunning)
 }
 
 // planMoves plans moves to pools that are smaller than wanted. Hosts come from the
@@ -119,8 +139,9 @@
 	pairs := []any{"spare", idle}
 	for _, pool := range pools {
 		load := p.loads[pool.service]
-		pairs = append(pairs, string(pool.service), fmt.Sprintf("hosts %d wanted %d idle %d; cores demanded %d offered %d long-running %d; hosts for spread %d",
-			pool.size, pool.wanted, len(pool.idle), load.Demand/1000, load.Offered/1000, load.LongRunning/1000, load.MinRunners))
+		pairs = append(pairs, string(pool.service), fmt.Sprintf("hosts %d wanted %d ahead %d; idle %d busy %d %v; cores demanded %d late %d offered %d long-running %d; hosts for spread %d",
+			pool.size, pool.wanted, pool.ahead, len(pool.idle), len(pool.busy), pool.kept,
+			load.Demand/1000, load.Late/1000, load.Offered/1000, load.LongRunning/1000, load.MinRunners))
 	}
 	p.event("pools", pairs...)
 }
@@ -200,59 +221,83 @@
 		return nil
 	}
 	pool := &poolState{service: service}
-	hostCPU, hostMemory, joining := 0, 0, 0
-	runners := p.runners[service]
 	for host, info := range p.hosts {
-		a := p.pending[host]
-		switch {
-		case a != nil && a.spec.Kind == KindMove && a.spec.Pool == service:
-			pool.size++
-			joining++
-		case info.Pool != service || info.State == glade.HostDown,
-			a != nil && a.spec.Kind == KindMove:
-			continue
-		default:
-			pool.size++
-			r, ok := runners[info.Runner]
-			if !ok || !r.Responsive {
-				joining++
-			}
-			switch {
-			case !ok || a != nil || info.State != glade.HostUp || !r.Responsive || !p.hasStayed(host, now) || p.isHeld(host):
-			case r.Runs == 0:
-				pool.idle = append(pool.idle, host)
-			case r.LongRunning == 0:
-				pool.busy = append(pool.busy, host)
-			}
-		}
-		hostCPU, hostMemory = max(hostCPU, info.Capacity.CPU), max(hostMemory, info.Capacity.Memory)
+		p.addHost(pool, host, info, now)
 	}
-	if hostCPU == 0 {
-		hostCPU = p.maxHostCPU()
+	if pool.hostCPU == 0 {
+		pool.hostCPU = p.maxHostCPU()
 	}
-	if hostCPU == 0 {
+	if pool.hostCPU == 0 {
 		return nil
 	}
-	hosts := (float64(load.LongRunning) + tracker.smoothed*headroomFactor) / float64(hostCPU)
+	hostCPU := float64(pool.hostCPU)
+	hosts := (float64(load.LongRunning) + tracker.smoothed*headroomFactor) / hostCPU
 	ahead := max(p.forecast(tracker, now)*headroomFactor, float64(load.Demand+load.Late), p.extrapolate(load)*headroomFactor)
-	pool.ahead = int(math.Ceil((float64(load.LongRunning) + ahead) / float64(hostCPU)))
-	if hostMemory > 0 {
-		hosts = max(hosts, float64(load.Memory)/float64(hostMemory))
+	pool.ahead = int(math.Ceil((float64(load.LongRunning) + ahead) / hostCPU))
+	if pool.hostMemory > 0 {
+		hosts = max(hosts, float64(load.Memory)/float64(pool.hostMemory))
 	}
-	pool.base = max(int(math.Ceil(float64(load.LongRunning)/float64(hostCPU))), load.MinRunners)
+	pool.base = max(int(math.Ceil(float64(load.LongRunning)/hostCPU)), load.MinRunners)
 	if load.Unplaced > 0 {
 		// Enough capacity in sum can still leave no place for tasks that are large or
 		// must be spread. Hosts that are about to join the pool may be enough.
-		pool.base = max(pool.base, pool.size-joining+load.Unplaced)
+		pool.base = max(pool.base, pool.size-pool.joining+load.Unplaced)
 	}
 	pool.wanted = max(int(math.Ceil(hosts))+reserveHosts, load.MinRunners+reserveHosts, pool.base)
+	p.sortHosts(pool)
+	return pool
+}
+
+// addHost adds a host to a pool that it belongs to or is on the way to.
+func (p *Planner) addHost(pool *poolState, host glade.Host, info glade.HostInfo, now time.Time) {
+	action := p.pending[host]
+	moving := action != nil && action.spec.Kind == KindMove
+	switch {
+	case moving && action.spec.Pool == pool.service:
+		pool.joining++
+		pool.kept.arriving++
+	case moving || info.Pool != pool.service || info.State == glade.HostDown:
+		return
+	default:
+		p.addMember(pool, host, info, now)
+	}
+	pool.size++
+	pool.hostCPU, pool.hostMemory = max(pool.hostCPU, info.Capacity.CPU), max(pool.hostMemory, info.Capacity.Memory)
+}
+
+// addMember classifies a host of a pool by whether it can leave.
+func (p *Planner) addMember(pool *poolState, host glade.Host, info glade.HostInfo, now time.Time) {
+	runner, listed := p.runners[pool.service][info.Runner]
+	if !listed || !runner.Responsive {
+		pool.joining++
+	}
+	switch {
+	case !listed:
+		pool.kept.arriving++
+	case p.pending[host] != nil || info.State != glade.HostUp || !runner.Responsive:
+		pool.kept.unavailable++
+	case !p.hasStayed(host, now):
+		pool.kept.arrived++
+	case p.isHeld(host):
+		pool.kept.held++
+	case runner.Runs == 0:
+		pool.idle = append(pool.idle, host)
+	case runner.LongRunning == 0:
+		pool.busy = append(pool.busy, host)
+	default:
+		pool.kept.longRunning++
+	}
+}
+
+// sortHosts puts the hosts first that should leave the pool first.
+func (p *Planner) sortHosts(pool *poolState) {
+	runs := func(host glade.Host) int { return p.runners[pool.service][p.hosts[host].Runner].Runs }
 	slices.SortFunc(pool.busy, func(a, b glade.Host) int {
-		return cmp.Or(cmp.Compare(runners[p.hosts[a].Runner].Runs, runners[p.hosts[b].Runner].Runs), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(runs(a), runs(b)), cmp.Compare(a, b))
 	})
 	slices.SortFunc(pool.idle, func(a, b glade.Host) int {
 		return cmp.Or(cmp.Compare(p.hosts[a].Rack, p.hosts[b].Rack), cmp.Compare(a, b))
 	})
-	return pool
 }
 
 // extrapolate returns the demand that will be offered to a service when a host that
