A call between hosts that fails or is malformed ends alone, not with its process

A panic in a handler of jrpc ended the process (the library runs handlers in goroutines of its own), and a message of any size was read into memory.

--- a/jrpc/jrpc.go
+++ b/jrpc/jrpc.go
@@ -20,8 +20,17 @@
 // Mux maps method names to handlers.
 type Mux struct {
 	handlers map[string]rawHandler
+	panics   atomic.Int64
+	onPanic  func(method string, cause any)
 }
 
+// OnPanic sets a function that is called when a handler panics. It must be called before
+// the mux serves.
+func (m *Mux) OnPanic(fn func(method string, cause any)) { m.onPanic = fn }
+
+// Panics returns the number of calls that ended because their handler panicked.
+func (m *Mux) Panics() int64 { return m.panics.Load() }
+
 type rawHandler func(ctx context.Context, params json.RawMessage) (any, error)
 
 // NewMux returns a mux without handlers.
@@ -40,7 +49,20 @@
 	}
 }
 
-func (m *Mux) serve(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
+// serve calls the handler of a request. A handler that panics ends its request with an
+// error, and not the process, which serves others.
+func (m *Mux) serve(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (result any, err error) {
+	defer func() {
+		cause := recover()
+		if cause == nil {
+			return
+		}
+		m.panics.Add(1)
+		if m.onPanic != nil {
+			m.onPanic(request.Method, cause)
+		}
+		result, err = nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInternalError, Message: "handler of " + request.Method + " failed"}
+	}()
 	handler, ok := m.handlers[request.Method]
 	if !ok {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: request.Method}
@@ -106,7 +128,7 @@
 			return
 		}
 	}
-	jsonrpc2.NewConn(ctx, jsonrpc2.NewPlainObjectStream(a.conn), a.handler, jsonrpc2.SetLogger(discardLogger{}))
+	jsonrpc2.NewConn(ctx, newStream(a.conn), a.handler, jsonrpc2.SetLogger(discardLogger{}))
 }
 
 // Config configures a Client.
@@ -168,7 +190,7 @@
 	}
 	// The connection outlives the call that opened it.
 	background := context.WithoutCancel(ctx)
-	c.conn = jsonrpc2.NewConn(background, jsonrpc2.NewPlainObjectStream(raw), jsonrpc2.HandlerWithError(rejectCall),
+	c.conn = jsonrpc2.NewConn(background, newStream(raw), jsonrpc2.HandlerWithError(rejectCall),
 		jsonrpc2.SetLogger(discardLogger{}))
 	return c.conn, nil
 }
--- /dev/null
+++ b/jrpc/stream.go
@@ -0,0 +1,64 @@
+package jrpc
+
+import (
+	"encoding/json"
+	"io"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// maxMessageBytes bounds one message: the runner loads of a service with thousands of
+// runners take some hundred kilobytes.
+const maxMessageBytes = 8 << 20
+
+// errMessageTooLarge ends a connection whose peer sends a message beyond maxMessageBytes.
+var errMessageTooLarge = errors.Errorf("message is larger than %d bytes", maxMessageBytes)
+
+// stream reads and writes JSON messages on a connection. A message beyond
+// maxMessageBytes ends the connection, so that no peer can use up the memory of the
+// process.
+type stream struct {
+	conn    io.ReadWriteCloser
+	reader  *boundedReader
+	decoder *json.Decoder
+	writing sync.Mutex
+	encoder *json.Encoder
+}
+
+func newStream(conn io.ReadWriteCloser) *stream {
+	reader := &boundedReader{reader: conn}
+	return &stream{conn: conn, reader: reader, decoder: json.NewDecoder(reader), encoder: json.NewEncoder(conn)}
+}
+
+// WriteObject writes one message.
+func (s *stream) WriteObject(v any) error {
+	s.writing.Lock()
+	defer s.writing.Unlock()
+	return s.encoder.Encode(v)
+}
+
+// ReadObject reads the next message.
+func (s *stream) ReadObject(v any) error {
+	s.reader.left = maxMessageBytes
+	return s.decoder.Decode(v)
+}
+
+// Close closes the connection.
+func (s *stream) Close() error { return s.conn.Close() }
+
+// boundedReader reads up to left bytes.
+type boundedReader struct {
+	reader io.Reader
+	left   int
+}
+
+// Read implements io.Reader.
+func (r *boundedReader) Read(data []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errMessageTooLarge
+	}
+	n, err := r.reader.Read(data[:min(len(data), r.left)])
+	r.left -= n
+	return n, err
+}
