Lost answers of runners are given up in a fifth of the time

Change: the timeout of starts, stops and heartbeats follows the answers seen (mean and four deviations, 200 to 700 ms); runners with short tasks wait 250 ms instead of 1 s with their answer, for 5 s after one got lost. The line of a batch names its objective and its wait.

--- a/lead/calls.go
+++ b/lead/calls.go
@@ -33,12 +33,12 @@
 	advice    sched.AdviceRequest
 }
 
-// Timeouts of calls. A runner answers within a few milliseconds; a call that takes
-// longer than its timeout counts as unanswered.
+// Timeouts of calls. A call that takes longer counts as unanswered. Starts, stops and
+// heartbeats have the timeout of the leader's answerTimer, heartbeats in addition to
+// the time that the runner may wait.
 const (
-	runnerTimeout  = 700 * time.Millisecond
-	heartbeatSlack = 700 * time.Millisecond // added to the time that the runner may wait
-	adviceTimeout  = 3 * time.Second
+	throttleTimeout = 700 * time.Millisecond
+	adviceTimeout   = 3 * time.Second
 )
 
 // run waits for a free slot if the call needs one, makes the call and passes the answer
@@ -88,24 +88,28 @@
 	if !send {
 		return true
 	}
-	bounded, cancel := context.WithTimeout(ctx, runnerTimeout)
+	bounded, cancel := context.WithTimeout(ctx, c.leader.answers.timeout())
 	defer cancel()
+	sent := c.leader.clock.Now()
 	answer, err := c.leader.manager.config.Runners.Start(bounded, c.runner, c.runOrder)
+	c.leader.answers.observe(c.leader.clock.Now().Sub(sent))
 	c.leader.withSched(func(scheduler *sched.Scheduler) { ok = scheduler.Started(c.start, answer, err, c.leader.clock.Now()) })
 	return ok
 }
 
 func (c *call) sendStop(ctx context.Context) (ok bool) {
-	bounded, cancel := context.WithTimeout(ctx, runnerTimeout)
+	bounded, cancel := context.WithTimeout(ctx, c.leader.answers.timeout())
 	defer cancel()
 	task, run := c.stop.Task()
+	sent := c.leader.clock.Now()
 	answer, err := c.leader.manager.config.Runners.Stop(bounded, c.runner, task, run, c.leader.term.Epoch)
+	c.leader.answers.observe(c.leader.clock.Now().Sub(sent))
 	c.leader.withSched(func(scheduler *sched.Scheduler) { ok = scheduler.Stopped(c.stop, answer, err, c.leader.clock.Now()) })
 	return ok
 }
 
 func (c *call) sendThrottle(ctx context.Context) (ok bool) {
-	bounded, cancel := context.WithTimeout(ctx, runnerTimeout)
+	bounded, cancel := context.WithTimeout(ctx, throttleTimeout)
 	defer cancel()
 	task, run, percent := c.throttle.Task()
 	answer, err := c.leader.manager.config.Runners.Throttle(bounded, c.runner, task, run, c.leader.term.Epoch, percent)
@@ -114,7 +118,7 @@
 }
 
 func (c *call) sendHeartbeat(ctx context.Context) (ok bool) {
-	bounded, cancel := context.WithTimeout(ctx, c.heartbeat.Order.Wait+heartbeatSlack)
+	bounded, cancel := context.WithTimeout(ctx, c.heartbeat.Order.Wait+c.leader.answers.timeout())
 	defer cancel()
 	sent := c.leader.clock.Now()
 	answer, err := c.leader.manager.config.Runners.Heartbeat(bounded, c.runner, c.heartbeat.Order)
--- a/lead/service.go
+++ b/lead/service.go
@@ -25,6 +25,7 @@
 	startRate      atomic.Int64  // bytes of starts per second; 0 means no limit
 	startSlots     chan struct{} // semaphore that bounds the starts and throttles in flight
 	stopSlots      chan struct{} // semaphore that bounds the stops in flight
+	answers        answerTimer   // of starts and stops
 	adviceMu       sync.Mutex    // the advice service takes one call at a time
 	cancel         context.CancelFunc
 	quit           chan struct{} // closed when this host steps down on its own
--- a/sched/answers.go
+++ b/sched/answers.go
@@ -61,7 +61,7 @@
 			s.touched[n.runner] = true
 		}
 		s.stats.Started++
-		s.markStarted(n.step.occurrence.batch)
+		s.markStarted(n.step.occurrence.batch, now)
 	default:
 		s.addEvent("refused", "runner", n.runner.info.ID, "batch", n.step.occurrence.batch.id, "why", string(refused),
 			"used", n.runner.used.CPU, "room", n.runner.info.Capacity.CPU)
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -16,6 +16,7 @@
 	submittedAt time.Time
 	accepted    bool // its row is written
 	started     bool // a task of it has started
+	startedAt   time.Time
 	// state is the decided state, writtenState the one that is written.
 	state, writtenState glade.BatchState
 	endedAt             time.Time
@@ -198,6 +199,15 @@
 	}
 }
 
+// waited returns the time from the submission of a batch to its first start; 0 if this
+// leader has not seen one.
+func (b *batch) waited() time.Duration {
+	if b.startedAt.IsZero() {
+		return 0
+	}
+	return b.startedAt.Sub(b.submittedAt)
+}
+
 // finish ends a batch in a final state.
 func (s *Scheduler) finish(b *batch, state glade.BatchState, now time.Time) {
 	if b.state.IsFinal() {
@@ -217,7 +227,8 @@
 	}
 	s.markChanged(b)
 	s.needsPlacement = true
-	s.addEvent("batch", "batch", b.id, "state", string(state), "queue", b.queue, "age", now.Sub(b.submittedAt).Milliseconds())
+	s.addEvent("batch", "batch", b.id, "state", string(state), "queue", b.queue, "age", now.Sub(b.submittedAt).Milliseconds(),
+		"objective", s.objective(b).Milliseconds(), "waited", b.waited().Milliseconds(), "lastChance", b.lastChance)
 }
 
 // taskDone marks a task as done, and with it its step, occurrence and batch when
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -45,7 +45,7 @@
 	if t.done || b.state.IsFinal() {
 		return b
 	}
-	b.started = true
+	s.markStarted(b, now)
 	switch end.Reason {
 	case glade.EndDone:
 		s.recordDone(st, end.Task.Index, now)
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -211,6 +211,26 @@
 	return stops
 }
 
+// Waits of heartbeats while answers get lost.
+const (
+	// lossyPeriod is how long after a lost answer further losses are expected.
+	lossyPeriod = 5 * time.Second
+	lossyWait   = 250 * time.Millisecond
+)
+
+// heartbeatWait returns how long a runner may delay its answer to a heartbeat. While
+// answers of runners get lost, those with short tasks wait less: until the timeout of a
+// lost one, this leader does not learn which tasks have ended there.
+func (s *Scheduler) heartbeatWait(r *runner, now time.Time) time.Duration {
+	switch {
+	case len(r.runs) == 0:
+		return max(idleRunnerWait, s.config.HeartbeatWait)
+	case now.Sub(s.answerLostAt) < lossyPeriod && r.hasShortRuns():
+		return min(lossyWait, s.config.HeartbeatWait)
+	}
+	return s.config.HeartbeatWait
+}
+
 // heartbeats returns the heartbeats that are due.
 func (s *Scheduler) heartbeats(now time.Time) []Heartbeat {
 	var heartbeats []Heartbeat
@@ -233,10 +253,7 @@
 				order.LeaseUntil = s.grantLease(r, now)
 			}
 			if r.missed == 0 {
-				order.Wait = s.config.HeartbeatWait
-			}
-			if r.missed == 0 && len(r.runs) == 0 {
-				order.Wait = max(idleRunnerWait, s.config.HeartbeatWait)
+				order.Wait = s.heartbeatWait(r, now)
 			}
 		}
 		if len(r.unwrittenEnds) > 0 {
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -106,6 +106,16 @@
 	}
 }
 
+// hasShortRuns reports whether a task that ends runs on the runner.
+func (r *runner) hasShortRuns() bool {
+	for n := range r.runs {
+		if !n.step.rule.LongRunning {
+			return true
+		}
+	}
+	return false
+}
+
 // allocation returns the resources that a task of a step reserves on a runner. A
 // task that uses only idle CPU reserves no CPU.
 func allocation(rule *glade.Step) glade.Need {
@@ -269,6 +279,7 @@
 	}
 	if r.missed > 0 {
 		s.addEvent("heard", "runner", id, "missed", r.missed)
+		s.answerLostAt = now
 	}
 	r.missed, r.lastAnswerAt, r.maybeRestarted, r.silentAfterLease = 0, now, false, false
 	r.answerDue = now.Add(s.config.HeartbeatWait + heartbeatSlack)
@@ -352,7 +363,7 @@
 		if n.phase == starting || n.phase == unconfirmed {
 			n.phase = running
 			n.settledAt = now
-			s.markStarted(n.step.occurrence.batch)
+			s.markStarted(n.step.occurrence.batch, now)
 		}
 		if sent.Sub(n.adoptedAt) > time.Duration(float64(s.config.StopTimeout)*clockDriftFactor)+leaseMargin {
 			// The runner has refused stops of the earlier leader since adoptedAt.
@@ -369,7 +380,12 @@
 	}
 }
 
-func (s *Scheduler) markStarted(b *batch) { b.started = true }
+// markStarted records that a task of a batch is known to have started.
+func (s *Scheduler) markStarted(b *batch, now time.Time) {
+	if !b.started {
+		b.started, b.startedAt = true, now
+	}
+}
 
 func (s *Scheduler) findTask(id glade.TaskID) (*step, *task) {
 	b, ok := s.batches[id.Batch]
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -91,6 +91,8 @@
 	confirmAfter time.Time
 	// steppedAt is when the last step was run, delayedAt when one was last run late.
 	steppedAt, delayedAt time.Time
+	// answerLostAt is when a runner last answered after a heartbeat without an answer.
+	answerLostAt time.Time
 	// leaderSince is when this leader took over.
 	leaderSince time.Time
 	// registered holds the runners that may run tasks of this leader or an earlier
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -37,6 +37,11 @@
 	// answerEnds lets runners answer a heartbeat as soon as they have an end to report.
 	answerEnds bool
 	heartbeats []pendingHeartbeat
+	// lose tells of the next start or heartbeat whether it gets lost, unless it is nil. The
+	// scheduler hears so after orderTimeout, for a heartbeat after its wait as well.
+	lose         func() bool
+	orderTimeout time.Duration
+	lostStarts   []lostStart
 	// loseStarts is the number of next starts that are neither carried out nor
 	// answered.
 	loseStarts int
@@ -194,8 +199,9 @@
 		r.sched.Advised(o, tickets, time.Minute, r.now)
 	}
 	for _, o := range orders.Heartbeats {
-		r.heartbeats = append(r.heartbeats, pendingHeartbeat{heartbeat: o, sent: r.now.Add(-time.Millisecond)})
+		r.heartbeats = append(r.heartbeats, pendingHeartbeat{heartbeat: o, sent: r.now.Add(-time.Millisecond), lost: r.lose != nil && r.lose()})
 	}
+	r.failLostStarts()
 	r.answerHeartbeats()
 	if !r.storeDown && r.sched.HasWrites() {
 		w := r.sched.BeginWrite()
@@ -215,6 +221,10 @@
 		r.sched.Started(o, glade.RunAnswer{}, fmt.Errorf("no answer"), r.now)
 		return
 	}
+	if r.lose != nil && r.lose() {
+		r.lostStarts = append(r.lostStarts, lostStart{start: o, failsAt: r.now.Add(r.orderTimeout)})
+		return
+	}
 	if r.loseStarts > 0 {
 		r.loseStarts--
 		r.sched.Started(o, glade.RunAnswer{}, fmt.Errorf("no answer"), r.now)
@@ -236,10 +246,30 @@
 	r.sched.Started(o, glade.RunAnswer{}, nil, r.now)
 }
 
-// pendingHeartbeat is a heartbeat that waits in a runner's long poll.
+// lostStart is a start that did not arrive.
+type lostStart struct {
+	start   sched.Start
+	failsAt time.Time
+}
+
+// failLostStarts tells the scheduler of the lost starts whose timeout is over.
+func (r *harness) failLostStarts() {
+	starts := r.lostStarts
+	r.lostStarts = nil
+	for _, lost := range starts {
+		if r.now.Before(lost.failsAt) {
+			r.lostStarts = append(r.lostStarts, lost)
+			continue
+		}
+		r.sched.Started(lost.start, glade.RunAnswer{}, errNoAnswer, r.now)
+	}
+}
+
+// pendingHeartbeat is a heartbeat that waits in a runner's long poll, or is lost.
 type pendingHeartbeat struct {
 	heartbeat sched.Heartbeat
 	sent      time.Time
+	lost      bool
 }
 
 // answerHeartbeats answers the heartbeats whose long poll is over.
@@ -247,6 +277,14 @@
 	heartbeats := r.heartbeats
 	r.heartbeats = nil
 	for _, w := range heartbeats {
+		if w.lost {
+			if r.now.Sub(w.sent) < w.heartbeat.Order.Wait+r.orderTimeout {
+				r.heartbeats = append(r.heartbeats, w)
+			} else {
+				r.sched.HeartbeatAnswered(w.heartbeat.To.ID, w.sent, w.heartbeat.Order, glade.HeartbeatAnswer{}, errNoAnswer, r.now)
+			}
+			continue
+		}
 		ends := r.runners[w.heartbeat.To.ID].unackedEnds
 		hasEnd := r.answerEnds && len(ends) > 0 && ends[len(ends)-1].Seq > w.heartbeat.Order.AckedSeq
 		if !hasEnd && r.now.Sub(w.sent) < min(w.heartbeat.Order.Wait, r.longPoll) {
