--- a/sched/health.go
+++ b/sched/health.go
@@ -85,31 +85,3 @@
 	}
 	return quarantined*3 >= len(s.runners)
 }
-
-// estimates corrects the callers' estimates by the run times seen in each queue.
-type estimates struct {
-	factors map[glade.Queue]float64
-}
-
-func (l *estimates) init() { l.factors = make(map[glade.Queue]float64) }
-
-const runWeight = 0.05 // weight of one run in the moving average
-
-func (l *estimates) observe(n *run, now time.Time) {
-	if n.step.rule.Estimate <= 0 || n.step.rule.LongRunning {
-		return
-	}
-	queue := n.step.occurrence.batch.queue
-	ratio := float64(now.Sub(n.startedAt).Milliseconds()) / float64(n.step.rule.Estimate)
-	ratio = min(ratio, maxRunTimeRatio)
-	l.factors[queue] = l.factor(queue)*(1-runWeight) + ratio*runWeight
-}
-
-const maxRunTimeRatio = 5 // a higher ratio of run time to estimate counts as this one
-
-func (l *estimates) factor(queue glade.Queue) float64 {
-	if f, ok := l.factors[queue]; ok {
-		return f
-	}
-	return 1
-}
