An isolated host answers at once, and notices it from overdue calls

Hypothesis: when a zone is cut off, its hosts keep callers until their deadline. Ruled out: refusing whenever the store is away; leaders that have not lost it serve on.

--- a/lead/isolation.go
+++ b/lead/isolation.go
@@ -16,13 +16,22 @@
 // is ready. A host that only lost the store stays ready, because it still
 // reaches leaders that have not lost it.
 type IsolationMonitor struct {
-	manager  *Manager
-	isolated atomic.Bool
+	manager *Manager
+	// nextProbe is the earliest time of the next probe because of an overdue call.
+	nextProbe time.Time
+
+	mu       sync.Mutex
+	isolated bool
+	// connected is done while the host is isolated.
+	connected  context.Context
+	disconnect context.CancelFunc
 }
 
-// NewIsolationMonitor returns a monitor that reports no isolation until it is run.
-func NewIsolationMonitor(manager *Manager) *IsolationMonitor {
-	return &IsolationMonitor{manager: manager}
+// newIsolationMonitor returns a monitor that reports no isolation until it is run.
+func newIsolationMonitor(manager *Manager) *IsolationMonitor {
+	m := &IsolationMonitor{manager: manager}
+	m.connected, m.disconnect = context.WithCancel(context.Background())
+	return m
 }
 
 // Intervals and timeouts of the isolation check.
@@ -34,6 +43,12 @@
 	isolationDelay = 300 * time.Millisecond
 	probeTimeout   = 350 * time.Millisecond
 	maxProbes      = 4 // hosts of other zones that are probed at once
+	// overdueCall is the age of an unanswered call to another host above which other
+	// zones are probed: a long poll of the store may show an outage only seconds later.
+	overdueCall = 400 * time.Millisecond
+	// probePause is the time between two probes because of overdue calls, which a slow
+	// store delays as well.
+	probePause = 600 * time.Millisecond
 )
 
 const methodPing = "ping"
@@ -47,21 +62,74 @@
 }
 
 // IsIsolated reports whether this host was isolated at the last check.
-func (m *IsolationMonitor) IsIsolated() bool { return m.isolated.Load() }
+func (m *IsolationMonitor) IsIsolated() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.isolated
+}
+
+// bound returns a context that also ends when this host becomes isolated.
+func (m *IsolationMonitor) bound(ctx context.Context) (context.Context, context.CancelFunc) {
+	m.mu.Lock()
+	connected := m.connected
+	m.mu.Unlock()
+	bounded, cancel := context.WithCancel(ctx)
+	stop := context.AfterFunc(connected, cancel)
+	return bounded, func() {
+		stop()
+		cancel()
+	}
+}
 
 // Run checks for isolation until ctx ends.
 func (m *IsolationMonitor) Run(ctx context.Context) error {
 	clock := m.manager.config.Clock
 	for clock.Sleep(ctx, isolationCheckPeriod) == nil {
-		outage := m.manager.config.Directory.StoreOutage(clock.Now())
-		isolated := outage > isolationDelay && !m.reachesOtherZone(ctx)
-		if m.isolated.Swap(isolated) != isolated {
-			m.manager.config.Log.Info("sight", "cut", isolated, "lost", outage.Milliseconds())
+		isolated := m.check(ctx, clock.Now())
+		if ctx.Err() == nil {
+			m.set(isolated)
 		}
 	}
 	return nil
 }
 
+// check reports whether this host is isolated now. It probes only if something points to
+// an isolation: an outage of the store, or an overdue call to another host.
+func (m *IsolationMonitor) check(ctx context.Context, now time.Time) bool {
+	storeAway := m.manager.config.Directory.StoreOutage(now) > isolationDelay
+	if !storeAway && !m.IsIsolated() {
+		if now.Before(m.nextProbe) || m.manager.router.oldestCall(now) < overdueCall {
+			return false
+		}
+		m.nextProbe = now.Add(probePause)
+	}
+	return !m.reachesOtherZone(ctx) && (storeAway || !m.reachesStore(ctx))
+}
+
+// reachesStore reports whether the store answers a read.
+func (m *IsolationMonitor) reachesStore(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	_, err := m.manager.config.PartitionedTable.Get(bounded, tableTerm, string(fleetService), singletonKey)
+	return err == nil
+}
+
+func (m *IsolationMonitor) set(isolated bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.isolated == isolated {
+		return
+	}
+	m.isolated = isolated
+	if isolated {
+		m.disconnect()
+	} else {
+		m.connected, m.disconnect = context.WithCancel(context.Background())
+	}
+	outage := m.manager.config.Directory.StoreOutage(m.manager.config.Clock.Now())
+	m.manager.config.Log.Info("sight", "cut", isolated, "lost", outage.Milliseconds())
+}
+
 // reachesOtherZone reports whether any host of another zone answers a ping. It
 // returns true if no host of another zone is known.
 func (m *IsolationMonitor) reachesOtherZone(ctx context.Context) bool {
--- a/lead/manager.go
+++ b/lead/manager.go
@@ -61,6 +61,7 @@
 	fleet   *FleetLeader
 	// fleetEpoch is the newest epoch of a fleet leader that has called this process.
 	fleetEpoch int64
+	isolation  *IsolationMonitor
 	router     *Router
 	rules      glade.Rules
 	runners    map[glade.Service][]glade.RunnerInfo
@@ -73,6 +74,7 @@
 func New(config Config) *Manager {
 	m := &Manager{config: config, leaders: make(map[glade.Service]*ServiceLeader)}
 	m.router = newRouter(m)
+	m.isolation = newIsolationMonitor(m)
 	return m
 }
 
@@ -131,6 +133,9 @@
 	return leaders
 }
 
+// Isolation returns the monitor that tells whether this host is isolated.
+func (m *Manager) Isolation() *IsolationMonitor { return m.isolation }
+
 // Router returns the router to the leaders of all services.
 func (m *Manager) Router() *Router { return m.router }
 
--- a/lead/router.go
+++ b/lead/router.go
@@ -240,10 +240,12 @@
 	clock   glade.Clock
 	mu      sync.Mutex
 	clients map[string]*jrpc.Client
+	// pending maps the calls to other hosts in flight to when they began.
+	pending map[*pendingCall]bool
 }
 
 func newRouter(manager *Manager) *Router {
-	return &Router{manager: manager, clock: manager.config.Clock, clients: make(map[string]*jrpc.Client)}
+	return &Router{manager: manager, clock: manager.config.Clock, clients: make(map[string]*jrpc.Client), pending: make(map[*pendingCall]bool)}
 }
 
 // peerClient returns the client for the host at an address, which is kept for later
@@ -259,6 +261,41 @@
 	return c
 }
 
+// pendingCall is a call to another host that is not answered yet.
+type pendingCall struct{ began time.Time }
+
+func (r *Router) beginCall() *pendingCall {
+	c := &pendingCall{began: r.clock.Now()}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.pending[c] = true
+	return c
+}
+
+func (r *Router) endCall(c *pendingCall) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pending, c)
+}
+
+// oldestCall returns the age of the oldest call to another host that is not answered.
+func (r *Router) oldestCall(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	oldest := time.Duration(0)
+	for c := range r.pending {
+		oldest = max(oldest, now.Sub(c.began))
+	}
+	return oldest
+}
+
+// isUnreachable reports whether this host is isolated and does not lead the service
+// itself.
+func (r *Router) isUnreachable(service glade.Service) bool {
+	_, local := r.manager.LocalLeader(service)
+	return !local && r.manager.isolation.IsIsolated()
+}
+
 // route calls a service's leader, in this process or on another host. It returns
 // false if no leader is known.
 func route[In, Out any](ctx context.Context, r *Router, service glade.Service, method string, in In, local func() (Out, error)) (Out, bool, error) {
@@ -272,7 +309,10 @@
 		r.manager.config.Directory.Refresh()
 		return none, false, nil
 	}
-	out, err := jrpc.Call[In, Out](ctx, r.peerClient(term.Address), method, in)
+	bounded, cancel := r.manager.isolation.bound(ctx)
+	defer cancel()
+	defer r.endCall(r.beginCall())
+	out, err := jrpc.Call[In, Out](bounded, r.peerClient(term.Address), method, in)
 	if err != nil {
 		r.manager.config.Directory.Refresh()
 	}
@@ -286,6 +326,9 @@
 	searchEnd := r.clock.Now().Add(searchTimeout)
 	sent := false
 	for {
+		if r.isUnreachable(in.Service) {
+			return isolatedReply(sent)
+		}
 		in.TimeoutMs = max(deadline.Sub(r.clock.Now()).Milliseconds(), 1)
 		reply, found, err := route(ctx, r, in.Service, methodSubmit, in, func() (SubmitReply, error) {
 			return r.manager.submitLocal(ctx, in), nil
@@ -314,6 +357,19 @@
 	}
 }
 
+// isolatedRetryAfter is the time after which a caller may retry at a host that is
+// isolated: by then the load balancer sends it to another one.
+const isolatedRetryAfter = time.Second
+
+// isolatedReply answers a submission while this host reaches no other zone. Waiting
+// would not help the caller, who may reach other hosts.
+func isolatedReply(sent bool) SubmitReply {
+	if sent {
+		return SubmitReply{Code: SubmitUnknown, Reason: "isolated"}
+	}
+	return SubmitReply{Code: SubmitRefused, Reason: "isolated", After: isolatedRetryAfter.Milliseconds()}
+}
+
 // ErrNoLeader means that no leader of the service answered in time.
 var ErrNoLeader = errors.New("no leader of the service answered in time")
 
@@ -337,6 +393,9 @@
 		if err == nil && reply.IsLeader {
 			return reply, nil
 		}
+		if r.isUnreachable(in.Service) {
+			return reply, ErrNoLeader
+		}
 		if r.clock.Now().After(deadline) || r.clock.Sleep(ctx, searchInterval) != nil {
 			return reply, ErrNoLeader
 		}
