A leader that may have been replaced does not say that a batch is unknown

A leader that has lost the store, or was paused, answers hosts that still know it as the leader; it doesn't know the batches that its successor has accepted and told callers that they don't exist. Change: only a leader whose term was renewed within heartbeatTimeout, before which nobody claims it, says so; any other counts as not leading, and the caller is sent on. Measured: TestUnknownBatch; without the check its second case fails. Ruled out for cancellations and submissions: both are confirmed by a write that is conditional on the term. Left: a refusal for load or store is true for this attempt only; an earlier attempt of unknown outcome may still run (docs/DESIGN.md).

--- a/lead/load_test.go
+++ b/lead/load_test.go
@@ -79,3 +79,20 @@
 		c.Assert(err, qt.Equals, errNotLeader)
 	})
 }
+
+// TestUnknownBatch guards against a leader that was paused or has lost the store, and tells a
+// caller that its batch does not exist, although its successor has accepted it.
+func TestUnknownBatch(t *testing.T) {
+	expectLeads := func(name string, renewedAgo time.Duration, want bool) {
+		t.Run(name, func(t *testing.T) {
+			m := newLoadedManager()
+			leader := m.leaders[testService]
+			leader.sched = sched.New(sched.Config{Service: testService, Epoch: 1}, time.Now().Add(-renewedAgo))
+			reply := m.stateLocal(BatchArgs{Service: testService, ID: "a"})
+			qt.Assert(t, reply.Known, qt.IsFalse)
+			qt.Assert(t, reply.IsLeader, qt.Equals, want)
+		})
+	}
+	expectLeads("is reported by a leader that was confirmed a moment ago", time.Second, true)
+	expectLeads("is not reported by one that another host may have replaced", heartbeatTimeout+time.Second, false)
+}
--- a/lead/router.go
+++ b/lead/router.go
@@ -216,6 +216,11 @@
 			return
 		}
 		reply.State, reply.Known = scheduler.State(in.ID)
+		if !reply.Known && !scheduler.LeaderRenewedWithin(heartbeatTimeout, leader.clock.Now()) {
+			// Another host may lead and know the batch: this leader has lost the store or
+			// was paused.
+			reply.IsLeader = false
+		}
 	}) {
 		return BatchReply{}
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -190,6 +190,12 @@
 	}
 }
 
+// LeaderRenewedWithin reports whether the leader row was renewed less than a time ago, so
+// that no other host can lead yet.
+func (s *Scheduler) LeaderRenewedWithin(age time.Duration, now time.Time) bool {
+	return now.Sub(s.renewedAt) < age
+}
+
 // confirmedSince reports whether the leader row was renewed after a time. If it
 // was not, a newer leader may have acted since then, and a renewal is requested.
 func (s *Scheduler) confirmedSince(since time.Time) bool {
