A host that is asked to stop releases its services before it ends them

Cause, found while two faults of the red list were mended: when a service leader stepped down, its run loop ended its context at once, and the writer's release of the term was cut off. Where the write was lost, the service stayed without a leader for heartbeatTimeout, in each rolling restart. Change: the loop waits for the writer. Red list: a claim under way while the host stops is released; a leader that still reads its rows stops reading and releases its term, and StepDown waits for that. Ruled out: the fleet leader, whose loop releases itself.

--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -131,9 +131,7 @@
 			return
 		}
 	}
-	f.term.Node, f.term.Address = "", ""
-	result, err := f.commit(ctx, nil, nil, true)
-	f.manager.config.Log.Info("leadership released", "service", f.service, "epoch", f.term.Epoch, "result", result.String(), "lost", err != nil)
+	f.leadership.release(ctx)
 }
 
 // loadRows reads the progress of the waves, and the hosts that an earlier leader may
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -233,6 +233,15 @@
 type tableLink struct {
 	*memory.PartitionedTable
 	cut atomic.Bool
+	// failLists makes lists fail, and slowCommits delays the answers to commits by a second.
+	failLists, slowCommits atomic.Bool
+}
+
+func (l *tableLink) List(ctx context.Context, table, part string) ([]glade.PartitionRow, int64, error) {
+	if l.failLists.Load() && table == "work" {
+		return nil, 0, errNoAnswer
+	}
+	return l.PartitionedTable.List(ctx, table, part)
 }
 
 func (l *tableLink) Commit(ctx context.Context, txn glade.PartitionTxn) (int64, []glade.PartitionRow, glade.CommitResult) {
@@ -240,7 +249,14 @@
 		<-ctx.Done()
 		return 0, nil, glade.Uncertain
 	}
-	return l.PartitionedTable.Commit(ctx, txn)
+	if ctx.Err() != nil {
+		return 0, nil, glade.Uncertain // the call is not sent
+	}
+	version, rows, result := l.PartitionedTable.Commit(ctx, txn)
+	if l.slowCommits.Load() {
+		_ = clock.System{}.Sleep(ctx, time.Second)
+	}
+	return version, rows, result
 }
 
 func (l *tableLink) Get(ctx context.Context, table, part, key string) (glade.PartitionRow, error) {
--- a/lead/leadership.go
+++ b/lead/leadership.go
@@ -76,6 +76,14 @@
 	return result, nil
 }
 
+// release gives up the term, so that another host can lead without waiting for
+// heartbeatTimeout.
+func (l *leadership) release(ctx context.Context) {
+	l.term.Node, l.term.Address = "", ""
+	result, err := l.commit(ctx, nil, nil, true)
+	l.manager.config.Log.Info("leadership released", "service", l.service, "epoch", l.term.Epoch, "result", result.String(), "lost", err != nil)
+}
+
 // fencePendingWrite makes sure that an earlier write whose answer was lost can't
 // take effect any more: it gives the term row a new version, so that the condition
 // of that write fails.
--- a/lead/manager.go
+++ b/lead/manager.go
@@ -340,25 +340,30 @@
 		return
 	}
 	m.config.Directory.RecordTerm(service, term, next)
-	m.startLeader(ctx, service, term, next, sent, at.Add(-idle))
+	l := &leadership{
+		manager: m, service: service, term: term, version: next, confirmedAt: sent, heartbeatAt: sent,
+		predecessorSeen: at.Add(-idle), clock: m.config.Clock, stepWake: make(chan struct{}, 1),
+	}
+	if !m.startLeader(ctx, l) {
+		l.release(ctx) // this host was asked to stop meanwhile
+	}
 }
 
-// startLeader starts the leader of a service whose term this host has just
-// committed with a write sent at the given time. It had seen the last renewal of the
-// earlier term at predecessorSeen.
-func (m *Manager) startLeader(ctx context.Context, service glade.Service, term Term, version int64, sent, predecessorSeen time.Time) {
+// startLeader starts the leader of a service whose term this host has just committed. It
+// returns false if this host steps down.
+func (m *Manager) startLeader(ctx context.Context, l *leadership) bool {
+	service := l.service
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.stopping {
-		return
+		return false
 	}
 	m.running.Add(1)
-	l := &leadership{manager: m, service: service, term: term, version: version, confirmedAt: sent, heartbeatAt: sent, predecessorSeen: predecessorSeen, clock: m.config.Clock, stepWake: make(chan struct{}, 1)}
 	if service == fleetService {
 		m.fleet = newFleetLeader(m, l)
 		ctx, m.fleet.cancel = context.WithCancel(ctx)
 		go m.fleet.run(ctx)
-		return
+		return true
 	}
 	if m.config.OnLead != nil {
 		m.config.OnLead()
@@ -368,6 +373,7 @@
 	m.leaders[service] = leader
 	m.shareStartRate()
 	go leader.run(ctx)
+	return true
 }
 
 // remove drops the leader of a service when it has stopped.
--- a/lead/service.go
+++ b/lead/service.go
@@ -28,8 +28,12 @@
 	answers        answerTimer   // of starts and stops
 	adviceMu       sync.Mutex    // the advice service takes one call at a time
 	cancel         context.CancelFunc
-	quit           chan struct{} // closed when this host steps down on its own
-	writerDone     sync.WaitGroup
+	// quit ends when this host steps down on its own, which stopLeading brings about.
+	// done is closed when run has ended.
+	quit        context.Context
+	stopLeading context.CancelFunc
+	done        chan struct{}
+	writerDone  sync.WaitGroup
 	// failingSince is when the store stopped taking writes, zero while it takes them.
 	failingSince time.Time
 }
@@ -42,19 +46,27 @@
 )
 
 func newServiceLeader(m *Manager, l *leadership) *ServiceLeader {
+	quit, stopLeading := context.WithCancel(context.Background())
 	return &ServiceLeader{
 		leadership: l, writeAttempted: make(chan struct{}), writeWake: make(chan struct{}, 1), runners: m.runners[l.service],
-		startSlots: make(chan struct{}, maxStarts), stopSlots: make(chan struct{}, maxStops), quit: make(chan struct{}),
+		startSlots: make(chan struct{}, maxStarts), stopSlots: make(chan struct{}, maxStops),
+		quit: quit, stopLeading: stopLeading, done: make(chan struct{}),
 	}
 }
 
 // run leads until the term is lost or released, or ctx ends.
 func (s *ServiceLeader) run(ctx context.Context) {
 	defer s.manager.remove(s.service)
+	defer close(s.done)
 	defer s.writerDone.Wait()
 	defer s.cancel()
 	began := s.clock.Now()
-	if err := s.loadState(ctx); err != nil {
+	err := s.loadState(ctx)
+	switch {
+	case s.quit.Err() != nil:
+		s.release(ctx)
+		return
+	case err != nil:
 		s.manager.config.Log.Error(err, "leadership not taken: the rows could not be read", "service", s.service)
 		return
 	}
@@ -69,7 +81,8 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.quit:
+		case <-s.quit.Done():
+			s.writerDone.Wait() // the writer releases the term, which a cancelled context would prevent
 			return
 		case <-s.stepWake:
 		case <-timer.C:
@@ -108,8 +121,12 @@
 const minStepPause = 5 * time.Millisecond
 
 // loadState reads the rows of the service and builds its scheduler. It retries until
-// the rows are read, and fails only when leadership is lost or ctx ends.
+// the rows are read, and fails only when leadership is lost, this host steps down or ctx
+// ends.
 func (s *ServiceLeader) loadState(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(s.quit, cancel)()
 	for {
 		err := s.tryLoadState(ctx)
 		if err == nil || errors.Is(err, errNotLeader) || ctx.Err() != nil {
@@ -307,7 +324,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-s.quit:
+		case <-s.quit.Done():
 			s.release(ctx)
 			return
 		case <-s.writeWake:
@@ -440,11 +457,10 @@
 	return err
 }
 
-// stepDown makes this host release the service, and returns when the writer has
-// stopped.
+// stepDown makes this host release the service, and returns when that is done.
 func (s *ServiceLeader) stepDown() {
-	close(s.quit)
-	s.writerDone.Wait()
+	s.stopLeading()
+	<-s.done
 }
 
 // maxFinalWrites bounds the transactions that are written before the term is
@@ -456,7 +472,7 @@
 func (s *ServiceLeader) release(ctx context.Context) {
 	for range maxFinalWrites {
 		s.mu.Lock()
-		more := s.sched.HasWrites()
+		more := s.sched != nil && s.sched.HasWrites()
 		s.mu.Unlock()
 		if !more {
 			break
@@ -466,7 +482,5 @@
 			return
 		}
 	}
-	s.term.Node, s.term.Address = "", ""
-	result, err := s.commit(ctx, nil, nil, true)
-	s.manager.config.Log.Info("leadership released", "service", s.service, "epoch", s.term.Epoch, "result", result.String(), "lost", err != nil)
+	s.leadership.release(ctx)
 }
--- /dev/null
+++ b/lead/stepdown_test.go
@@ -0,0 +1,55 @@
+package lead_test
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	glade "indigoglade"
+	"indigoglade/lead"
+)
+
+// term returns the stored term of the service.
+func (s *cluster) term() lead.Term {
+	s.c.Helper()
+	row, err := s.table.Get(context.Background(), "term", string(service), "it")
+	s.c.Assert(err, qt.IsNil)
+	var term lead.Term
+	if row.Version > 0 {
+		s.c.Assert(json.Unmarshal(row.Value, &term), qt.IsNil)
+	}
+	return term
+}
+
+// TestStepDown guards against a service that stays without a leader until heartbeats are
+// missed, because its host was asked to stop in the moment in which it began to lead.
+func TestStepDown(t *testing.T) {
+	expectReleased := func(name string, prepare func(link *tableLink)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				c := qt.New(t)
+				s := newCluster(c)
+				defer s.shutdown()
+				s.start("h1")
+				prepare(s.links["h1"])
+				for range 100 {
+					if s.term().Node != "" {
+						break
+					}
+					s.sleep(50 * time.Millisecond)
+				}
+				c.Assert(s.term().Node, qt.Equals, glade.Node("h1"))
+				s.managers["h1"].StepDown()
+				s.sleep(1100 * time.Millisecond)
+				c.Assert(s.term().Node, qt.Equals, glade.Node(""))
+			})
+		})
+	}
+	expectReleased("while it leads", func(*tableLink) {})
+	expectReleased("while it reads the rows", func(link *tableLink) { link.failLists.Store(true) })
+	expectReleased("while its claim is under way", func(link *tableLink) { link.slowCommits.Store(true) })
+}
