A stop waits for the release of a service within its grace period only

Cause: since the writer's release is no longer cut off, a stop with a silent store waited for the writer's retries, without end: TestStepDownWithoutStore hung until it was ended by hand. Change: releaseTimeout, 1.5 s, bounds the release and the wait for it.

--- a/lead/leadership.go
+++ b/lead/leadership.go
@@ -76,9 +76,15 @@
 	return result, nil
 }
 
+// releaseTimeout bounds the release of a service. A host that is asked to stop must still
+// serve callers within its grace period, also while the store does not answer.
+const releaseTimeout = 1500 * time.Millisecond
+
 // release gives up the term, so that another host can lead without waiting for
 // heartbeatTimeout.
 func (l *leadership) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
 	l.term.Node, l.term.Address = "", ""
 	result, err := l.commit(ctx, nil, nil, true)
 	l.manager.config.Log.Info("leadership released", "service", l.service, "epoch", l.term.Epoch, "result", result.String(), "lost", err != nil)
--- a/lead/service.go
+++ b/lead/service.go
@@ -33,7 +33,6 @@
 	quit        context.Context
 	stopLeading context.CancelFunc
 	done        chan struct{}
-	writerDone  sync.WaitGroup
 	// failingSince is when the store stopped taking writes, zero while it takes them.
 	failingSince time.Time
 }
@@ -58,7 +57,6 @@
 func (s *ServiceLeader) run(ctx context.Context) {
 	defer s.manager.remove(s.service)
 	defer close(s.done)
-	defer s.writerDone.Wait()
 	defer s.cancel()
 	began := s.clock.Now()
 	err := s.loadState(ctx)
@@ -72,9 +70,12 @@
 	}
 	s.manager.config.Log.Info("leadership taken", "service", s.service, "epoch", s.term.Epoch,
 		"took", s.clock.Now().Sub(began).Milliseconds())
-	s.writerDone.Add(1)
-	w := &writer{leader: s}
+	w := &writer{leader: s, done: make(chan struct{})}
 	go w.run(ctx)
+	defer func() {
+		s.cancel()
+		<-w.done
+	}()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -82,7 +83,7 @@
 		case <-ctx.Done():
 			return
 		case <-s.quit.Done():
-			s.writerDone.Wait() // the writer releases the term, which a cancelled context would prevent
+			w.awaitRelease()
 			return
 		case <-s.stepWake:
 		case <-timer.C:
@@ -312,11 +313,25 @@
 
 // writer writes the rows of a service, one transaction after another, and renews
 // the term.
-type writer struct{ leader *ServiceLeader }
+type writer struct {
+	leader *ServiceLeader
+	done   chan struct{} // closed when run has ended
+}
+
+// awaitRelease waits until the writer has released the term, which the end of its context
+// would prevent, but no longer than releaseTimeout.
+func (w *writer) awaitRelease() {
+	timer := time.NewTimer(releaseTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
+}
 
 func (w *writer) run(ctx context.Context) {
 	s := w.leader
-	defer s.writerDone.Done()
+	defer close(w.done)
 	timer := time.NewTimer(heartbeatPeriod)
 	defer timer.Stop()
 	lastCleanup := s.clock.Now()
@@ -470,6 +485,8 @@
 // release writes the changes that are queued and releases the term, so that another
 // host can lead without waiting for heartbeatTimeout.
 func (s *ServiceLeader) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
 	for range maxFinalWrites {
 		s.mu.Lock()
 		more := s.sched != nil && s.sched.HasWrites()
--- a/lead/stepdown_test.go
+++ b/lead/stepdown_test.go
@@ -11,6 +11,7 @@
 
 	glade "indigoglade"
 	"indigoglade/lead"
+	"indigoglade/memory"
 )
 
 // term returns the stored term of the service.
@@ -53,3 +54,22 @@
 	expectReleased("while it reads the rows", func(link *tableLink) { link.failLists.Store(true) })
 	expectReleased("while its claim is under way", func(link *tableLink) { link.slowCommits.Store(true) })
 }
+
+// TestStepDownWithoutStore guards against a host that is asked to stop while the store does
+// not answer, and waits for the store beyond its grace period: its callers' requests would be
+// cut off.
+func TestStepDownWithoutStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newCluster(c, "h1")
+		defer s.shutdown()
+		node := s.leader()
+		s.sleep(time.Second)
+		s.table.SetFault(memory.PartitionedUnresponsive)
+		s.submit(node, "a", 1)
+		began := time.Now()
+		s.managers[node].StepDown()
+		c.Assert(time.Since(began) <= 2*time.Second, qt.IsTrue, qt.Commentf("took %v", time.Since(began)))
+		s.crash(node)
+	})
+}
