--- a/lead/timeout.go
+++ b/lead/timeout.go
@@ -14,13 +14,15 @@
 	mean, deviation time.Duration
 }
 
-// Bounds of the timeout, and the weights of one answer in the averages.
+// Bounds of the timeout, and the averages behind it.
 const (
-	minOrderTimeout  = 200 * time.Millisecond
-	maxOrderTimeout  = 700 * time.Millisecond
-	meanWeight       = 8 // one answer counts for an eighth
-	deviationWeight  = 4
-	deviationsWaited = 4
+	minOrderTimeout = 200 * time.Millisecond
+	maxOrderTimeout = 700 * time.Millisecond
+	// One answer moves the mean by an eighth of its difference, and the mean deviation by
+	// a quarter.
+	meanDivisor      = 8
+	deviationDivisor = 4
+	deviationsWaited = 4 // added to the mean
 )
 
 // timeout returns the present timeout.
@@ -44,6 +46,6 @@
 		return
 	}
 	difference := took - t.mean
-	t.deviation += (difference.Abs() - t.deviation) / deviationWeight
-	t.mean += difference / meanWeight
+	t.deviation += (difference.Abs() - t.deviation) / deviationDivisor
+	t.mean += difference / meanDivisor
 }
--- /dev/null
+++ b/lead/writer.go
@@ -0,0 +1,203 @@
+package lead
+
+import (
+	"context"
+	"time"
+
+	glade "indigoglade"
+	"indigoglade/sched"
+)
+
+// Intervals of the writer.
+const (
+	// writeInterval is the pause between two writes, so that one write carries the ends
+	// of several runs.
+	writeInterval = 18 * time.Millisecond
+	// cleanupPeriod is the time between two checks for rows that can be deleted.
+	cleanupPeriod = 10 * time.Second
+)
+
+// writer writes the rows of a service, one transaction after another, and renews
+// the term.
+type writer struct {
+	leader *ServiceLeader
+	done   chan struct{} // closed when run has ended
+}
+
+// awaitRelease waits until the writer has released the term, which the end of its context
+// would prevent, but no longer than releaseTimeout.
+func (w *writer) awaitRelease() {
+	timer := time.NewTimer(releaseTimeout)
+	defer timer.Stop()
+	select {
+	case <-w.done:
+	case <-timer.C:
+	}
+}
+
+func (w *writer) run(ctx context.Context) {
+	s := w.leader
+	defer close(w.done)
+	timer := time.NewTimer(heartbeatPeriod)
+	defer timer.Stop()
+	lastCleanup := s.clock.Now()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-s.quit.Done():
+			s.release(ctx)
+			return
+		case <-s.writeWake:
+		case <-timer.C:
+		}
+		if err := s.write(ctx); err != nil {
+			s.loseLeadership(err.Error())
+			return
+		}
+		if s.clock.Now().Sub(lastCleanup) > cleanupPeriod {
+			lastCleanup = s.clock.Now()
+			if err := s.deleteExpired(ctx); err != nil {
+				s.loseLeadership(err.Error())
+				return
+			}
+		}
+		if s.clock.Sleep(ctx, writeInterval) != nil {
+			return
+		}
+		timer.Reset(max(heartbeatPeriod-s.clock.Now().Sub(s.heartbeatAt), writeInterval))
+	}
+}
+
+// write writes the changes that are queued and renews the term when that is due.
+// If the outcome of the transaction is uncertain, it fences the transaction off
+// and repeats the write until the outcome is known.
+func (s *ServiceLeader) write(ctx context.Context) error {
+	s.mu.Lock()
+	var w sched.Write
+	hasChanges := s.sched.HasWrites()
+	if hasChanges {
+		w = s.sched.BeginWrite()
+	}
+	needsRenewal := s.sched.NeedsRenewal()
+	s.mu.Unlock()
+	renew := needsRenewal || s.clock.Now().Sub(s.heartbeatAt) >= heartbeatPeriod-writeInterval
+	if !hasChanges && !renew {
+		return nil
+	}
+	puts := s.encodeWrite(w)
+	result, err := s.commit(ctx, puts, nil, renew)
+	for err == nil && result == glade.Uncertain {
+		s.markStoreFailing()
+		if err = s.fencePendingWrite(ctx); err == nil {
+			result, err = s.commit(ctx, puts, nil, false)
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if result != glade.Committed {
+		s.markStoreFailing()
+	}
+	s.finishWrite(w, hasChanges, result == glade.Committed)
+	if result != glade.Committed {
+		wake(s.writeWake)
+		return s.clock.Sleep(ctx, storeRetryPause)
+	}
+	return nil
+}
+
+// markStoreFailing records the start of an outage of the store, if none is recorded.
+func (s *ServiceLeader) markStoreFailing() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failingSince.IsZero() {
+		s.failingSince = s.clock.Now()
+		s.manager.config.Log.Info("store does not take writes", "service", s.service, "epoch", s.term.Epoch)
+	}
+}
+
+// finishWrite passes the outcome of a write to the scheduler, and wakes those who
+// wait for it.
+func (s *ServiceLeader) finishWrite(w sched.Write, hasChanges, ok bool) {
+	s.mu.Lock()
+	if hasChanges {
+		s.sched.FinishWrite(w, ok, s.clock.Now())
+	}
+	if ok {
+		s.sched.LeaderRenewed(s.confirmedAt)
+		if !s.failingSince.IsZero() {
+			s.manager.config.Log.Info("store takes writes again", "service", s.service, "lost", s.clock.Now().Sub(s.failingSince).Milliseconds())
+			s.failingSince = time.Time{}
+		}
+	}
+	close(s.writeAttempted)
+	s.writeAttempted = make(chan struct{})
+	more := s.sched.HasWrites()
+	s.mu.Unlock()
+	wake(s.stepWake)
+	if more {
+		wake(s.writeWake)
+	}
+}
+
+func (s *ServiceLeader) encodeWrite(w sched.Write) []glade.PartitionRow {
+	part := string(s.service)
+	var puts []glade.PartitionRow
+	for id, row := range w.Work {
+		puts = append(puts, glade.PartitionRow{Table: tableBatch, Part: part, Key: string(id), Value: encodeRow(row)})
+	}
+	for id, row := range w.Progress {
+		puts = append(puts, glade.PartitionRow{Table: tableProgress, Part: part, Key: string(id), Value: encodeRow(row)})
+	}
+	if w.Registered != nil {
+		puts = append(puts, glade.PartitionRow{Table: tableRunners, Part: part, Key: singletonKey, Value: encodeRow(w.Registered)})
+	}
+	return puts
+}
+
+// deleteExpired deletes the rows of batches that ended longer ago than their state
+// must stay available.
+func (s *ServiceLeader) deleteExpired(ctx context.Context) error {
+	s.mu.Lock()
+	ids := s.sched.Sweep(s.clock.Now())
+	s.mu.Unlock()
+	if len(ids) == 0 {
+		return nil
+	}
+	var rows []glade.PartitionRow
+	for _, id := range ids {
+		for _, table := range []string{tableBatch, tableProgress} {
+			rows = append(rows, glade.PartitionRow{Table: table, Part: string(s.service), Key: string(id)})
+		}
+	}
+	result, err := s.commit(ctx, nil, rows, false)
+	if result == glade.Uncertain {
+		return s.fencePendingWrite(ctx) // rows that remain are deleted by the next leader
+	}
+	return err
+}
+
+// maxFinalWrites bounds the transactions that are written before the term is
+// released.
+const maxFinalWrites = 5
+
+// release writes the changes that are queued and releases the term, so that another
+// host can lead without waiting for heartbeatTimeout.
+func (s *ServiceLeader) release(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, releaseTimeout)
+	defer cancel()
+	for range maxFinalWrites {
+		s.mu.Lock()
+		more := s.sched != nil && s.sched.HasWrites()
+		s.mu.Unlock()
+		if !more {
+			break
+		}
+		if err := s.write(ctx); err != nil {
+			s.loseLeadership(err.Error())
+			return
+		}
+	}
+	s.leadership.release(ctx)
+}
