--- a/lead/router.go
+++ b/lead/router.go
@@ -245,7 +245,7 @@
 	clock   glade.Clock
 	mu      sync.Mutex
 	clients map[string]*jrpc.Client
-	// pending maps the calls to other hosts in flight to when they began.
+	// pending holds the calls to other hosts in flight.
 	pending map[*pendingCall]bool
 }
 
