Refused requests count as demand also when none ran in the period

Change: refused requests count with the mean duration of the last period in which any ran. Measured: TestAllRefused, 0 with the old code where 1 is right. Ruled out: a default duration, which nothing observed supports.

--- a/demand/demand_test.go
+++ b/demand/demand_test.go
@@ -25,6 +25,19 @@
 	qt.Check(t, m.Take(start.Add(20 * time.Second))["quotes"], qt.Equals, 0.0)
 }
 
+// TestAllRefused guards against a pool that shrinks because it is overloaded: when every
+// request of a period is refused, none has a duration.
+func TestAllRefused(t *testing.T) {
+	start := time.Unix(1000, 0)
+	m := demand.NewMeter(start)
+	m.Record("quotes", glade.Answered, time.Second)
+	m.Take(start.Add(10 * time.Second))
+	for range 10 {
+		m.Record("quotes", glade.Refused, time.Millisecond)
+	}
+	qt.Check(t, m.Take(start.Add(20 * time.Second))["quotes"], qt.Equals, 1.0)
+}
+
 func TestRowsOfEntryHostsAddUp(t *testing.T) {
 	ctx := context.Background()
 	fake := clock.NewFake(time.Unix(1000, 0))
--- a/demand/meter.go
+++ b/demand/meter.go
@@ -22,6 +22,8 @@
 	duration  time.Duration
 	completed int
 	refused   int
+	// meanDuration is that of the last period in which a request ran.
+	meanDuration time.Duration
 }
 
 // NewMeter returns a meter whose first period starts at now.
@@ -30,8 +32,8 @@
 }
 
 // Record counts one request. A refused request asked for a slot too; it counts
-// with the mean duration of the requests that ran in the same period, and not at
-// all if none ran. A nil meter records nothing.
+// with the mean duration of the requests that ran in the same period, or else in the
+// last period in which any ran. A nil meter records nothing.
 func (m *Meter) Record(service glade.Service, outcome glade.Outcome, took time.Duration) {
 	if m == nil {
 		return
@@ -61,15 +63,23 @@
 	busy := make(map[glade.Service]float64, len(m.services))
 	for service, s := range m.services {
 		busy[service] = s.busySlots(period)
-		*s = serviceTotals{}
+		*s = serviceTotals{meanDuration: s.mean()}
 	}
 	return busy
 }
 
+// mean returns the mean duration of the requests of this period, or of the last one in
+// which any ran.
+func (s *serviceTotals) mean() time.Duration {
+	if s.completed == 0 {
+		return s.meanDuration
+	}
+	return s.duration / time.Duration(s.completed)
+}
+
 func (s *serviceTotals) busySlots(period time.Duration) float64 {
-	if s.completed == 0 || period <= 0 {
+	if period <= 0 {
 		return 0
 	}
-	asked := float64(s.completed+s.refused) / float64(s.completed)
-	return asked * s.duration.Seconds() / period.Seconds()
+	return float64(s.completed+s.refused) * s.mean().Seconds() / period.Seconds()
 }
