The player of a peak keeps the time that a batch took

Cause: a new reader stops at an objective that shrinks, and at runners that join, which no case used. Change: both are gone. Measured: TestPeak passes as before.

--- a/sched/peak_test.go
+++ b/sched/peak_test.go
@@ -16,11 +16,7 @@
 // vary from batch to batch, and the declared run times are wrong by up to half.
 type peak struct {
 	runners int
-	// joining more runners are listed joinAfter into the peak: hosts that were moved.
-	joining   int
-	joinAfter time.Duration
-	// load is the work that arrives in the peak, as a share of the capacity of the runners
-	// and of those that join.
+	// load is the work that arrives in the peak, as a share of the capacity of the runners.
 	load   float64
 	length time.Duration
 	seed   uint64
@@ -50,6 +46,7 @@
 	worth     float64
 	accepted  bool
 	done      bool
+	took      time.Duration
 }
 
 // peakHarness plays a peak.
@@ -102,25 +99,21 @@
 // meanWork is the mean work of a batch in millicores times milliseconds.
 const meanWork = 1.55 * peakWidth * peakTaskCPU * peakTaskTime
 
+// playPeak plays a peak until its batches have ended.
 func playPeak(c *qt.C, spec peak) outcome {
 	p := &peakHarness{
-		harness: newHarness(c, spec.runners+spec.joining, glade.Need{CPU: peakRunnerCPU, Memory: 1_000_000}),
+		harness: newHarness(c, spec.runners, glade.Need{CPU: peakRunnerCPU, Memory: 1_000_000}),
 		random:  rand.New(rand.NewPCG(spec.seed, 1)), batches: make(map[glade.BatchID]*peakBatch), started: make(map[glade.ActiveRun]time.Time),
 	}
 	p.sched.SetRules(glade.Rules{Version: 1, Queues: []glade.QueueRule{{Queue: queue, Service: service, MaxFailures: 3, Stretch: peakStretch, Slack: peakSlack}}})
-	all := p.infos
-	p.sched.SetRunners(all[:spec.runners], p.now)
+	p.sched.SetRunners(p.infos, p.now)
 	p.answerEnds, p.longPoll, p.orderTimeout = true, time.Second, spec.timeout
 	p.lose = func() bool { return p.random.Float64() < spec.loss }
 	p.advance(3 * time.Second)
 	began := p.now
-	perSecond := spec.load * float64(spec.runners+spec.joining) * peakRunnerCPU * 1000 / meanWork
+	perSecond := spec.load * float64(spec.runners) * peakRunnerCPU * 1000 / meanWork
 	next := began
 	for p.now.Sub(began) < spec.length+8*time.Second {
-		if spec.joining > 0 && p.now.Sub(began) >= spec.joinAfter {
-			p.sched.SetRunners(all, p.now)
-			spec.joining = 0
-		}
 		for p.now.Sub(began) < spec.length && !p.now.Before(next) {
 			p.submitNext()
 			next = next.Add(time.Duration(p.random.ExpFloat64() / perSecond * float64(time.Second)))
@@ -158,8 +151,7 @@
 func (p *peakHarness) recordDone() {
 	for id, b := range p.batches {
 		if state, ok := p.sched.State(id); ok && !b.done && state == glade.BatchDone {
-			b.done = true
-			b.objective -= p.now.Sub(b.submitted) // what is left of it
+			b.done, b.took = true, p.now.Sub(b.submitted)
 		}
 	}
 }
@@ -174,7 +166,7 @@
 			o.refused++
 		case !b.done:
 			o.unfinished++
-		case b.objective >= 0:
+		case b.took <= b.objective:
 			o.inTime++
 			o.earned += b.worth
 		default:
