--- /dev/null
+++ b/lead/activity.go
@@ -0,0 +1,104 @@
+package lead
+
+import (
+	"sync"
+	"time"
+)
+
+// activity counts what a service leader did since its last log line, so that the log shows
+// what takes the time of a leader that falls behind.
+type activity struct {
+	mu     sync.Mutex
+	since  time.Time
+	counts activityCounts
+}
+
+type activityCounts struct {
+	// steps counts scheduling steps, stepTime is their sum, and maxStepDelay the longest
+	// time from when a step was due until it ran.
+	steps                  int
+	stepTime, maxStepDelay time.Duration
+	orders, heartbeats     callCounts
+	submissions            int
+}
+
+// callCounts counts calls to runners that have ended.
+type callCounts struct {
+	answered, unanswered int
+	// time is the sum of the times that answers took, without the time for which a
+	// runner was allowed to delay them; longest is the longest one.
+	time, longest time.Duration
+}
+
+func (c *callCounts) add(took time.Duration, err error) {
+	if err != nil {
+		c.unanswered++
+		return
+	}
+	took = max(took, 0)
+	c.answered++
+	c.time += took
+	c.longest = max(c.longest, took)
+}
+
+func (c *callCounts) mean() time.Duration { return c.time / time.Duration(max(c.answered, 1)) }
+
+func (a *activity) recordStep(took, delay time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.counts.steps++
+	a.counts.stepTime += took
+	a.counts.maxStepDelay = max(a.counts.maxStepDelay, delay)
+}
+
+func (a *activity) recordOrder(took time.Duration, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.counts.orders.add(took, err)
+}
+
+func (a *activity) recordHeartbeat(took time.Duration, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.counts.heartbeats.add(took, err)
+}
+
+func (a *activity) recordSubmission() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.counts.submissions++
+}
+
+// activityPeriod is the time between two log lines about a leader's activity.
+const activityPeriod = time.Second
+
+// take returns the counts of the period that has ended, and false if none has.
+func (a *activity) take(now time.Time) (activityCounts, time.Duration, bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.since.IsZero() {
+		a.since = now
+	}
+	period := now.Sub(a.since)
+	if period < activityPeriod {
+		return activityCounts{}, 0, false
+	}
+	counts := a.counts
+	a.since, a.counts = now, activityCounts{}
+	return counts, period, true
+}
+
+// logActivity logs what this leader did in the last period, if that has ended.
+func (s *ServiceLeader) logActivity() {
+	n, period, ended := s.activity.take(s.clock.Now())
+	if !ended {
+		return
+	}
+	s.manager.config.Log.Info("activity", "service", s.service, "epoch", s.term.Epoch, "periodMs", period.Milliseconds(),
+		"steps", n.steps, "stepMs", n.stepTime.Milliseconds(), "maxStepDelayMs", n.maxStepDelay.Milliseconds(),
+		"submissions", n.submissions,
+		"orders", n.orders.answered, "ordersUnanswered", n.orders.unanswered,
+		"orderMs", n.orders.mean().Milliseconds(), "maxOrderMs", n.orders.longest.Milliseconds(),
+		"heartbeats", n.heartbeats.answered, "heartbeatsUnanswered", n.heartbeats.unanswered,
+		"heartbeatMs", n.heartbeats.mean().Milliseconds(), "maxHeartbeatMs", n.heartbeats.longest.Milliseconds())
+}
--- a/lead/calls.go
+++ b/lead/calls.go
@@ -92,7 +92,7 @@
 	defer cancel()
 	sent := c.leader.clock.Now()
 	answer, err := c.leader.manager.config.Runners.Start(bounded, c.runner, c.runOrder)
-	c.leader.answers.observe(c.leader.clock.Now().Sub(sent))
+	c.recordOrder(sent, err)
 	c.leader.withSched(func(scheduler *sched.Scheduler) { ok = scheduler.Started(c.start, answer, err, c.leader.clock.Now()) })
 	return ok
 }
@@ -103,11 +103,18 @@
 	task, run := c.stop.Task()
 	sent := c.leader.clock.Now()
 	answer, err := c.leader.manager.config.Runners.Stop(bounded, c.runner, task, run, c.leader.term.Epoch)
-	c.leader.answers.observe(c.leader.clock.Now().Sub(sent))
+	c.recordOrder(sent, err)
 	c.leader.withSched(func(scheduler *sched.Scheduler) { ok = scheduler.Stopped(c.stop, answer, err, c.leader.clock.Now()) })
 	return ok
 }
 
+// recordOrder records how long the answer to an order took that was sent at the given time.
+func (c *call) recordOrder(sent time.Time, err error) {
+	took := c.leader.clock.Now().Sub(sent)
+	c.leader.answers.observe(took)
+	c.leader.activity.recordOrder(took, err)
+}
+
 func (c *call) sendThrottle(ctx context.Context) (ok bool) {
 	bounded, cancel := context.WithTimeout(ctx, throttleTimeout)
 	defer cancel()
@@ -122,6 +129,7 @@
 	defer cancel()
 	sent := c.leader.clock.Now()
 	answer, err := c.leader.manager.config.Runners.Heartbeat(bounded, c.runner, c.heartbeat.Order)
+	c.leader.activity.recordHeartbeat(c.leader.clock.Now().Sub(sent)-c.heartbeat.Order.Wait, err)
 	c.leader.withSched(func(scheduler *sched.Scheduler) {
 		ok = scheduler.HeartbeatAnswered(c.runner.ID, sent, c.heartbeat.Order, answer, err, c.leader.clock.Now())
 	})
--- a/lead/router.go
+++ b/lead/router.go
@@ -105,6 +105,7 @@
 
 func (s *ServiceLeader) submit(ctx context.Context, in SubmitArgs) SubmitReply {
 	var admission sched.Admission
+	s.activity.recordSubmission()
 	now := s.clock.Now()
 	storeFailing := false
 	if !s.withSched(func(scheduler *sched.Scheduler) {
--- a/lead/service.go
+++ b/lead/service.go
@@ -26,7 +26,8 @@
 	startSlots     chan struct{} // semaphore that bounds the starts and throttles in flight
 	stopSlots      chan struct{} // semaphore that bounds the stops in flight
 	answers        answerTimer   // of starts and stops
-	adviceMu       sync.Mutex    // the advice service takes one call at a time
+	activity       activity
+	adviceMu       sync.Mutex // the advice service takes one call at a time
 	cancel         context.CancelFunc
 	// quit ends when this host steps down on its own, which stopLeading brings about.
 	// done is closed when run has ended.
@@ -78,6 +79,7 @@
 	}()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	due := s.clock.Now()
 	for {
 		select {
 		case <-ctx.Done():
@@ -90,10 +92,15 @@
 		}
 		began := s.clock.Now()
 		next := s.step(ctx)
-		if rest := restAfter(s.clock.Now().Sub(began)); rest > 0 && s.clock.Sleep(ctx, rest) != nil {
+		took := s.clock.Now().Sub(began)
+		s.activity.recordStep(took, max(began.Sub(due), 0))
+		s.logActivity()
+		if rest := restAfter(took); rest > 0 && s.clock.Sleep(ctx, rest) != nil {
 			return
 		}
-		timer.Reset(max(next.Sub(s.clock.Now()), minStepPause))
+		pause := max(next.Sub(s.clock.Now()), minStepPause)
+		timer.Reset(pause)
+		due = s.clock.Now().Add(pause)
 	}
 }
 
