A refusal no longer costs the more the more work waits

Callers saw: at the peak of a queue of the large site, 504 and no answer before their deadline, while its leader had no processor time left for orders and heartbeats. Cause: each submission summed the waiting work of all batches to decide; the longer the queue, the more callers are refused and come again, and the more each of them costs. Change: sched.backlog, a sorted sum that is walked at most each 20 ms and includes every batch accepted since. Ruled out: a count kept with each change of a batch; slack depends on the time and on learned run times.

--- a/sched/admit.go
+++ b/sched/admit.go
@@ -54,6 +54,7 @@
 	b.workUnwritten = true
 	s.batches[id] = b
 	s.live[b] = true
+	s.addToBacklog(b)
 	s.markChanged(b)
 	return Admission{Accepted: true, Gen: b.gen}
 }
@@ -96,7 +97,7 @@
 	}
 	objective := s.objective(b)
 	path := s.criticalPath(b.occurrences[0], true)
-	ahead, all := s.backlog(objective-path, now)
+	ahead, all := s.backlogAt(now).before(objective-path, now)
 	if wait, limit := s.pace.drainTime(all.startBytes), time.Duration(linkSlackShare*float64(objective-path)); wait > limit {
 		// No host can be moved to help, and all that is accepted is started.
 		return "link", wait - limit
@@ -131,17 +132,6 @@
 	return max(own, s.pace.drainTime(backlog.startBytes))
 }
 
-// waitingWork is accepted work that is not done.
-type waitingWork struct {
-	work       float64 // in millicores times milliseconds
-	startBytes float64 // of the tasks that are still to be started
-}
-
-func (w *waitingWork) add(other waitingWork) {
-	w.work += other.work
-	w.startBytes += other.startBytes
-}
-
 // Lendable records how much capacity other pools can lend now, in millicores.
 func (s *Scheduler) Lendable(capacity int, now time.Time) { s.lendable, s.lendableAt = capacity, now }
 
@@ -235,35 +225,6 @@
 	return sum
 }
 
-// backlog returns the accepted work that is not done: all of it, and the part that
-// goes before a batch with the given slack.
-func (s *Scheduler) backlog(slack time.Duration, now time.Time) (ahead, all waitingWork) {
-	for b := range s.live {
-		factor := s.estimates.factor(b.queue)
-		objective := s.objective(b)
-		for _, o := range b.occurrences {
-			if !o.started && !o.due.IsZero() {
-				continue
-			}
-			var waiting waitingWork
-			for _, st := range o.steps {
-				if !st.rule.LongRunning {
-					waiting.work += float64(st.left) * float64(st.rule.Need.CPU) * float64(st.rule.Estimate) * factor
-					waiting.startBytes += float64(st.pending) * startBytes(&b.work)
-				}
-			}
-			if waiting.work == 0 {
-				continue
-			}
-			all.add(waiting)
-			if remaining := b.submittedAt.Add(objective).Sub(now) - s.criticalPath(o, false); remaining >= 0 && remaining <= slack {
-				ahead.add(waiting)
-			}
-		}
-	}
-	return ahead, all
-}
-
 // Cancel ends a batch, also one that has not arrived yet, which then never runs.
 // It returns false if the batch is unknown. The caller may be answered once the
 // change gen is written.
--- a/sched/bench_test.go
+++ b/sched/bench_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -137,3 +138,28 @@
 		e.sched.FinishWrite(e.sched.BeginWrite(), true, e.now)
 	}
 }
+
+// BenchmarkRefuse measures the refusal of a batch while others wait, one each millisecond.
+// Its cost must not grow with their number.
+func BenchmarkRefuse(b *testing.B) {
+	for _, waiting := range []int{10, 100, 300, 1000} {
+		b.Run(fmt.Sprint(waiting), func(b *testing.B) {
+			r := newHarness(qt.New(b), 85, glade.Need{CPU: 16000, Memory: 32000})
+			r.advance(time.Second)
+			step := glade.Step{Count: 8, Need: glade.Need{CPU: 1500, Memory: 1300}, Estimate: 800}
+			work := batchOf(step, glade.Step{Count: step.Count, Need: step.Need, Estimate: step.Estimate, After: []int{0}})
+			work.Spec = strings.Repeat("x", 800)
+			for n := range waiting {
+				r.submit(glade.BatchID(fmt.Sprint(n)), work)
+			}
+			r.sched.SetStartRate(1000)
+			n := 0
+			for b.Loop() {
+				n++
+				r.now = r.now.Add(time.Millisecond)
+				r.submit(glade.BatchID(fmt.Sprint("refused", n%2000)), work)
+				r.sched.Events()
+			}
+		})
+	}
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -108,6 +108,7 @@
 	placedAt     time.Time
 	estimates    estimates
 	loadAverages map[glade.Queue]*loadAverage
+	backlog      *backlog // nil before the first submission
 	// refused holds recently refused batches.
 	refused map[glade.BatchID]bool
 	// spareCapacity is the capacity for tasks that leave runners under evacuation, in
