Batches are offered to an overloaded leader before they are sent

Cause: every refused batch has crossed the link of the leader whole, and brings its caller back through another host. The submissions filled 170 to 190 of 250 KB/s; answers to heartbeats waited behind them until the heartbeats were given up, and leases ended. Nobody but the leader knew that it had no room. Hosts that saw such a refusal in the last 5 s send an offer, the id and the queue, before the batch; the leader accepts known batches, refuses others while the queue is closed, and asks for the batch otherwise. So a refusal is still made by the one who knows whether the batch was accepted before. Ruled out: refusals by entry hosts on their own, which would call a batch not run whose earlier answer was lost; offers with the steps but without the text, two to three times as large.

--- a/lead/activity.go
+++ b/lead/activity.go
@@ -19,7 +19,7 @@
 	steps                  int
 	stepTime, maxStepDelay time.Duration
 	orders, heartbeats     callCounts
-	submissions            int
+	submissions, offers    int
 }
 
 // callCounts counts calls to runners that have ended.
@@ -69,6 +69,12 @@
 	a.counts.submissions++
 }
 
+func (a *activity) recordOffer() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.counts.offers++
+}
+
 // activityPeriod is the time between two log lines about a leader's activity.
 const activityPeriod = time.Second
 
@@ -96,7 +102,7 @@
 	}
 	s.manager.config.Log.Info("activity", "service", s.service, "epoch", s.term.Epoch, "periodMs", period.Milliseconds(),
 		"steps", n.steps, "stepMs", n.stepTime.Milliseconds(), "maxStepDelayMs", n.maxStepDelay.Milliseconds(),
-		"submissions", n.submissions,
+		"submissions", n.submissions, "offers", n.offers,
 		"orders", n.orders.answered, "ordersUnanswered", n.orders.unanswered,
 		"orderMs", n.orders.mean().Milliseconds(), "maxOrderMs", n.orders.longest.Milliseconds(),
 		"heartbeats", n.heartbeats.answered, "heartbeatsUnanswered", n.heartbeats.unanswered,
--- /dev/null
+++ b/lead/offer.go
@@ -0,0 +1,83 @@
+package lead
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	glade "indigoglade"
+	"indigoglade/sched"
+)
+
+// OfferArgs asks the leader of a service for its decision on a batch before the batch is
+// sent. A batch is several times as large, and an overloaded leader refuses most of them.
+type OfferArgs struct {
+	Service glade.Service `json:"service"`
+	ID      glade.BatchID `json:"id"`
+	Queue   glade.Queue   `json:"queue"`
+	// TimeoutMs is the time that the caller waits, in milliseconds.
+	TimeoutMs int64 `json:"within"`
+}
+
+func (m *Manager) offerLocal(ctx context.Context, in OfferArgs) SubmitReply {
+	leader, ok := m.LocalLeader(in.Service)
+	if !ok {
+		return SubmitReply{Code: SubmitNotLeader}
+	}
+	bounded, cancel := context.WithTimeout(ctx, time.Duration(in.TimeoutMs)*time.Millisecond)
+	defer cancel()
+	return leader.offer(bounded, in)
+}
+
+func (s *ServiceLeader) offer(ctx context.Context, in OfferArgs) SubmitReply {
+	var admission sched.Admission
+	decided := false
+	s.activity.recordOffer()
+	if !s.withSched(func(scheduler *sched.Scheduler) {
+		admission, decided = scheduler.Offer(in.ID, in.Queue, s.clock.Now())
+	}) {
+		return SubmitReply{Code: SubmitNotLeader, Reason: "loading"}
+	}
+	switch {
+	case !decided:
+		return SubmitReply{Code: SubmitNeeded}
+	case !admission.Accepted:
+		return SubmitReply{Code: SubmitRefused, Reason: admission.Reason, After: admission.After.Milliseconds()}
+	}
+	return s.awaitAccepted(ctx, in.ID, admission.Gen)
+}
+
+// isOverload reports whether a leader has refused a batch for lack of capacity.
+func isOverload(reason string) bool { return reason == "load" || reason == "link" }
+
+// offerTime is how long batches of a queue are offered first after one was refused for
+// lack of capacity. An offer that is not decided costs a round trip.
+const offerTime = 5 * time.Second
+
+// overloads remembers which queues had a batch refused for lack of capacity.
+type overloads struct {
+	mu        sync.Mutex
+	refusedAt map[queueKey]time.Time
+}
+
+type queueKey struct {
+	service glade.Service
+	queue   glade.Queue
+}
+
+func (o *overloads) record(service glade.Service, queue glade.Queue, now time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.refusedAt == nil {
+		o.refusedAt = make(map[queueKey]time.Time)
+	}
+	o.refusedAt[queueKey{service, queue}] = now
+}
+
+// isRecent reports whether a batch of a queue was refused less than offerTime ago.
+func (o *overloads) isRecent(service glade.Service, queue glade.Queue, now time.Time) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	at, ok := o.refusedAt[queueKey{service, queue}]
+	return ok && now.Sub(at) < offerTime
+}
--- a/lead/router.go
+++ b/lead/router.go
@@ -25,6 +25,8 @@
 	// SubmitNotLeader means that the called host does not lead the service, or has
 	// not loaded its state yet.
 	SubmitNotLeader SubmitCode = "elsewhere"
+	// SubmitNeeded means that the leader needs the batch to decide on an offer.
+	SubmitNeeded SubmitCode = "needed"
 )
 
 // SubmitArgs is the request that sends a batch to the leader of its service.
@@ -66,6 +68,7 @@
 // RPC methods between hosts.
 const (
 	methodSubmit = "submit"
+	methodOffer  = "offer"
 	methodCancel = "cancel"
 	methodState  = "state"
 )
@@ -77,6 +80,9 @@
 	jrpc.Handle(mux, methodSubmit, func(ctx context.Context, in SubmitArgs) (SubmitReply, error) {
 		return m.submitLocal(ctx, in), nil
 	})
+	jrpc.Handle(mux, methodOffer, func(ctx context.Context, in OfferArgs) (SubmitReply, error) {
+		return m.offerLocal(ctx, in), nil
+	})
 	jrpc.Handle(mux, methodCancel, func(ctx context.Context, in BatchArgs) (BatchReply, error) {
 		return m.cancelLocal(ctx, in)
 	})
@@ -247,7 +253,8 @@
 	mu      sync.Mutex
 	clients map[string]*jrpc.Client
 	// pending holds the calls to other hosts in flight.
-	pending map[*pendingCall]bool
+	pending   map[*pendingCall]bool
+	overloads overloads
 }
 
 func newRouter(manager *Manager) *Router {
@@ -326,23 +333,27 @@
 }
 
 // Submit sends a batch to the leader of its service and searches for the leader
-// while none is reached.
+// while none is reached. While the leader refuses batches of the queue for lack of
+// capacity, the batch is offered to it first.
 func (r *Router) Submit(ctx context.Context, in SubmitArgs, timeout time.Duration) SubmitReply {
 	deadline := r.clock.Now().Add(timeout)
 	searchEnd := r.clock.Now().Add(searchTimeout)
+	offer := r.overloads.isRecent(in.Service, in.Queue, r.clock.Now())
 	sent := false
 	for {
 		if r.isUnreachable(in.Service) {
 			return isolatedReply(sent)
 		}
 		in.TimeoutMs = max(deadline.Sub(r.clock.Now()).Milliseconds(), 1)
-		reply, found, err := route(ctx, r, in.Service, methodSubmit, in, func() (SubmitReply, error) {
-			return r.manager.submitLocal(ctx, in), nil
-		})
+		reply, found, err := r.submitOnce(ctx, in, offer)
 		switch {
 		case err != nil:
-			sent = true // the request may have arrived
+			sent = sent || !offer // the request may have arrived
+			offer = false         // a leader of an older version knows no offers
 			r.manager.config.Log.Info("submission to the leader failed", "batch", in.ID, "service", in.Service, "error", err.Error())
+		case found && reply.Code == SubmitNeeded:
+			offer = false
+			continue
 		case found && reply.Code != SubmitNotLeader:
 			if reply.Code == SubmitRefused && sent {
 				// An earlier attempt may still arrive at another leader.
@@ -363,6 +374,24 @@
 	}
 }
 
+// submitOnce sends a batch, or only an offer of it, to the leader that is known now.
+func (r *Router) submitOnce(ctx context.Context, in SubmitArgs, offer bool) (reply SubmitReply, found bool, err error) {
+	if offer {
+		o := OfferArgs{Service: in.Service, ID: in.ID, Queue: in.Queue, TimeoutMs: in.TimeoutMs}
+		reply, found, err = route(ctx, r, in.Service, methodOffer, o, func() (SubmitReply, error) {
+			return r.manager.offerLocal(ctx, o), nil
+		})
+	} else {
+		reply, found, err = route(ctx, r, in.Service, methodSubmit, in, func() (SubmitReply, error) {
+			return r.manager.submitLocal(ctx, in), nil
+		})
+	}
+	if reply.Code == SubmitRefused && isOverload(reply.Reason) {
+		r.overloads.record(in.Service, in.Queue, r.clock.Now())
+	}
+	return reply, found, err
+}
+
 // isolatedRetryAfter is the time after which a caller may retry at a host that is
 // isolated: by then the load balancer sends it to another one.
 const isolatedRetryAfter = time.Second
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -48,7 +48,9 @@
 		s.stats.Refused++
 		after := min(max(wait, minRetryAfter), maxRetryAfter)
 		s.addEvent("refuse", "batch", id, "queue", queue, "why", reason, "wait", wait.Milliseconds(), "after", after.Milliseconds())
-		return Admission{Reason: reason, After: after}
+		refused := Admission{Reason: reason, After: after}
+		s.closeQueue(queue, refused, wait, now)
+		return refused
 	}
 	s.hasGangs = s.hasGangs || hasGang(work)
 	b.workUnwritten = true
@@ -145,6 +147,8 @@
 	at       time.Time
 	// window is the time constant of both averages.
 	window time.Duration
+	// meanWork is the average work of a batch, in millicores times milliseconds.
+	meanWork float64
 }
 
 // Windows of a load average.
@@ -183,11 +187,18 @@
 	window := max(minLoadWindow, time.Duration(loadWindowShare*float64(slack)))
 	f, ok := s.loadAverages[b.queue]
 	if !ok {
-		f = &loadAverage{at: now, window: window}
+		f = &loadAverage{at: now, window: window, meanWork: work}
 		s.loadAverages[b.queue] = f
 	}
 	f.decay(now)
 	f.window += (window - f.window) / loadWindowBatches
+	f.meanWork += (work - f.meanWork) / loadWindowBatches
+	f.add(work, now)
+}
+
+// add adds arriving work to the load.
+func (f *loadAverage) add(work float64, now time.Time) {
+	f.decay(now)
 	f.load += work / float64(f.window.Milliseconds())
 }
 
