An overloaded leader judges by most answers, asks runners less often and gets no more hosts

Cause: what was meant for other faults added load to a leader without processor time. After a lost answer runners with short tasks were asked each 250 ms in place of 1 s, though the leader lost the answers itself. Its pool was sized by the highest rate of starts, not by the one that it had fallen to: 863 of 1,100 hosts, each of which wants a heartbeat a second. The rate itself followed one answer in 200 ms, so that one slow runner could lower it, and starts without any answer did not lower it. Change: sched.pace counts the answers of each period, those given up included; if most are slow, the leader is overloaded: the rate falls, heartbeats wait as long as before losses, runners that report ends are asked again after 400 ms, and the pool is bounded by the present rate. Ruled out: the delay of steps as the signal; line activity shows delays of 0 to 16 ms while answers took 700 ms.

--- a/sched/answers.go
+++ b/sched/answers.go
@@ -33,7 +33,7 @@
 	n, refused := o.run, answer.Refused
 	n.orderInFlight = false
 	n.runner.checkRestart(n, answer, err)
-	if err == nil {
+	if !wasNotCarriedOut(err) {
 		s.pace.observe(now.Sub(n.startedAt), now)
 	}
 	if !n.runner.runs[n] {
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -220,12 +220,13 @@
 
 // heartbeatWait returns how long a runner may delay its answer to a heartbeat. While
 // answers of runners get lost, those with short tasks wait less: until the timeout of a
-// lost one, this leader does not learn which tasks have ended there.
+// lost one, this leader does not learn which tasks have ended there. An overloaded leader
+// loses answers for lack of time, and more heartbeats would take more of it.
 func (s *Scheduler) heartbeatWait(r *runner, now time.Time) time.Duration {
 	switch {
 	case len(r.runs) == 0:
 		return max(idleRunnerWait, s.config.HeartbeatWait)
-	case now.Sub(s.answerLostAt) < lossyPeriod && r.hasShortRuns():
+	case now.Sub(s.answerLostAt) < lossyPeriod && r.hasShortRuns() && !s.pace.isOverloaded(now):
 		return min(lossyWait, s.config.HeartbeatWait)
 	}
 	return s.config.HeartbeatWait
--- a/sched/pace.go
+++ b/sched/pace.go
@@ -16,8 +16,13 @@
 	rate   float64 // present rate, in bytes per second
 	tokens float64 // bytes that may be sent now, negative after a large start
 	at     time.Time
-	// adjustedAt is when the rate was last changed.
-	adjustedAt time.Time
+	// periodStart is when the present period of adjustPeriod began, answers the number of
+	// starts that were answered or given up since, and slow of those that took longer than
+	// slowAnswer.
+	periodStart   time.Time
+	answers, slow int
+	// overloadedAt is when most starts of a period were last slow.
+	overloadedAt time.Time
 	// workPerByte is the average work of a task for each byte of its start, in millicores
 	// times milliseconds; 0 before the first batch.
 	workPerByte float64
@@ -30,11 +35,14 @@
 	// startOverhead is the size of a start without the text of its batch, in bytes:
 	// headers and the other fields.
 	startOverhead = 400
-	// slowAnswer is the time of an answered start above which the link or the processor
-	// is taken to be overloaded. A runner answers within some milliseconds.
+	// slowAnswer is the time above which the answer to a start is slow. A runner answers
+	// within some milliseconds. If most answers are slow, the leader's link or processor is
+	// overloaded; if some are, their runners may be.
 	slowAnswer = 150 * time.Millisecond
 	// adjustPeriod is the least time between two changes of the rate.
 	adjustPeriod = 200 * time.Millisecond
+	// overloadTime is how long a leader counts as overloaded after most answers were slow.
+	overloadTime = time.Second
 	// slowDownFactor and speedUpShare change the rate after slow and after quick answers;
 	// the share is of the limit. minRateShare of it is always left.
 	slowDownFactor = 0.8
@@ -49,20 +57,28 @@
 	}
 }
 
-// observe adjusts the rate to the time that an answered start has taken.
+// observe adjusts the rate to the time after which a start was answered or given up.
 func (p *pace) observe(took time.Duration, now time.Time) {
-	if now.Sub(p.adjustedAt) < adjustPeriod {
-		return
-	}
-	rate := min(p.rate+speedUpShare*p.limit, p.limit)
+	p.answers++
 	if took > slowAnswer {
-		rate = max(p.rate*slowDownFactor, minRateShare*p.limit)
+		p.slow++
 	}
-	if rate != p.rate {
-		p.rate, p.adjustedAt = rate, now
+	if now.Sub(p.periodStart) < adjustPeriod {
+		return
 	}
+	if 2*p.slow > p.answers {
+		p.overloadedAt = now
+		p.rate = max(p.rate*slowDownFactor, minRateShare*p.limit)
+	} else {
+		p.rate = min(p.rate+speedUpShare*p.limit, p.limit)
+	}
+	p.periodStart, p.answers, p.slow = now, 0, 0
 }
 
+// isOverloaded reports whether the leader's link or processor is overloaded. Work that
+// can wait must then cost less, not more.
+func (p *pace) isOverloaded(now time.Time) bool { return now.Sub(p.overloadedAt) < overloadTime }
+
 // startBytes returns about how many bytes a start of a batch's task takes.
 func startBytes(work *glade.Batch) float64 { return float64(len(work.Spec) + startOverhead) }
 
@@ -102,13 +118,13 @@
 	p.workPerByte += workWeight * (work/bytes - p.workPerByte)
 }
 
-// bound limits a load in millicores to what can be started: more hosts than that would
-// stay idle.
+// bound limits a load in millicores to what can be started now: more hosts than that
+// would stay idle, and each costs the leader heartbeats.
 func (p *pace) bound(load int) int {
-	if p.limit == 0 || p.workPerByte == 0 {
+	if p.rate == 0 || p.workPerByte == 0 {
 		return load
 	}
-	return min(load, int(p.limit*p.workPerByte/float64(time.Second.Milliseconds())))
+	return min(load, int(p.rate*p.workPerByte/float64(time.Second.Milliseconds())))
 }
 
 // drainTime returns how long starts of the given size take.
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -288,7 +288,7 @@
 	}
 	r.clock, r.clockAt = answer.Clock, now
 	if len(answer.Ended) > 0 {
-		r.nextHeartbeat = now.Add(min(time.Duration(len(s.ordered))*heartbeatSpacing, maxHeartbeatSpacing))
+		r.nextHeartbeat = now.Add(s.heartbeatPause(now))
 	}
 	first := !r.contacted
 	r.contacted = true
@@ -308,8 +308,20 @@
 const (
 	heartbeatSpacing    = 150 * time.Microsecond // for each runner of the service
 	maxHeartbeatSpacing = 120 * time.Millisecond
+	// overloadedSpacing is for an overloaded leader, which starts fewer tasks than its
+	// runners have room for: it may learn later that one has ended.
+	overloadedSpacing = 400 * time.Millisecond
 )
 
+// heartbeatPause returns the pause before the next heartbeat to a runner that has reported
+// ends.
+func (s *Scheduler) heartbeatPause(now time.Time) time.Duration {
+	if s.pace.isOverloaded(now) {
+		return overloadedSpacing
+	}
+	return min(time.Duration(len(s.ordered))*heartbeatSpacing, maxHeartbeatSpacing)
+}
+
 // Backoff between heartbeats to an unresponsive runner: heartbeatBackoff for each
 // missed one, up to maxHeartbeatBackoff.
 const (
