The timeout of orders and heartbeats grows when every answer is slow

Cause: a leader that is late itself took its runners for silent. Orders and heartbeats are given up after at most 0.7 s; one that is given up counts as missed, and no lease is renewed until a later one is answered. With answers slower than that for some seconds, all leases of the leader end. Change: the timeout may grow to 2 s while even the fastest answer of the last half second took over 100 ms, so that the delay is the leader's own. While some are answered at once, a lost one is given up as soon as before.

--- a/lead/calls.go
+++ b/lead/calls.go
@@ -110,8 +110,9 @@
 
 // recordOrder records how long the answer to an order took that was sent at the given time.
 func (c *call) recordOrder(sent time.Time, err error) {
-	took := c.leader.clock.Now().Sub(sent)
-	c.leader.answers.observe(took)
+	now := c.leader.clock.Now()
+	took := now.Sub(sent)
+	c.leader.answers.observe(took, now)
 	c.leader.activity.recordOrder(took, err)
 }
 
--- a/lead/timeout.go
+++ b/lead/timeout.go
@@ -12,6 +12,10 @@
 type answerTimer struct {
 	mu              sync.Mutex
 	mean, deviation time.Duration
+	// fastest is the shortest time of the period since periodStart, lastFastest that of
+	// the period before.
+	fastest, lastFastest time.Duration
+	periodStart          time.Time
 }
 
 // Bounds of the timeout, and the averages behind it.
@@ -25,6 +29,15 @@
 	deviationsWaited = 4 // added to the mean
 )
 
+// If even the fastest answer of a period takes longer than ownDelay, this leader's link or
+// processor delays all of them, and no runner is to blame: the timeout may then grow to
+// maxOwnTimeout. A lease outlasts a heartbeat that is given up after it.
+const (
+	ownDelay      = 100 * time.Millisecond
+	answerPeriod  = 500 * time.Millisecond
+	maxOwnTimeout = 2 * time.Second
+)
+
 // timeout returns the present timeout.
 func (t *answerTimer) timeout() time.Duration {
 	t.mu.Lock()
@@ -32,15 +45,23 @@
 	if t.mean == 0 {
 		return maxOrderTimeout
 	}
-	return min(max(t.mean+deviationsWaited*t.deviation, minOrderTimeout), maxOrderTimeout)
+	longest := maxOrderTimeout
+	if min(t.fastest, t.lastFastest) > ownDelay {
+		longest = maxOwnTimeout
+	}
+	return min(max(t.mean+deviationsWaited*t.deviation, minOrderTimeout), longest)
 }
 
 // observe adds the time that an order took until it was answered or given up. Orders that
 // were given up count as well: if a link turns slow, the timeout must grow although no
 // answer comes in time any more.
-func (t *answerTimer) observe(took time.Duration) {
+func (t *answerTimer) observe(took time.Duration, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if now.Sub(t.periodStart) >= answerPeriod {
+		t.periodStart, t.lastFastest, t.fastest = now, t.fastest, took
+	}
+	t.fastest = min(t.fastest, took)
 	if t.mean == 0 {
 		t.mean, t.deviation = max(took, 1), took/2
 		return
