An offer carries a summary of its batch and is decided like the batch

Cause: a refusal closed its queue for up to 500 ms, also for batches that need less time or have more, which the leader would have accepted. Change: sched.Summary has what admission depends on: chain of run times, work, bytes of starts. Offer and Submit use the same rule on it; no queue is closed any more. Result: TestOffer: an offer is refused like its batch, and one with more time is asked for while others are refused, which the closed queue would have refused.

--- a/lead/offer.go
+++ b/lead/offer.go
@@ -10,11 +10,13 @@
 )
 
 // OfferArgs asks the leader of a service for its decision on a batch before the batch is
-// sent. A batch is several times as large, and an overloaded leader refuses most of them.
+// sent. A batch is several times as large as its summary, and an overloaded leader refuses
+// most of them.
 type OfferArgs struct {
 	Service glade.Service `json:"service"`
 	ID      glade.BatchID `json:"id"`
 	Queue   glade.Queue   `json:"queue"`
+	Batch   sched.Summary `json:"batch"`
 	// TimeoutMs is the time that the caller waits, in milliseconds.
 	TimeoutMs int64 `json:"within"`
 }
@@ -34,7 +36,7 @@
 	decided := false
 	s.activity.recordOffer()
 	if !s.withSched(func(scheduler *sched.Scheduler) {
-		admission, decided = scheduler.Offer(in.ID, in.Queue, s.clock.Now())
+		admission, decided = scheduler.Offer(in.ID, in.Queue, in.Batch, s.clock.Now())
 	}) {
 		return SubmitReply{Code: SubmitNotLeader, Reason: "loading"}
 	}
--- a/lead/router.go
+++ b/lead/router.go
@@ -377,7 +377,7 @@
 // submitOnce sends a batch, or only an offer of it, to the leader that is known now.
 func (r *Router) submitOnce(ctx context.Context, in SubmitArgs, offer bool) (reply SubmitReply, found bool, err error) {
 	if offer {
-		o := OfferArgs{Service: in.Service, ID: in.ID, Queue: in.Queue, TimeoutMs: in.TimeoutMs}
+		o := OfferArgs{Service: in.Service, ID: in.ID, Queue: in.Queue, Batch: sched.Summarize(in.Batch), TimeoutMs: in.TimeoutMs}
 		reply, found, err = route(ctx, r, in.Service, methodOffer, o, func() (SubmitReply, error) {
 			return r.manager.offerLocal(ctx, o), nil
 		})
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -39,19 +39,14 @@
 	if b, ok := s.batches[id]; ok {
 		return Admission{Accepted: true, Gen: b.gen}
 	}
-	b := newBatch(id, queue, work, now)
+	summary := Summarize(work)
 	if !s.refused[id] {
-		s.recordArrival(b, now)
+		s.recordArrival(queue, summary, now)
 	}
-	if reason, wait := s.refusal(b, now); reason != "" {
-		s.rememberRefused(id)
-		s.stats.Refused++
-		after := min(max(wait, minRetryAfter), maxRetryAfter)
-		s.addEvent("refuse", "batch", id, "queue", queue, "why", reason, "wait", wait.Milliseconds(), "after", after.Milliseconds())
-		refused := Admission{Reason: reason, After: after}
-		s.closeQueue(queue, refused, wait, now)
-		return refused
+	if reason, wait := s.refusal(queue, summary, now); reason != "" {
+		return s.refuse(id, queue, reason, wait)
 	}
+	b := newBatch(id, queue, work, now)
 	s.hasGangs = s.hasGangs || hasGang(work)
 	b.workUnwritten = true
 	s.batches[id] = b
@@ -61,13 +56,22 @@
 	return Admission{Accepted: true, Gen: b.gen}
 }
 
+// refuse records a refusal. wait is how long it takes until the batch could be accepted.
+func (s *Scheduler) refuse(id glade.BatchID, queue glade.Queue, reason string, wait time.Duration) Admission {
+	s.rememberRefused(id)
+	s.stats.Refused++
+	after := min(max(wait, minRetryAfter), maxRetryAfter)
+	s.addEvent("refuse", "batch", id, "queue", queue, "why", reason, "wait", wait.Milliseconds(), "after", after.Milliseconds())
+	return Admission{Reason: reason, After: after}
+}
+
 // RecordRefused records a batch that is refused because it can't be written now.
 // Its work counts as offered load, so that hosts are there when the caller retries.
 func (s *Scheduler) RecordRefused(id glade.BatchID, queue glade.Queue, work glade.Batch, now time.Time) {
 	if s.refused[id] {
 		return
 	}
-	s.recordArrival(newBatch(id, queue, work, now), now)
+	s.recordArrival(queue, Summarize(work), now)
 	s.rememberRefused(id)
 	s.stats.Refused++
 }
@@ -86,19 +90,20 @@
 
 // refusal returns why a batch must be refused, and how long until it could be
 // accepted. The reason is empty if the batch is to be accepted.
-func (s *Scheduler) refusal(b *batch, now time.Time) (string, time.Duration) {
-	if _, ok := s.rules[b.queue]; !ok {
+func (s *Scheduler) refusal(queue glade.Queue, batch Summary, now time.Time) (string, time.Duration) {
+	rule, ok := s.rules[queue]
+	if !ok {
 		return "queue", 0
 	}
-	if b.work.Times > 0 || isLongRunning(b) {
+	if batch.HasNoObjective {
 		return "", 0
 	}
 	pool := s.pool()
 	if pool <= 0 {
 		return "", 0
 	}
-	objective := s.objective(b)
-	path := s.criticalPath(b.occurrences[0], true)
+	path := s.expectedPath(queue, batch)
+	objective := objectiveOf(rule, path)
 	ahead, all := s.backlogAt(now).before(objective-path, now)
 	if wait, limit := s.pace.drainTime(all.startBytes), time.Duration(linkSlackShare*float64(objective-path)); wait > limit {
 		// No host can be moved to help, and all that is accepted is started.
@@ -147,8 +152,6 @@
 	at       time.Time
 	// window is the time constant of both averages.
 	window time.Duration
-	// meanWork is the average work of a batch, in millicores times milliseconds.
-	meanWork float64
 }
 
 // Windows of a load average.
@@ -174,31 +177,19 @@
 
 // recordArrival adds the work of a submitted batch, accepted or not, to the
 // offered load.
-func (s *Scheduler) recordArrival(b *batch, now time.Time) {
-	work, bytes := 0.0, 0.0
-	for _, st := range b.occurrences[0].steps {
-		if !st.rule.LongRunning {
-			bytes += float64(st.rule.Count) * startBytes(&b.work)
-			work += float64(st.rule.Count) * float64(st.rule.Need.CPU) * float64(st.rule.Estimate) * s.estimates.factor(b.queue)
-		}
-	}
-	s.pace.recordArrival(work, bytes)
-	slack := s.objective(b) - s.criticalPath(b.occurrences[0], true)
+func (s *Scheduler) recordArrival(queue glade.Queue, batch Summary, now time.Time) {
+	work := batch.Work * s.estimates.factor(queue)
+	s.pace.recordArrival(work, batch.StartBytes)
+	path := s.expectedPath(queue, batch)
+	slack := objectiveOf(s.rules[queue], path) - path
 	window := max(minLoadWindow, time.Duration(loadWindowShare*float64(slack)))
-	f, ok := s.loadAverages[b.queue]
+	f, ok := s.loadAverages[queue]
 	if !ok {
-		f = &loadAverage{at: now, window: window, meanWork: work}
-		s.loadAverages[b.queue] = f
+		f = &loadAverage{at: now, window: window}
+		s.loadAverages[queue] = f
 	}
 	f.decay(now)
 	f.window += (window - f.window) / loadWindowBatches
-	f.meanWork += (work - f.meanWork) / loadWindowBatches
-	f.add(work, now)
-}
-
-// add adds arriving work to the load.
-func (f *loadAverage) add(work float64, now time.Time) {
-	f.decay(now)
 	f.load += work / float64(f.window.Milliseconds())
 }
 
@@ -213,15 +204,6 @@
 	return load, rise
 }
 
-func isLongRunning(b *batch) bool {
-	for i := range b.work.Steps {
-		if b.work.Steps[i].LongRunning {
-			return true
-		}
-	}
-	return false
-}
-
 // pool returns the capacity for tasks that end, in millicores: that of all listed
 // runners which are not draining, without what long-running tasks take.
 func (s *Scheduler) pool() int {
--- a/sched/offer.go
+++ b/sched/offer.go
@@ -6,47 +6,60 @@
 	glade "indigoglade"
 )
 
-// closedQueue is a queue whose batches are refused unseen until a time.
-type closedQueue struct {
-	until   time.Time
-	refusal Admission
+// Summary is what the admission of a batch depends on, without the batch's text and tasks.
+type Summary struct {
+	// ChainMs is the longest chain of declared run times of dependent steps, in
+	// milliseconds.
+	ChainMs float64 `json:"chain"`
+	// Work is the declared work of all tasks that end, in millicores times milliseconds.
+	Work float64 `json:"work"`
+	// StartBytes is about how many bytes the starts of these tasks take.
+	StartBytes float64 `json:"bytes"`
+	// HasNoObjective means that the batch repeats or is long-running. Such batches are
+	// never refused for lack of capacity.
+	HasNoObjective bool `json:"always,omitempty"`
 }
 
-// maxClosedTime bounds how long a queue stays closed after a refusal: the estimate behind
-// it becomes less reliable with time.
-const maxClosedTime = 500 * time.Millisecond
-
-// closeQueue closes a queue of which a batch was refused for lack of capacity, until there
-// could be some.
-func (s *Scheduler) closeQueue(queue glade.Queue, refusal Admission, wait time.Duration, now time.Time) {
-	if wait > 0 {
-		s.closed[queue] = closedQueue{until: now.Add(min(wait, maxClosedTime)), refusal: refusal}
+// Summarize returns the summary of a batch.
+func Summarize(work glade.Batch) Summary {
+	summary := Summary{HasNoObjective: work.Times > 0}
+	ends := make([]float64, len(work.Steps))
+	for i := range work.Steps {
+		step := &work.Steps[i]
+		if step.LongRunning {
+			summary.HasNoObjective = true
+		} else {
+			summary.StartBytes += float64(step.Count) * startBytes(&work)
+			summary.Work += float64(step.Count) * float64(step.Need.CPU) * float64(step.Estimate)
+		}
+		for _, j := range step.After {
+			if j < i {
+				ends[i] = max(ends[i], ends[j])
+			}
+		}
+		ends[i] += float64(step.Estimate)
+		summary.ChainMs = max(summary.ChainMs, ends[i])
 	}
+	return summary
+}
+
+// expectedPath returns the expected time of a batch's longest chain.
+func (s *Scheduler) expectedPath(queue glade.Queue, batch Summary) time.Duration {
+	return time.Duration(batch.ChainMs * s.estimates.factor(queue) * float64(time.Millisecond))
 }
 
-// Offer decides on a batch by its id and queue alone, so that most batches of an overload
-// need not be sent to the leader. It returns false if the decision needs the batch.
-func (s *Scheduler) Offer(id glade.BatchID, queue glade.Queue, now time.Time) (Admission, bool) {
+// Offer decides on a batch by its summary, so that most batches of an overload need not be
+// sent to the leader. It returns false if the batch may be accepted and has to be sent.
+func (s *Scheduler) Offer(id glade.BatchID, queue glade.Queue, batch Summary, now time.Time) (Admission, bool) {
 	if b, ok := s.batches[id]; ok {
 		return Admission{Accepted: true, Gen: b.gen}, true
 	}
-	closed, ok := s.closed[queue]
-	if !ok || !now.Before(closed.until) {
+	reason, wait := s.refusal(queue, batch, now)
+	if reason == "" {
 		return Admission{}, false
 	}
 	if !s.refused[id] {
-		s.rememberRefused(id)
-		s.recordUnseen(queue, now)
-	}
-	s.stats.Refused++
-	s.addEvent("refuse", "batch", id, "queue", queue, "why", closed.refusal.Reason, "unseen", true, "after", closed.refusal.After.Milliseconds())
-	return closed.refusal, true
-}
-
-// recordUnseen adds the average work of a queue's batches to its offered load, for a batch
-// that was refused unseen.
-func (s *Scheduler) recordUnseen(queue glade.Queue, now time.Time) {
-	if f, ok := s.loadAverages[queue]; ok {
-		f.add(f.meanWork, now)
+		s.recordArrival(queue, batch, now)
 	}
+	return s.refuse(id, queue, reason, wait), true
 }
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	glade "indigoglade"
 )
 
 // criticalPath returns the estimated run time of the longest chain of dependent
@@ -47,7 +49,12 @@
 	if !ok || len(b.occurrences) == 0 {
 		return 0
 	}
-	return time.Duration(float64(s.criticalPath(b.occurrences[0], true))*rule.Stretch) + rule.Slack
+	return objectiveOf(rule, s.criticalPath(b.occurrences[0], true))
+}
+
+// objectiveOf returns the target time of a batch whose longest chain takes path.
+func objectiveOf(rule glade.QueueRule, path time.Duration) time.Duration {
+	return time.Duration(float64(path)*rule.Stretch) + rule.Slack
 }
 
 // lateFactor is the multiple of the objective after which a batch earns nothing.
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -109,7 +109,6 @@
 	estimates    estimates
 	loadAverages map[glade.Queue]*loadAverage
 	backlog      *backlog // nil before the first submission
-	closed       map[glade.Queue]closedQueue
 	// refused holds recently refused batches.
 	refused map[glade.BatchID]bool
 	// spareCapacity is the capacity for tasks that leave runners under evacuation, in
@@ -154,7 +153,6 @@
 		registered:      make(map[glade.RunnerID]bool),
 		loadAverages:    make(map[glade.Queue]*loadAverage),
 		refused:         make(map[glade.BatchID]bool),
-		closed:          make(map[glade.Queue]closedQueue),
 		renewedAt:       now,
 		leaderSince:     now,
 		needsPlacement:  true,
