--- a/lead/offer.go
+++ b/lead/offer.go
@@ -22,13 +22,9 @@
 }
 
 func (m *Manager) offerLocal(ctx context.Context, in OfferArgs) SubmitReply {
-	leader, ok := m.LocalLeader(in.Service)
-	if !ok {
-		return SubmitReply{Code: SubmitNotLeader}
-	}
-	bounded, cancel := context.WithTimeout(ctx, time.Duration(in.TimeoutMs)*time.Millisecond)
-	defer cancel()
-	return leader.offer(bounded, in)
+	return m.decideLocal(ctx, in.Service, in.TimeoutMs, func(ctx context.Context, leader *ServiceLeader) SubmitReply {
+		return leader.offer(ctx, in)
+	})
 }
 
 func (s *ServiceLeader) offer(ctx context.Context, in OfferArgs) SubmitReply {
@@ -40,13 +36,10 @@
 	}) {
 		return SubmitReply{Code: SubmitNotLeader, Reason: "loading"}
 	}
-	switch {
-	case !decided:
+	if !decided {
 		return SubmitReply{Code: SubmitNeeded}
-	case !admission.Accepted:
-		return SubmitReply{Code: SubmitRefused, Reason: admission.Reason, After: admission.After.Milliseconds()}
 	}
-	return s.awaitAccepted(ctx, in.ID, admission.Gen)
+	return s.replyTo(ctx, in.ID, admission)
 }
 
 // isOverload reports whether a leader has refused a batch for lack of capacity.
--- a/lead/router.go
+++ b/lead/router.go
@@ -92,13 +92,21 @@
 }
 
 func (m *Manager) submitLocal(ctx context.Context, in SubmitArgs) SubmitReply {
-	leader, ok := m.LocalLeader(in.Service)
+	return m.decideLocal(ctx, in.Service, in.TimeoutMs, func(ctx context.Context, leader *ServiceLeader) SubmitReply {
+		return leader.submit(ctx, in)
+	})
+}
+
+// decideLocal lets the leader of a service in this process decide, within the time that
+// the caller waits.
+func (m *Manager) decideLocal(ctx context.Context, service glade.Service, timeoutMs int64, decide func(ctx context.Context, leader *ServiceLeader) SubmitReply) SubmitReply {
+	leader, ok := m.LocalLeader(service)
 	if !ok {
 		return SubmitReply{Code: SubmitNotLeader}
 	}
-	bounded, cancel := context.WithTimeout(ctx, time.Duration(in.TimeoutMs)*time.Millisecond)
+	bounded, cancel := context.WithTimeout(ctx, time.Duration(timeoutMs)*time.Millisecond)
 	defer cancel()
-	return leader.submit(bounded, in)
+	return decide(bounded, leader)
 }
 
 // failFastAfter is how long writes must have failed before submissions are refused
@@ -127,10 +135,15 @@
 	if storeFailing {
 		return SubmitReply{Code: SubmitRefused, Reason: "store", After: storeRetryAfter.Milliseconds()}
 	}
+	return s.replyTo(ctx, in.ID, admission)
+}
+
+// replyTo returns the reply for an admission, for an accepted batch once it is written.
+func (s *ServiceLeader) replyTo(ctx context.Context, id glade.BatchID, admission sched.Admission) SubmitReply {
 	if !admission.Accepted {
 		return SubmitReply{Code: SubmitRefused, Reason: admission.Reason, After: admission.After.Milliseconds()}
 	}
-	return s.awaitAccepted(ctx, in.ID, admission.Gen)
+	return s.awaitAccepted(ctx, id, admission.Gen)
 }
 
 // awaitAccepted waits until a batch is written. While the store takes no writes,
--- a/sched/offer.go
+++ b/sched/offer.go
@@ -22,8 +22,10 @@
 
 // Summarize returns the summary of a batch.
 func Summarize(work glade.Batch) Summary {
-	summary := Summary{HasNoObjective: work.Times > 0}
-	ends := make([]float64, len(work.Steps))
+	summary := Summary{
+		HasNoObjective: work.Times > 0,
+		ChainMs:        longestChain(work.Steps, func(int) bool { return true }),
+	}
 	for i := range work.Steps {
 		step := &work.Steps[i]
 		if step.LongRunning {
@@ -32,13 +34,6 @@
 			summary.StartBytes += float64(step.Count) * startBytes(&work)
 			summary.Work += float64(step.Count) * float64(step.Need.CPU) * float64(step.Estimate)
 		}
-		for _, j := range step.After {
-			if j < i {
-				ends[i] = max(ends[i], ends[j])
-			}
-		}
-		ends[i] += float64(step.Estimate)
-		summary.ChainMs = max(summary.ChainMs, ends[i])
 	}
 	return summary
 }
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -27,16 +27,22 @@
 // longestChain returns the longest chain of the estimates of dependent steps in
 // milliseconds: of those that are not done, or of all steps if whole is set.
 func (o *occurrence) longestChain(whole bool) float64 {
-	ends := make([]float64, len(o.steps))
+	return longestChain(o.batch.work.Steps, func(i int) bool { return whole || o.steps[i].left > 0 })
+}
+
+// longestChain returns the longest chain of the estimates of dependent steps in
+// milliseconds, with those steps that count.
+func longestChain(steps []glade.Step, counts func(i int) bool) float64 {
+	ends := make([]float64, len(steps))
 	longest := 0.0
-	for i, st := range o.steps {
-		for _, j := range st.rule.After {
+	for i := range steps {
+		for _, j := range steps[i].After {
 			if j < i {
 				ends[i] = max(ends[i], ends[j])
 			}
 		}
-		if whole || st.left > 0 {
-			ends[i] += float64(st.rule.Estimate)
+		if counts(i) {
+			ends[i] += float64(steps[i].Estimate)
 		}
 		longest = max(longest, ends[i])
 	}
