maxStepDelayMs counts steps that were asked for, not only those that were due by time

The line activity measured the delay of a step from the time at which it was due at the latest. Change: a step's delay counts from when it was first asked for, the rest before it included. TestActivity has the case.

--- a/lead/activity.go
+++ b/lead/activity.go
@@ -11,11 +11,13 @@
 	mu     sync.Mutex
 	since  time.Time
 	counts activityCounts
+	// wokenAt is when the next step was first asked for, zero if it was not.
+	wokenAt time.Time
 }
 
 type activityCounts struct {
 	// steps counts scheduling steps, stepTime is their sum, and maxStepDelay the longest
-	// time from when a step was due until it ran.
+	// time from when a step was due or asked for until it ran, the rest before it included.
 	steps                  int
 	stepTime, maxStepDelay time.Duration
 	orders, heartbeats     callCounts
@@ -43,12 +45,32 @@
 
 func (c *callCounts) mean() time.Duration { return c.time / time.Duration(max(c.answered, 1)) }
 
-func (a *activity) recordStep(took, delay time.Duration) {
+// recordWake records that a step was asked for.
+func (a *activity) recordWake(now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.wokenAt.IsZero() {
+		a.wokenAt = now
+	}
+}
+
+// beginStep records that a step begins that was due at a time, unless it was asked for
+// earlier.
+func (a *activity) beginStep(due, now time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.wokenAt.IsZero() && a.wokenAt.Before(due) {
+		due = a.wokenAt
+	}
+	a.wokenAt = time.Time{}
+	a.counts.maxStepDelay = max(a.counts.maxStepDelay, now.Sub(due))
+}
+
+func (a *activity) endStep(took time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.counts.steps++
 	a.counts.stepTime += took
-	a.counts.maxStepDelay = max(a.counts.maxStepDelay, delay)
 }
 
 func (a *activity) recordOrder(took time.Duration, err error) {
--- a/lead/activity_test.go
+++ b/lead/activity_test.go
@@ -18,8 +18,14 @@
 		qt.Assert(t, ended, qt.IsFalse)
 	}
 	expectNone(t, start)
-	a.recordStep(2*time.Millisecond, 30*time.Millisecond)
-	a.recordStep(4*time.Millisecond, 10*time.Millisecond)
+	a.beginStep(start, start.Add(10*time.Millisecond))
+	a.endStep(2 * time.Millisecond)
+	a.recordWake(start.Add(20 * time.Millisecond))
+	a.recordWake(start.Add(45 * time.Millisecond))
+	a.beginStep(start.Add(time.Second), start.Add(50*time.Millisecond)) // asked for 30 ms ago
+	a.endStep(4 * time.Millisecond)
+	a.beginStep(start.Add(60*time.Millisecond), start.Add(60*time.Millisecond))
+	a.endStep(0)
 	a.recordOrder(10*time.Millisecond, nil)
 	a.recordOrder(30*time.Millisecond, nil)
 	a.recordOrder(time.Second, errors.New("no answer"))
@@ -31,7 +37,7 @@
 	qt.Assert(t, ended, qt.IsTrue)
 	qt.Assert(t, period, qt.Equals, 2*activityPeriod)
 	qt.Assert(t, n, qt.Equals, activityCounts{
-		steps: 2, stepTime: 6 * time.Millisecond, maxStepDelay: 30 * time.Millisecond, submissions: 1,
+		steps: 3, stepTime: 6 * time.Millisecond, maxStepDelay: 30 * time.Millisecond, submissions: 1,
 		orders:     callCounts{answered: 2, unanswered: 1, time: 40 * time.Millisecond, longest: 30 * time.Millisecond},
 		heartbeats: callCounts{answered: 2, time: 50 * time.Millisecond, longest: 50 * time.Millisecond},
 	})
--- a/lead/service.go
+++ b/lead/service.go
@@ -91,9 +91,10 @@
 		case <-timer.C:
 		}
 		began := s.clock.Now()
+		s.activity.beginStep(due, began)
 		next := s.step(ctx)
 		took := s.clock.Now().Sub(began)
-		s.activity.recordStep(took, max(began.Sub(due), 0))
+		s.activity.endStep(took)
 		s.logActivity()
 		if rest := restAfter(took); rest > 0 && s.clock.Sleep(ctx, rest) != nil {
 			return
@@ -253,13 +254,19 @@
 	do(s.sched)
 	writes := s.sched.HasWrites()
 	s.mu.Unlock()
-	wake(s.stepWake)
+	s.wakeStep()
 	if writes {
 		wake(s.writeWake)
 	}
 	return true
 }
 
+// wakeStep asks for a scheduling step.
+func (s *ServiceLeader) wakeStep() {
+	s.activity.recordWake(s.clock.Now())
+	wake(s.stepWake)
+}
+
 // wake sends a signal unless one is already waiting.
 func wake(ch chan struct{}) {
 	select {
--- a/lead/writer.go
+++ b/lead/writer.go
@@ -135,7 +135,7 @@
 	s.writeAttempted = make(chan struct{})
 	more := s.sched.HasWrites()
 	s.mu.Unlock()
-	wake(s.stepWake)
+	s.wakeStep()
 	if more {
 		wake(s.writeWake)
 	}
