--- /dev/null
+++ b/review/stand/main.go
@@ -0,0 +1,748 @@
+// Command stand plays the scripted cases of the review: it starts stand-ins of the platform
+// and processes of the product on loopback addresses, brings a disruption about, and checks
+// one rule from what callers, runners and the store have seen.
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"flag"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	glade "indigoglade"
+	"indigoglade/clock"
+	"indigoglade/memory"
+	"indigoglade/platform/fake"
+)
+
+// Bounds of the small deployment, as on the users' pages.
+const (
+	gracePeriod   = 6 * time.Second
+	maxLease      = 10 * time.Second
+	hostDowntime  = 1500 * time.Millisecond
+	callDeadline  = 3 * time.Second
+	rowBytes      = 65536
+	listedEnds    = 500 // ends in one answer to a heartbeat
+	maxAttempts   = 3
+	runnerCPU     = 16000
+	nodeCount     = 3
+	startTime     = 10 * time.Second // traffic starts so long after the processes, at most
+	playTime      = 115 * time.Second
+	exitBroken    = 1
+	exitUnplayed  = 2
+	frontPort     = 8624
+	readyPort     = 8622
+	peerPort      = 7060
+	statusPort    = 7075
+	platformPort  = 8621
+	callerHost    = "a.example"
+	waitForWrites = 300 * time.Millisecond
+)
+
+var errUnplayed = errors.New("the case could not be played")
+
+// start is a start of a task on a runner, and end an end of a run.
+type start struct {
+	task string
+	run  int64
+	at   time.Time
+}
+
+type end struct {
+	task  string
+	run   int64
+	how   glade.EndReason
+	at    time.Time
+	acked bool
+}
+
+// attempt is the answer to one attempt to submit a job.
+type attempt struct {
+	id     string
+	status int
+}
+
+// site is the platform with its stand-ins, the processes, and what was seen.
+type site struct {
+	prefix  string // of all addresses
+	dir     string
+	program string
+	trouble bool
+	table   *memory.PartitionedTable
+	gate    *gate
+	nodes   []*node
+	runners int
+
+	mu       sync.Mutex
+	record   io.Writer
+	began    time.Time
+	starts   []start
+	ends     []*end
+	attempts []attempt
+	version  int64
+}
+
+// note writes a line to the record.
+func (s *site) note(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.noteLocked(format, args...)
+}
+
+func (s *site) noteLocked(format string, args ...any) {
+	fmt.Fprintf(s.record, "%8.3f %s\n", time.Since(s.began).Seconds(), fmt.Sprintf(format, args...))
+}
+
+func (s *site) started(e fake.RunEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.starts = append(s.starts, start{task: e.Task, run: e.Run, at: time.Now()})
+	s.noteLocked("start %s run %d on %s", e.Task, e.Run, e.Runner)
+}
+
+func (s *site) ended(e fake.RunEvent, how glade.EndReason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ends = append(s.ends, &end{task: e.Task, run: e.Run, how: how, at: time.Now()})
+	s.noteLocked("end   %s run %d on %s: %s", e.Task, e.Run, e.Runner, how)
+}
+
+func (s *site) acknowledged(e fake.RunEvent, _ glade.EndReason) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range slices.Backward(s.ends) {
+		if x.task == e.Task && x.run == e.Run {
+			x.acked = true
+			s.noteLocked("noted %s run %d on %s", e.Task, e.Run, e.Runner)
+			return
+		}
+	}
+}
+
+// gate stands before the store and disturbs the calls of all hosts.
+type gate struct {
+	site *site
+	mu   sync.Mutex
+	// loses means that writes are carried out and not answered, down that every call is
+	// rejected with 503, and sheds that half of the writes are rejected with 429.
+	loses, down, sheds bool
+	rng                *rand.Rand
+	lost               map[string]bool // parts whose new batches were in a lost write
+	oversize           int
+}
+
+func (g *gate) set(loses, down, sheds bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.loses, g.down, g.sheds = loses, down, sheds
+	g.site.note("store: loses answers %v, down %v, rejects half of the writes %v", loses, down, sheds)
+}
+
+// lostParts returns the number of services of which a write with a new batch got no answer.
+func (g *gate) lostParts() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.lost)
+}
+
+func (g *gate) forgetLost() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	clear(g.lost)
+}
+
+type writtenRow struct {
+	Table string `json:"table"`
+	Part  string `json:"part"`
+	Key   string `json:"key"`
+	Value []byte `json:"value"`
+}
+
+// wrap returns a handler that disturbs the calls to a view of the store.
+func (g *gate) wrap(view http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.mu.Lock()
+		loses, down, sheds := g.loses, g.down, g.sheds
+		reject := sheds && g.rng.IntN(2) == 0
+		g.mu.Unlock()
+		if down {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		if r.URL.Path != "/rows-tx" {
+			view.ServeHTTP(w, r)
+			return
+		}
+		if reject {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
+		data, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		var in struct {
+			Puts []writtenRow `json:"setKeys"`
+		}
+		if json.Unmarshal(data, &in) != nil || g.isTooLarge(in.Puts) {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(data))
+		if !loses {
+			view.ServeHTTP(w, r)
+			return
+		}
+		answer := httptest.NewRecorder()
+		view.ServeHTTP(answer, r)
+		g.recordLost(in.Puts, answer.Code)
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			conn.Close()
+		}
+	})
+}
+
+// isTooLarge reports whether a row exceeds the store's limit.
+func (g *gate) isTooLarge(rows []writtenRow) bool {
+	for _, row := range rows {
+		if len(row.Value) > rowBytes {
+			g.mu.Lock()
+			g.oversize++
+			g.mu.Unlock()
+			g.site.note("store rejects row %s/%s/%s of %d bytes", row.Table, row.Part, row.Key, len(row.Value))
+			return true
+		}
+	}
+	return false
+}
+
+func (g *gate) recordLost(rows []writtenRow, status int) {
+	for _, row := range rows {
+		g.site.note("write of %s/%s/%s carried out with %d and not answered", row.Table, row.Part, row.Key, status)
+		if row.Table == "work" && status == http.StatusOK {
+			g.mu.Lock()
+			g.lost[row.Part] = true
+			g.mu.Unlock()
+		}
+	}
+}
+
+// limited is a runner whose answers to heartbeats list at most listedEnds ended runs, and
+// whose runs save checkpoints.
+type limited struct{ runner *fake.Runner }
+
+// ServeHTTP passes a call to the runner and shortens its answer.
+func (l limited) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/hold" {
+		l.runner.ServeHTTP(w, r)
+		return
+	}
+	answer := httptest.NewRecorder()
+	l.runner.ServeHTTP(answer, r)
+	var body map[string]any
+	if answer.Code == http.StatusOK && json.Unmarshal(answer.Body.Bytes(), &body) == nil {
+		if ended, ok := body["ended"].([]any); ok && len(ended) > listedEnds {
+			body["ended"] = ended[:listedEnds]
+		}
+		running, _ := body["running"].([]any)
+		for _, row := range running {
+			if fields, ok := row.([]any); ok && len(fields) > 2 {
+				fields[2] = "00000bb87a21d94b"
+			}
+		}
+		if data, err := json.Marshal(body); err == nil {
+			answer.Body = bytes.NewBuffer(data)
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(answer.Body.Bytes())
+}
+
+// serve runs an HTTP server until the process ends.
+func (s *site) serve(ip string, handler http.Handler) (string, error) {
+	address := net.JoinHostPort(ip, fmt.Sprint(platformPort))
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
+	go func() { _ = server.Serve(listener) }()
+	return address, nil
+}
+
+// addRunner adds a runner of a service and its host.
+func (s *site) addRunner(ctx context.Context, inventory *fake.Inventory, service glade.Service) error {
+	s.runners++
+	i := s.runners
+	ip := fmt.Sprintf("%s%d", s.prefix, 20+i)
+	runner := fake.NewRunner(fake.RunnerConfig{
+		ID: glade.RunnerID(fmt.Sprintf("r%d", i)), Address: net.JoinHostPort(ip, fmt.Sprint(platformPort)), Service: service,
+		Zone: zoneOf(i), Rack: glade.Rack(fmt.Sprintf("k%d", i)), CPU: runnerCPU, MaxLease: maxLease, PartitionedTable: s.table, Clock: clock.System{},
+		OnStarted: s.started, OnEnded: s.ended, OnAcknowledged: s.acknowledged,
+	})
+	if _, err := s.serve(ip, limited{runner}); err != nil {
+		return err
+	}
+	go func() { _ = runner.Run(ctx) }()
+	inventory.Add(glade.Host(fmt.Sprintf("m%d", i)), runner)
+	return nil
+}
+
+func zoneOf(i int) glade.Zone { return glade.Zone(fmt.Sprintf("z%d", i%nodeCount)) }
+
+// setManifest writes the next version of the manifest.
+func (s *site) setManifest(services []string, queues map[string]string) {
+	s.version += 3
+	var routes, pools []map[string]any
+	for queue, service := range queues {
+		routes = append(routes, map[string]any{
+			"name": queue, "host": callerHost, "pathPrefix": "/" + queue + "/", "service": service, "timeoutMs": 3000,
+			"targetLatencyMs": 60000, "priority": 1, "maxAttempts": maxAttempts, "stretch": 2.0,
+		})
+	}
+	for _, service := range services {
+		pools = append(pools, map[string]any{"name": service})
+	}
+	data, err := json.Marshal(map[string]any{
+		"version": s.version, "routes": routes, "services": pools, "limits": map[string]int{"maxBodyBytes": 1 << 20},
+	})
+	if err != nil {
+		panic(err)
+	}
+	s.table.Put(glade.PartitionRow{Table: "op", Key: "config", Value: data})
+	s.note("manifest %d: queues %v", s.version, queues)
+}
+
+// node is one process of the product.
+type node struct {
+	site    *site
+	name    string
+	ip      string
+	store   string
+	cloud   string
+	zone    glade.Zone
+	command *exec.Cmd
+	exited  chan struct{}
+}
+
+// start starts the process with settings in the layout of deploy/node.json.
+func (n *node) start() error {
+	data, err := json.Marshal(map[string]any{
+		"name": n.name, "zone": n.zone, "ip": n.ip,
+		"front": fmt.Sprintf("%s:%d", n.ip, frontPort), "ready": fmt.Sprintf("%s:%d", n.ip, readyPort),
+		"ports": []int{peerPort, statusPort}, "store": n.store, "cloud": n.cloud,
+		"memory": 284, "share": 0.4, "cores": 1, "link": 1000,
+		"bounds": map[string]any{
+			"graceS": gracePeriod.Seconds(), "holdMaxMs": maxLease.Milliseconds(), "stopTimeoutMs": 200, "restoreMs": 250, "status_s": 120,
+			"moveS": hostDowntime.Seconds(), "maintenanceS": 2, "fencingEnabled": true, "leaseMs": 3000, "remoteFactor": 3,
+		},
+	})
+	if err != nil {
+		return err
+	}
+	path := filepath.Join(n.site.dir, n.name+".json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		return err
+	}
+	log, err := os.OpenFile(filepath.Join(n.site.dir, n.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	n.command = exec.Command(n.site.program)
+	n.command.Env = []string{"INDIGOGLADE_SETTINGS=" + path, "GOMAXPROCS=1"}
+	n.command.Stdout, n.command.Stderr = log, log
+	if err := n.command.Start(); err != nil {
+		return err
+	}
+	n.exited = make(chan struct{})
+	go func(command *exec.Cmd, exited chan struct{}) {
+		_ = command.Wait()
+		log.Close()
+		close(exited)
+	}(n.command, n.exited)
+	return nil
+}
+
+func (n *node) kill() {
+	if n.exited != nil {
+		_ = n.command.Process.Kill()
+		<-n.exited
+	}
+}
+
+// restart stops the process as the platform does, and starts it again.
+func (n *node) restart() error {
+	n.site.note("SIGTERM to %s", n.name)
+	_ = n.command.Process.Signal(syscall.SIGTERM)
+	select {
+	case <-n.exited:
+	case <-time.After(gracePeriod):
+		n.kill()
+	}
+	n.site.note("start of %s", n.name)
+	return n.start()
+}
+
+func (n *node) isReady() bool {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/readiness", n.ip, readyPort))
+	if err != nil {
+		return false
+	}
+	response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// call sends one request of a caller. The status is 0 if no complete answer came.
+func (n *node) call(method, path string, body []byte) (int, string) {
+	ctx, cancel := context.WithTimeout(context.Background(), callDeadline)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", n.ip, frontPort, path), bytes.NewReader(body))
+	if err != nil {
+		panic(err)
+	}
+	request.Host = callerHost
+	request.Header.Set("Content-Type", "application/json")
+	request.Header.Set("X-Indigoglade-Deadline-Ms", fmt.Sprint(callDeadline.Milliseconds()))
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		n.site.note("%s %s at %s: no answer: %v", method, path, n.name, err)
+		return 0, ""
+	}
+	defer response.Body.Close()
+	data, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, ""
+	}
+	n.site.note("%s %s at %s: %d %s", method, path, n.name, response.StatusCode, data)
+	return response.StatusCode, string(data)
+}
+
+// job is the work of one step of tasks.
+type job struct {
+	queue, id   string
+	count, cpu  int
+	millis      int
+	fails       bool
+	checkpoints bool
+}
+
+// submit sends a job once.
+func (s *site) submit(n *node, j job) int {
+	spec := fake.TaskSpec{Millis: []int{j.millis}, CPU: []int{j.cpu}, Fails: j.fails}
+	body, err := json.Marshal(map[string]any{"spec": spec.Spec(), "steps": []map[string]any{{
+		"count": j.count, "cpu": j.cpu, "memMb": 4, "estimatedMs": j.millis, "checkpointing": j.checkpoints,
+	}}})
+	if err != nil {
+		panic(err)
+	}
+	status, _ := n.call(http.MethodPost, "/"+j.queue+"/"+j.id, body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts = append(s.attempts, attempt{id: j.id, status: status})
+	return status
+}
+
+// state returns the state of a job; empty if it is not answered.
+func (s *site) state(n *node, queue, id string) string {
+	status, body := n.call(http.MethodGet, "/"+queue+"/"+id, nil)
+	var reply struct {
+		State string `json:"state"`
+	}
+	if status != http.StatusOK || json.Unmarshal([]byte(body), &reply) != nil {
+		return fmt.Sprint(status)
+	}
+	return reply.State
+}
+
+func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// open starts the stand-ins and the processes, and waits until jobs are accepted.
+func (s *site) open(ctx context.Context, services []string, queues map[string]string, perService int) error {
+	s.table = memory.NewPartitionedTable()
+	s.gate = &gate{site: s, rng: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)), lost: make(map[string]bool)}
+	inventory := fake.NewInventory(fake.InventoryConfig{Downtime: hostDowntime, Clock: clock.System{}, OnViolation: func(what string) { s.note("inventory: %s", what) }})
+	cloud, err := s.serve(s.prefix+"200", inventory)
+	if err != nil {
+		return err
+	}
+	for _, service := range services {
+		for range perService {
+			if err := s.addRunner(ctx, inventory, glade.Service(service)); err != nil {
+				return err
+			}
+		}
+	}
+	s.setManifest(services, queues)
+	store := fake.NewStore(fake.StoreConfig{PartitionedTable: s.table, Clock: clock.System{}})
+	for i := range nodeCount {
+		address, err := s.serve(fmt.Sprintf("%s%d", s.prefix, 210+i), s.gate.wrap(store.NewView(nil)))
+		if err != nil {
+			return err
+		}
+		n := &node{site: s, name: fmt.Sprintf("n%d", i), ip: fmt.Sprintf("%s%d", s.prefix, i+1), store: address, cloud: cloud, zone: zoneOf(i)}
+		s.nodes = append(s.nodes, n)
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	return s.awaitService(queues)
+}
+
+// awaitService waits until every queue accepts and completes a job.
+func (s *site) awaitService(queues map[string]string) error {
+	for deadline := time.Now().Add(startTime); time.Now().Before(deadline); time.Sleep(200 * time.Millisecond) {
+		ready := !slices.ContainsFunc(s.nodes, func(n *node) bool { return !n.isReady() })
+		for queue := range queues {
+			ready = ready && s.submit(s.nodes[0], job{queue: queue, id: newID(), count: 1, cpu: 100, millis: 100}) == http.StatusOK
+		}
+		if ready {
+			time.Sleep(2 * time.Second) // every host has read the terms
+			return nil
+		}
+	}
+	return errUnplayed
+}
+
+func (s *site) close() {
+	for _, n := range s.nodes {
+		n.kill()
+	}
+}
+
+// lostAnswer: the store goes down, and the answers of its last writes are lost. When it is
+// back it rejects half of the writes with 429 for a time. Later the hosts are restarted in turn.
+func (s *site) lostAnswer(ctx context.Context) (string, error) {
+	const (
+		outage   = 1700 * time.Millisecond
+		shedding = 2 * time.Second
+		rounds   = 2
+	)
+	services := []string{"a", "b", "c", "d", "e"}
+	queues := make(map[string]string)
+	for _, service := range services {
+		queues["q"+service] = service
+	}
+	if err := s.open(ctx, services, queues, 1); err != nil {
+		return "", err
+	}
+	for range rounds {
+		s.submitDuringOutage(services, outage, shedding)
+	}
+	time.Sleep(time.Second)
+	if s.trouble {
+		for _, n := range s.nodes {
+			if err := n.restart(); err != nil {
+				return "", err
+			}
+			time.Sleep(3 * time.Second)
+		}
+	}
+	time.Sleep(5 * time.Second)
+	return s.startedThoughRefused(), nil
+}
+
+// submitDuringOutage sends a job to each service as the store goes down.
+func (s *site) submitDuringOutage(services []string, outage, shedding time.Duration) {
+	s.gate.forgetLost()
+	if s.trouble {
+		s.gate.set(true, false, false)
+	}
+	var group sync.WaitGroup
+	for i, service := range services {
+		j := job{queue: "q" + service, id: newID(), count: 2, cpu: 500, millis: 300}
+		n := s.nodes[i%len(s.nodes)]
+		group.Go(func() { s.submit(n, j) })
+	}
+	if s.trouble {
+		for deadline := time.Now().Add(waitForWrites); s.gate.lostParts() < len(services) && time.Now().Before(deadline); {
+			time.Sleep(time.Millisecond)
+		}
+		s.gate.set(false, true, false)
+		time.Sleep(outage)
+		s.gate.set(false, false, true)
+		time.Sleep(shedding)
+		s.gate.set(false, false, false)
+	}
+	group.Wait()
+	time.Sleep(2 * time.Second)
+}
+
+// startedThoughRefused checks REFUSED.
+func (s *site) startedThoughRefused() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rejected := make(map[string]bool)
+	for _, a := range s.attempts {
+		was, known := rejected[a.id]
+		refused := a.status == http.StatusServiceUnavailable || a.status == http.StatusTooManyRequests
+		rejected[a.id] = refused && (was || !known)
+	}
+	for _, x := range s.starts {
+		if id, _, _ := strings.Cut(x.task, "."); rejected[id] {
+			return fmt.Sprintf("REFUSED: task %s run %d started, and all attempts to hand its job in were rejected", x.task, x.run)
+		}
+	}
+	return ""
+}
+
+// manyEnds: the store is down while many short tasks end.
+func (s *site) manyEnds(ctx context.Context) (string, error) {
+	const (
+		jobs   = 30
+		outage = 4200 * time.Millisecond
+	)
+	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a"}, 2); err != nil {
+		return "", err
+	}
+	var ids []string
+	for i := range jobs {
+		j := job{queue: "qa", id: newID(), count: 100, cpu: 50, millis: 800}
+		if s.submit(s.nodes[i%len(s.nodes)], j) == http.StatusOK {
+			ids = append(ids, j.id)
+		}
+	}
+	if s.trouble {
+		s.gate.set(false, true, false)
+		s.table.SetFault(memory.PartitionedDown)
+		time.Sleep(outage)
+		s.table.SetFault(memory.PartitionedFault(0))
+		s.gate.set(false, false, false)
+	}
+	for deadline := time.Now().Add(40 * time.Second); len(ids) > 0 && time.Now().Before(deadline); time.Sleep(time.Second) {
+		ids = slices.DeleteFunc(ids, func(id string) bool { return s.state(s.nodes[0], "qa", id) == "completed" })
+	}
+	s.note("%d jobs are not completed", len(ids))
+	return s.startedTwice(), nil
+}
+
+// startedTwice checks the first two parts of TWICE that need no bound in time: a start after a
+// run has ended as done, whose end was taken note of then or later.
+func (s *site) startedTwice() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	done := make(map[string]*end)
+	for _, e := range s.ends {
+		if first := done[e.task]; e.how == glade.EndDone && e.acked && (first == nil || e.at.Before(first.at)) {
+			done[e.task] = e
+		}
+	}
+	count, first := 0, ""
+	for _, x := range s.starts {
+		if e := done[x.task]; e != nil && x.at.After(e.at) {
+			count++
+			if first == "" {
+				first = fmt.Sprintf("TWICE: task %s run %d started %s after run %d had ended as done, which was taken note of", x.task, x.run, x.at.Sub(e.at).Round(time.Millisecond), e.run)
+			}
+		}
+	}
+	if count == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s; %d starts of this kind", first, count)
+}
+
+// removedQueue: the manifest drops a queue while a job in it runs that can never be done.
+func (s *site) removedQueue(ctx context.Context) (string, error) {
+	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a", "qb": "a"}, 2); err != nil {
+		return "", err
+	}
+	j := job{queue: "qb", id: newID(), count: 1, cpu: 500, millis: 800, fails: true}
+	if s.submit(s.nodes[0], j) != http.StatusOK {
+		return "", errUnplayed
+	}
+	if s.trouble {
+		s.setManifest([]string{"a"}, map[string]string{"qa": "a"})
+	}
+	time.Sleep(15 * time.Second)
+	s.state(s.nodes[0], j.queue, j.id)
+	return s.startedTooOften(), nil
+}
+
+// startedTooOften checks BUDGET.
+func (s *site) startedTooOften() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range slices.Backward(s.starts) {
+		failed := 0
+		for _, e := range s.ends {
+			if e.task == x.task && e.how == glade.EndFailed && e.acked && e.at.Before(x.at) {
+				failed++
+			}
+		}
+		if failed >= maxAttempts {
+			return fmt.Sprintf("BUDGET: task %s run %d started after %d of its runs had ended as failed, which was taken note of; maxAttempts is %d", x.task, x.run, failed, maxAttempts)
+		}
+	}
+	return ""
+}
+
+// play plays a case and returns the exit status.
+func (s *site) play(name string) int {
+	cases := map[string]func(context.Context) (string, error){
+		"lost-answer": s.lostAnswer, "many-ends": s.manyEnds, "removed-queue": s.removedQueue,
+	}
+	run, ok := cases[name]
+	if !ok {
+		fmt.Fprintln(os.Stderr, "no such case:", name)
+		return exitUnplayed
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), playTime)
+	defer cancel()
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	over := context.AfterFunc(ctx, func() {
+		s.close() // a signal has arrived, or the time is over
+		os.Exit(exitUnplayed)
+	})
+	broken, err := run(ctx)
+	over()
+	s.close()
+	switch {
+	case err != nil:
+		s.note("not played: %v", err)
+		fmt.Println("not played:", err)
+		return exitUnplayed
+	case broken != "":
+		s.note("%s", broken)
+		fmt.Println(broken)
+		return exitBroken
+	}
+	s.note("the rule held")
+	fmt.Println("the rule held")
+	return 0
+}
+
+func main() {
+	name := flag.String("case", "", "name of the case")
+	program := flag.String("program", "target/node", "program of the role in the deploy file")
+	recordPath := flag.String("record", "record.txt", "file for what was sent, answered and run")
+	dir := flag.String("dir", "", "folder for settings and logs")
+	flag.Parse()
+	record, err := os.Create(*recordPath)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUnplayed)
+	}
+	s := &site{
+		prefix: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, 1+os.Getpid()/200%250), dir: *dir, program: *program,
+		trouble: os.Getenv("TROUBLE") != "0", record: record, began: time.Now(),
+	}
+	os.Exit(s.play(*name))
+}
