--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -693,10 +693,62 @@
 	return ""
 }
 
+// largeJob: one large job comes beside small ones.
+func (s *site) largeJob(ctx context.Context) (string, error) {
+	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a"}, 8); err != nil {
+		return "", err
+	}
+	var ids []string
+	submit := func(j job) {
+		if s.submit(s.nodes[len(ids)%len(s.nodes)], j) == http.StatusOK {
+			ids = append(ids, j.id)
+		}
+	}
+	for range 5 {
+		submit(job{queue: "qa", id: newID(), count: 4, cpu: 100, millis: 6000})
+	}
+	if s.trouble {
+		submit(job{queue: "qa", id: newID(), count: 2500, cpu: 50, millis: 6000, checkpoints: true})
+	}
+	for range 5 {
+		submit(job{queue: "qa", id: newID(), count: 4, cpu: 100, millis: 6000})
+		time.Sleep(time.Second)
+	}
+	time.Sleep(30 * time.Second)
+	states := make(map[string]int)
+	for _, id := range ids {
+		states[s.state(s.nodes[0], "qa", id)]++
+	}
+	s.note("states of %d accepted jobs: %v", len(ids), states)
+	return s.unacknowledged(), nil
+}
+
+// unacknowledged checks Acks: ends that are older than ackTime and were not taken note of.
+func (s *site) unacknowledged() string {
+	const ackTime = 4 * time.Second
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, open := 0, 0
+	for _, e := range s.ends {
+		if time.Since(e.at) < ackTime {
+			continue
+		}
+		old++
+		if !e.acked {
+			open++
+		}
+	}
+	if open*5 <= old {
+		return ""
+	}
+	return fmt.Sprintf("Acks: %d of %d ends were not taken note of %s after they were listed", open, old, ackTime)
+}
+
 // play plays a case and returns the exit status.
 func (s *site) play(name string) int {
 	cases := map[string]func(context.Context) (string, error){
 		"lost-answer": s.lostAnswer, "many-ends": s.manyEnds, "removed-queue": s.removedQueue,
+		"large-job": s.largeJob,
 	}
 	run, ok := cases[name]
 	if !ok {
