review: case 5, maintenance beyond the limit of a wave after a late order

Cause: HandleAnswer drops a pending order when its repetition is rejected, although the first attempt had no answer and may be carried out late. Added the case: an order for maintenance without an answer is carried out 3.2 s later, and its repetition gets 503.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -35,7 +35,7 @@
 const (
 	gracePeriod   = 6 * time.Second
 	maxLease      = 10 * time.Second
-	hostDowntime  = 1500 * time.Millisecond
+	hostDowntime  = 2 * time.Second
 	callDeadline  = 3 * time.Second
 	rowBytes      = 65536
 	listedEnds    = 500 // ends in one answer to a heartbeat
@@ -86,6 +86,7 @@
 	trouble bool
 	table   *memory.PartitionedTable
 	gate    *gate
+	cloud   *cloudGate
 	nodes   []*node
 	runners int
 
@@ -95,6 +96,7 @@
 	starts   []start
 	ends     []*end
 	attempts []attempt
+	limits   []string // violations that the inventory has seen
 	version  int64
 }
 
@@ -243,6 +245,66 @@
 	}
 }
 
+// cloudGate stands before the inventory. While it is armed, it leaves the first order for
+// maintenance unanswered, carries it out lateOrder later, and rejects the next one.
+type cloudGate struct {
+	site      *site
+	inventory *fake.Inventory
+	mu        sync.Mutex
+	armed     bool
+	orders    int
+	troubled  chan struct{} // closed at the first order
+}
+
+// lateOrder is within the 2 to 12 s in which orders without an answer are carried out.
+const lateOrder = 3200 * time.Millisecond
+
+// ServeHTTP handles a call to the inventory.
+func (c *cloudGate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/machine-upkeep" {
+		c.inventory.ServeHTTP(w, r)
+		return
+	}
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	c.mu.Lock()
+	c.orders++
+	number, armed := c.orders, c.armed
+	c.mu.Unlock()
+	if number == 1 {
+		close(c.troubled)
+	}
+	switch {
+	case armed && number == 1:
+		c.site.note("%s %s: no answer", r.URL.Path, data)
+		late := r.Clone(context.WithoutCancel(r.Context()))
+		time.AfterFunc(lateOrder, func() { c.pass(httptest.NewRecorder(), late, data) })
+		<-r.Context().Done()
+	case armed && number == 2:
+		c.site.note("%s %s: 503", r.URL.Path, data)
+		w.WriteHeader(http.StatusServiceUnavailable)
+	default:
+		c.pass(w, r, data)
+	}
+}
+
+// pass lets the inventory carry out an order.
+func (c *cloudGate) pass(w http.ResponseWriter, r *http.Request, data []byte) {
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	c.inventory.ServeHTTP(w, r)
+	c.site.note("%s %s carried out", r.URL.Path, data)
+}
+
+// violated records a violation that the inventory has seen.
+func (s *site) violated(what string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limits = append(s.limits, what)
+	s.noteLocked("inventory: %s", what)
+}
+
 // limited is a runner whose answers to heartbeats list at most listedEnds ended runs, and
 // whose runs save checkpoints.
 type limited struct{ runner *fake.Runner }
@@ -351,7 +413,7 @@
 		"memory": 284, "share": 0.4, "cores": 1, "link": 1000,
 		"bounds": map[string]any{
 			"graceS": gracePeriod.Seconds(), "holdMaxMs": maxLease.Milliseconds(), "stopTimeoutMs": 200, "restoreMs": 250, "status_s": 120,
-			"moveS": hostDowntime.Seconds(), "maintenanceS": 2, "fencingEnabled": true, "leaseMs": 3000, "remoteFactor": 3,
+			"moveS": hostDowntime.Seconds(), "maintenanceS": hostDowntime.Seconds(), "fencingEnabled": true, "leaseMs": 3000, "remoteFactor": 3,
 		},
 	})
 	if err != nil {
@@ -477,8 +539,9 @@
 func (s *site) open(ctx context.Context, services []string, queues map[string]string, perService int) error {
 	s.table = memory.NewPartitionedTable()
 	s.gate = &gate{site: s, rng: rand.New(rand.NewPCG(uint64(time.Now().UnixNano()), 1)), lost: make(map[string]bool)}
-	inventory := fake.NewInventory(fake.InventoryConfig{Downtime: hostDowntime, Clock: clock.System{}, OnViolation: func(what string) { s.note("inventory: %s", what) }})
-	cloud, err := s.serve(s.prefix+"200", inventory)
+	inventory := fake.NewInventory(fake.InventoryConfig{Downtime: hostDowntime, Clock: clock.System{}, OnViolation: s.violated})
+	s.cloud = &cloudGate{site: s, inventory: inventory, troubled: make(chan struct{})}
+	cloud, err := s.serve(s.prefix+"200", s.cloud)
 	if err != nil {
 		return err
 	}
@@ -693,62 +756,48 @@
 	return ""
 }
 
-// largeJob: one large job comes beside small ones.
-func (s *site) largeJob(ctx context.Context) (string, error) {
-	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a"}, 8); err != nil {
+// lateMaintenance: the platform leaves an order for maintenance unanswered, rejects its
+// repetition, and carries the first one out late.
+func (s *site) lateMaintenance(ctx context.Context) (string, error) {
+	const wave = 1
+	if err := s.open(ctx, []string{"a", "b"}, map[string]string{"qa": "a", "qb": "b"}, 3); err != nil {
 		return "", err
 	}
-	var ids []string
-	submit := func(j job) {
-		if s.submit(s.nodes[len(ids)%len(s.nodes)], j) == http.StatusOK {
-			ids = append(ids, j.id)
-		}
-	}
-	for range 5 {
-		submit(job{queue: "qa", id: newID(), count: 4, cpu: 100, millis: 6000})
-	}
-	if s.trouble {
-		submit(job{queue: "qa", id: newID(), count: 2500, cpu: 50, millis: 6000, checkpoints: true})
+	s.cloud.mu.Lock()
+	s.cloud.armed = s.trouble
+	s.cloud.mu.Unlock()
+	hosts := []glade.Host{"m1", "m4"} // one of each pool
+	s.cloud.inventory.SetWave(glade.WaveOrder{Wave: wave, Hosts: hosts, MaxDown: 1})
+	data, err := json.Marshal(map[string]any{"wave": wave, "machines": hosts, "durationS": 20, "maxCount": 1})
+	if err != nil {
+		return "", err
 	}
-	for range 5 {
-		submit(job{queue: "qa", id: newID(), count: 4, cpu: 100, millis: 6000})
-		time.Sleep(time.Second)
+	s.table.Put(glade.PartitionRow{Table: "op", Key: fmt.Sprintf("wave/%d", wave), Value: data})
+	select {
+	case <-s.cloud.troubled:
+	case <-time.After(10 * time.Second):
+		return "", errUnplayed
 	}
-	time.Sleep(30 * time.Second)
-	states := make(map[string]int)
-	for _, id := range ids {
-		states[s.state(s.nodes[0], "qa", id)]++
+	// From now on the pool of the first host is busier than the other one.
+	for range 6 {
+		s.submit(s.nodes[0], job{queue: "qa", id: newID(), count: 4, cpu: 5000, millis: 1900})
+		time.Sleep(2 * time.Second)
 	}
-	s.note("states of %d accepted jobs: %v", len(ids), states)
-	return s.unacknowledged(), nil
-}
-
-// unacknowledged checks Acks: ends that are older than ackTime and were not taken note of.
-func (s *site) unacknowledged() string {
-	const ackTime = 4 * time.Second
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old, open := 0, 0
-	for _, e := range s.ends {
-		if time.Since(e.at) < ackTime {
-			continue
-		}
-		old++
-		if !e.acked {
-			open++
+	for _, what := range s.limits {
+		if strings.HasPrefix(what, "LIMIT") {
+			return what, nil
 		}
 	}
-	if open*5 <= old {
-		return ""
-	}
-	return fmt.Sprintf("Acks: %d of %d ends were not taken note of %s after they were listed", open, old, ackTime)
+	return "", nil
 }
 
 // play plays a case and returns the exit status.
 func (s *site) play(name string) int {
 	cases := map[string]func(context.Context) (string, error){
 		"lost-answer": s.lostAnswer, "many-ends": s.manyEnds, "removed-queue": s.removedQueue,
-		"large-job": s.largeJob,
+		"late-maintenance": s.lateMaintenance,
 	}
 	run, ok := cases[name]
 	if !ok {
