review: excuse of a lapsed lease, cleanup on every exit, smaller dose in case 4

The lapse is recorded, processes end with the program that started them, and 0.3 of the writes get 503.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -19,6 +19,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"strings"
 	"sync"
@@ -66,11 +67,14 @@
 }
 
 type end struct {
-	task  string
-	run   int64
-	how   glade.EndReason
-	at    time.Time
-	acked bool
+	task string
+	run  int64
+	how  glade.EndReason
+	at   time.Time
+	// acked means that the end was taken note of: it was acknowledged, and the runner's lease
+	// did not lapse before that.
+	acked  bool
+	runner glade.RunnerID
 }
 
 // attempt is the answer to one attempt to submit a job.
@@ -93,6 +97,9 @@
 	nodes   []*node
 	runners int
 
+	closing  sync.Mutex
+	isClosed bool
+
 	mu       sync.Mutex
 	record   io.Writer
 	began    time.Time
@@ -124,7 +131,7 @@
 func (s *site) ended(e fake.RunEvent, how glade.EndReason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.ends = append(s.ends, &end{task: e.Task, run: e.Run, how: how, at: time.Now()})
+	s.ends = append(s.ends, &end{task: e.Task, run: e.Run, how: how, at: time.Now(), runner: e.Runner})
 	s.noteLocked("end   %s run %d on %s: %s", e.Task, e.Run, e.Runner, how)
 }
 
@@ -133,19 +140,33 @@
 	defer s.mu.Unlock()
 	for _, x := range slices.Backward(s.ends) {
 		if x.task == e.Task && x.run == e.Run {
-			x.acked = true
-			s.noteLocked("noted %s run %d on %s", e.Task, e.Run, e.Runner)
+			x.acked = !s.leaseLapsedSince(x.runner, x.at)
+			s.noteLocked("noted %s run %d on %s: %v", e.Task, e.Run, e.Runner, x.acked)
 			return
 		}
 	}
 }
 
+// leaseLapsedSince reports whether the lease of a runner lapsed after a time. The caller holds
+// the lock.
+func (s *site) leaseLapsedSince(runner glade.RunnerID, at time.Time) bool {
+	for _, l := range s.limited {
+		if l.id == runner {
+			return l.lapsedSince(at)
+		}
+	}
+	return false
+}
+
+// shedShare is the share of the writes that are rejected while the store is unavailable in part.
+const shedShare = 0.3
+
 // gate stands before the store and disturbs the calls of all hosts.
 type gate struct {
 	site *site
 	mu   sync.Mutex
 	// loses means that writes are carried out and not answered, down that every call is
-	// rejected with 503, and sheds that half of the writes are rejected with 429.
+	// rejected with 503, and sheds that a share of the writes is rejected with 503.
 	loses, down, sheds bool
 	rng                *rand.Rand
 	lost               map[string]bool // parts whose new batches were in a lost write
@@ -156,7 +177,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.loses, g.down, g.sheds = loses, down, sheds
-	g.site.note("store: loses answers %v, down %v, rejects half of the writes %v", loses, down, sheds)
+	g.site.note("store: loses answers %v, down %v, rejects a part of the writes %v", loses, down, sheds)
 }
 
 // lostParts returns the number of services of which a write with a new batch got no answer.
@@ -184,7 +205,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.mu.Lock()
 		loses, down, sheds := g.loses, g.down, g.sheds
-		reject := sheds && g.rng.IntN(2) == 0
+		reject := sheds && g.rng.Float64() < shedShare
 		g.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -195,7 +216,7 @@
 			return
 		}
 		if reject {
-			w.WriteHeader(http.StatusTooManyRequests)
+			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		data, err := io.ReadAll(r.Body)
@@ -312,6 +333,11 @@
 // whose runs save checkpoints.
 type limited struct {
 	runner *fake.Runner
+	id     glade.RunnerID // of the first incarnation
+	// leaseEnd is the end of the lease that heartbeats have granted, lapsedAt when one last ended
+	// before the next was granted.
+	leaseMu            sync.Mutex
+	leaseEnd, lapsedAt time.Time
 	// isSick makes the runner reject a share of the orders with 503, and do nothing then.
 	isSick atomic.Bool
 	// isLate makes the runner leave a share of the orders unanswered, and carry them out later.
@@ -346,6 +372,12 @@
 		l.runner.ServeHTTP(w, r)
 		return
 	}
+	data, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	r.Body = io.NopCloser(bytes.NewReader(data))
+	l.recordLease(data)
 	answer := httptest.NewRecorder()
 	l.runner.ServeHTTP(answer, r)
 	var body map[string]any
@@ -368,6 +400,32 @@
 	_, _ = w.Write(answer.Body.Bytes())
 }
 
+// recordLease notes a heartbeat that grants a lease. The lease is taken to be as short as the
+// leader makes it, so that a lapse is rather noted than missed.
+func (l *limited) recordLease(data []byte) {
+	const grantedLease = 4500 * time.Millisecond
+	var in struct {
+		DeadlineMs int64 `json:"deadlineMs"`
+	}
+	if json.Unmarshal(data, &in) != nil || in.DeadlineMs == 0 {
+		return
+	}
+	l.leaseMu.Lock()
+	defer l.leaseMu.Unlock()
+	now := time.Now()
+	if !l.leaseEnd.IsZero() && now.After(l.leaseEnd) {
+		l.lapsedAt = l.leaseEnd
+	}
+	l.leaseEnd = now.Add(grantedLease)
+}
+
+// lapsedSince reports whether the lease lapsed after a time.
+func (l *limited) lapsedSince(at time.Time) bool {
+	l.leaseMu.Lock()
+	defer l.leaseMu.Unlock()
+	return l.lapsedAt.After(at) || (!l.leaseEnd.IsZero() && l.leaseEnd.After(at) && time.Now().After(l.leaseEnd))
+}
+
 // carryOutLate lets the runner carry an order out later, and waits until the caller has given up.
 func (l *limited) carryOutLate(r *http.Request) {
 	data, err := io.ReadAll(r.Body)
@@ -436,7 +494,7 @@
 		Zone: zoneOf(i), Rack: glade.Rack(fmt.Sprintf("k%d", i)), CPU: runnerCPU, MaxLease: maxLease, PartitionedTable: s.table, Clock: clock.System{},
 		OnStarted: s.started, OnEnded: s.ended, OnAcknowledged: s.acknowledged,
 	})
-	l := &limited{runner: runner}
+	l := &limited{runner: runner, id: glade.RunnerID(fmt.Sprintf("r%d", i))}
 	s.limited = append(s.limited, l)
 	if _, err := s.serve(ip, l); err != nil {
 		return err
@@ -485,6 +543,11 @@
 
 // start starts the process with settings in the layout of deploy/node.json.
 func (n *node) start() error {
+	n.site.closing.Lock()
+	defer n.site.closing.Unlock()
+	if n.site.isClosed {
+		return errUnplayed
+	}
 	data, err := json.Marshal(map[string]any{
 		"name": n.name, "zone": n.zone, "ip": n.ip,
 		"front": fmt.Sprintf("%s:%d", n.ip, frontPort), "ready": fmt.Sprintf("%s:%d", n.ip, readyPort),
@@ -509,6 +572,8 @@
 	n.command = exec.Command(n.site.program)
 	n.command.Env = []string{"INDIGOGLADE_SETTINGS=" + path, "GOMAXPROCS=1"}
 	n.command.Stdout, n.command.Stderr = log, log
+	// Processes are started by the main thread, which ends only with this process.
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.command.Start(); err != nil {
 		return err
 	}
@@ -662,14 +727,19 @@
 	return errUnplayed
 }
 
+// close ends all processes, and lets no further one start.
 func (s *site) close() {
+	s.closing.Lock()
+	defer s.closing.Unlock()
+	s.isClosed = true
 	for _, n := range s.nodes {
 		n.kill()
 	}
+	_ = os.RemoveAll(s.dir)
 }
 
 // lostAnswer: the store goes down, and the answers of its last writes are lost. When it is
-// back it rejects half of the writes with 429 for a time. Later the hosts are restarted in turn.
+// back it rejects a part of the writes for a time. Later the hosts are restarted in turn.
 func (s *site) lostAnswer(ctx context.Context) (string, error) {
 	const (
 		outage   = 1700 * time.Millisecond
@@ -1003,15 +1073,20 @@
 	name := flag.String("case", "", "name of the case")
 	program := flag.String("program", "target/node", "program of the role in the deploy file")
 	recordPath := flag.String("record", "record.txt", "file for what was sent, answered and run")
-	dir := flag.String("dir", "", "folder for settings and logs")
 	flag.Parse()
+	runtime.LockOSThread()
+	dir, err := os.MkdirTemp("", "review")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitUnplayed)
+	}
 	record, err := os.Create(*recordPath)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitUnplayed)
 	}
 	s := &site{
-		prefix: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, 1+os.Getpid()/200%250), dir: *dir, program: *program,
+		prefix: fmt.Sprintf("127.%d.%d.", 20+os.Getpid()%200, 1+os.Getpid()/200%250), dir: dir, program: *program,
 		trouble: os.Getenv("TROUBLE") != "0", record: record, began: time.Now(),
 		conns: connections{open: make(map[net.Conn]bool)},
 	}
