Review case: takeover never ends behind a slow link

Cause: a new leader has to read each page of a service's rows within 1.5 s. A page of 1 MB takes 1.1 s at 10 Mbit/s, so a host that takes over two services reads neither, and renews both terms meanwhile.

What was done: a script with one strong host and two weak ones takes the strong one's power for 3.5 s and asks for the accepted jobs 14 s later. The program for scripts gets hosts with links of their own, listings of 1 MB at most, connections that go silent, and hosts that are killed for their memory.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -94,8 +94,12 @@
 	cloud   *cloudGate
 	conns   connections // of the runners
 	limited []*limited
-	nodes   []*node
-	runners int
+	// sizes are those of the hosts, if they differ from the usual ones.
+	sizes []size
+	// silencers are the listeners of the store, one for each host.
+	silencers []*silencer
+	nodes     []*node
+	runners   int
 
 	closing  sync.Mutex
 	isClosed bool
@@ -211,6 +215,10 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
+		if r.URL.Path == "/rows-get" {
+			passList(view, w, r)
+			return
+		}
 		if r.URL.Path != "/rows-tx" {
 			view.ServeHTTP(w, r)
 			return
@@ -244,6 +252,36 @@
 	})
 }
 
+// passList passes a listing on, with at most pageBytes of values.
+func passList(view http.Handler, w http.ResponseWriter, r *http.Request) {
+	answer := httptest.NewRecorder()
+	view.ServeHTTP(answer, r)
+	var page struct {
+		Rows  []map[string]any `json:"rows"`
+		More  bool             `json:"hasMore"`
+		Ver   int64            `json:"ver"`
+		NowMs int64            `json:"nowMs"`
+	}
+	data := answer.Body.Bytes()
+	if answer.Code == http.StatusOK && json.Unmarshal(data, &page) == nil {
+		sum := 0
+		for i, row := range page.Rows {
+			value, _ := row["value"].(string)
+			sum += len(value) / 4 * 3
+			if sum > pageBytes && i > 0 {
+				page.Rows, page.More = page.Rows[:i], true
+				data, _ = json.Marshal(page)
+				break
+			}
+		}
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(answer.Code)
+	_, _ = w.Write(data)
+}
+
+const pageBytes = 1 << 20
+
 // isTooLarge reports whether a row exceeds the store's limit.
 func (g *gate) isTooLarge(rows []writtenRow) bool {
 	for _, row := range rows {
@@ -476,6 +514,11 @@
 	if err != nil {
 		return "", err
 	}
+	if _, ok := handler.(http.HandlerFunc); ok { // the store
+		l := &silencer{Listener: listener}
+		s.silencers = append(s.silencers, l)
+		listener = l
+	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: time.Minute}
 	if _, ok := handler.(*limited); ok {
 		server.ConnState = s.conns.track
@@ -484,6 +527,76 @@
 	return address, nil
 }
 
+// silencer is a listener whose open connections can be made silent for good, while new ones work.
+type silencer struct {
+	net.Listener
+	silenced atomic.Int64 // the connections with lower numbers are silent
+	accepted atomic.Int64
+	// bytesPerSecond is the bandwidth of the answers on all connections; 0 means no limit.
+	bytesPerSecond float64
+	linkMu         sync.Mutex
+}
+
+// sendPiece waits until a piece of an answer has passed the link.
+func (l *silencer) sendPiece(bytes int) {
+	l.linkMu.Lock()
+	defer l.linkMu.Unlock()
+	time.Sleep(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
+}
+
+// Accept accepts a connection that can be made silent.
+func (l *silencer) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &silentConn{Conn: conn, listener: l, number: l.accepted.Add(1)}, nil
+}
+
+// silence makes the connections silent that are open now.
+func (l *silencer) silence() { l.silenced.Store(l.accepted.Load()) }
+
+type silentConn struct {
+	net.Conn
+	listener *silencer
+	number   int64
+}
+
+func (c *silentConn) isSilent() bool { return c.number <= c.listener.silenced.Load() }
+
+// Read drops what arrives on a silent connection.
+func (c *silentConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		if err != nil || !c.isSilent() {
+			return n, err
+		}
+	}
+}
+
+// Write drops what is sent on a silent connection.
+func (c *silentConn) Write(b []byte) (int, error) {
+	if c.isSilent() {
+		return len(b), nil
+	}
+	if c.listener.bytesPerSecond == 0 {
+		return c.Conn.Write(b)
+	}
+	sent := 0
+	for sent < len(b) {
+		piece := b[sent:min(sent+pieceBytes, len(b))]
+		c.listener.sendPiece(len(piece))
+		n, err := c.Conn.Write(piece)
+		sent += n
+		if err != nil {
+			return sent, err
+		}
+	}
+	return sent, nil
+}
+
+const pieceBytes = 8 << 10
+
 // addRunner adds a runner of a service and its host.
 func (s *site) addRunner(ctx context.Context, inventory *fake.Inventory, service glade.Service) error {
 	s.runners++
@@ -529,6 +642,13 @@
 	s.note("manifest %d: queues %v", s.version, queues)
 }
 
+// size is what a host has, in the words of its settings.
+type size struct {
+	Share  float64
+	Memory int
+	Link   float64
+}
+
 // node is one process of the product.
 type node struct {
 	site    *site
@@ -537,6 +657,8 @@
 	store   string
 	cloud   string
 	zone    glade.Zone
+	size    size
+	kills   atomic.Int64
 	command *exec.Cmd
 	exited  chan struct{}
 }
@@ -552,7 +674,7 @@
 		"name": n.name, "zone": n.zone, "ip": n.ip,
 		"front": fmt.Sprintf("%s:%d", n.ip, frontPort), "ready": fmt.Sprintf("%s:%d", n.ip, readyPort),
 		"ports": []int{peerPort, statusPort}, "store": n.store, "cloud": n.cloud,
-		"memory": 284, "share": 0.4, "cores": 1, "link": 1000,
+		"memory": n.size.Memory, "share": n.size.Share, "cores": 1, "link": n.size.Link,
 		"bounds": map[string]any{
 			"graceS": gracePeriod.Seconds(), "holdMaxMs": maxLease.Milliseconds(), "stopTimeoutMs": 200, "restoreMs": 250, "status_s": 120,
 			"moveS": hostDowntime.Seconds(), "maintenanceS": hostDowntime.Seconds(), "fencingEnabled": true, "leaseMs": 3000, "remoteFactor": 3,
@@ -647,13 +769,28 @@
 	millis      int
 	fails       bool
 	checkpoints bool
+	lasts       bool // the tasks run until the job is cancelled
+}
+
+// post sends a job of several steps once.
+func (s *site) post(n *node, queue, id string, spec fake.TaskSpec, steps []map[string]any) (int, error) {
+	body, err := json.Marshal(map[string]any{"spec": spec.Spec(), "steps": steps})
+	if err != nil {
+		return 0, err
+	}
+	status, _ := n.call(http.MethodPost, "/"+queue+"/"+id, body)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.attempts = append(s.attempts, attempt{id: id, status: status})
+	return status, nil
 }
 
 // submit sends a job once.
 func (s *site) submit(n *node, j job) int {
-	spec := fake.TaskSpec{Millis: []int{j.millis}, CPU: []int{j.cpu}, Fails: j.fails}
+	spec := fake.TaskSpec{Millis: []int{j.millis}, CPU: []int{j.cpu}, Fails: j.fails, UntilStopped: j.lasts}
 	body, err := json.Marshal(map[string]any{"spec": spec.Spec(), "steps": []map[string]any{{
 		"count": j.count, "cpu": j.cpu, "memMb": 4, "estimatedMs": j.millis, "checkpointing": j.checkpoints,
+		"longRunning": j.lasts,
 	}}})
 	if err != nil {
 		panic(err)
@@ -703,7 +840,12 @@
 		if err != nil {
 			return err
 		}
-		n := &node{site: s, name: fmt.Sprintf("n%d", i), ip: fmt.Sprintf("%s%d", s.prefix, i+1), store: address, cloud: cloud, zone: zoneOf(i)}
+		size := size{Share: 0.4, Memory: 284, Link: 1000}
+		if i < len(s.sizes) {
+			size = s.sizes[i]
+			s.silencers[i].bytesPerSecond = size.Link * 1e6 / 8
+		}
+		n := &node{site: s, size: size, name: fmt.Sprintf("n%d", i), ip: fmt.Sprintf("%s%d", s.prefix, i+1), store: address, cloud: cloud, zone: zoneOf(i)}
 		s.nodes = append(s.nodes, n)
 		if err := n.start(); err != nil {
 			return err
@@ -870,6 +1012,418 @@
 	return fmt.Sprintf("%s; %d starts of this kind", first, count)
 }
 
+// largeJob: a large job, most of whose tasks save checkpoints, comes to a service with other jobs.
+// Then those other jobs are cancelled.
+func (s *site) largeJob(ctx context.Context) (string, error) {
+	const (
+		runners   = 9
+		others    = 6
+		largeSize = 3000
+		chain     = 60
+		watchTime = 35 * time.Second
+		usualSize = 24
+	)
+	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a"}, runners); err != nil {
+		return "", err
+	}
+	var lasting []job
+	for i := range others {
+		j := job{queue: "qa", id: newID(), count: 2, cpu: 200, millis: 500, lasts: true}
+		if s.submit(s.nodes[i%len(s.nodes)], j) == http.StatusOK {
+			lasting = append(lasting, j)
+		}
+	}
+	count := usualSize
+	if s.trouble {
+		count = largeSize
+	}
+	// One wide step beside a chain of short ones.
+	spec := fake.TaskSpec{Millis: []int{60000}, CPU: []int{40}}
+	steps := []map[string]any{{"count": count, "cpu": 40, "memMb": 4, "estimatedMs": 60000, "checkpointing": true}}
+	for i := range chain {
+		step := map[string]any{"count": 1, "cpu": 100, "memMb": 4, "estimatedMs": 800}
+		if i > 0 {
+			step["dependsOn"] = []int{i}
+		}
+		steps = append(steps, step)
+		spec.Millis, spec.CPU = append(spec.Millis, 800), append(spec.CPU, 100)
+	}
+	status, err := s.post(s.nodes[0], "qa", newID(), spec, steps)
+	if err != nil || status != http.StatusOK || len(lasting) < others {
+		return "", errUnplayed
+	}
+	time.Sleep(12 * time.Second)
+	began := time.Now()
+	var group sync.WaitGroup
+	cancels := make([]cancelling, len(lasting))
+	for i, j := range lasting {
+		group.Go(func() { cancels[i] = s.cancel(j, i) })
+	}
+	group.Wait()
+	time.Sleep(time.Until(began.Add(watchTime)))
+	return s.ranAfterCancel(cancels), nil
+}
+
+// manyTimes: many scheduled jobs come, each with many times. The platform kills processes that
+// exceed their memory, and starts them again.
+func (s *site) manyTimes(ctx context.Context) (string, error) {
+	const (
+		others    = 6
+		scheduled = 200
+		pause     = 100 * time.Millisecond // between two of them
+		longTimes = 365
+		fewTimes  = 4
+		width     = 24
+		askTime   = 10 * time.Second
+	)
+	if err := s.open(ctx, []string{"a", "b"}, map[string]string{"qa": "a", "qb": "b"}, 3); err != nil {
+		return "", err
+	}
+	for _, n := range s.nodes {
+		go n.bound(ctx)
+	}
+	var accepted []job
+	for i := range others {
+		j := job{queue: []string{"qa", "qb"}[i%2], id: newID(), count: 2, cpu: 500, millis: 1000, lasts: true}
+		if s.submit(s.nodes[i%len(s.nodes)], j) == http.StatusOK {
+			accepted = append(accepted, j)
+		}
+	}
+	times := fewTimes
+	if s.trouble {
+		times = longTimes
+	}
+	spec := fake.TaskSpec{Millis: []int{500}, CPU: []int{100}}
+	for i := range scheduled {
+		j := job{queue: "qa", id: newID()}
+		status, err := s.postTimed(s.nodes[i%len(s.nodes)], j, spec, []map[string]any{{"count": width, "cpu": 100, "memMb": 4, "estimatedMs": 500}}, times)
+		if err != nil {
+			return "", err
+		}
+		if status == http.StatusOK {
+			accepted = append(accepted, j)
+		}
+		time.Sleep(pause)
+	}
+	s.note("%d jobs were accepted", len(accepted))
+	time.Sleep(finishTime)
+	lost := s.unanswered(accepted, askTime)
+	kills := 0
+	for _, n := range s.nodes {
+		kills += int(n.kills.Load())
+		s.note("%s was killed %d times because of its memory", n.name, n.kills.Load())
+	}
+	outcome := fmt.Sprintf("%d of %d accepted jobs got no answer within %s; %d times a process was killed because of its memory",
+		len(lost), len(accepted), askTime, kills)
+	s.note("%s", outcome)
+	if broken := s.withoutRun(accepted[:others]); broken != "" {
+		return "LOST: " + broken + "; " + outcome, nil
+	}
+	if len(lost) > 0 {
+		return "LOST: " + outcome, nil
+	}
+	return "", nil
+}
+
+// withoutRun returns the longest time for which a task that lasts had no run, if it is longer
+// than the rule LOST allows.
+func (s *site) withoutRun(lasting []job) string {
+	const allowed = 9 * time.Second // 6 s after its last run, and 3 s more
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	longest, what := allowed, ""
+	for _, e := range s.ends {
+		id, _, _ := strings.Cut(e.task, ".")
+		if !slices.ContainsFunc(lasting, func(j job) bool { return j.id == id }) {
+			continue
+		}
+		next := time.Now()
+		for _, x := range s.starts {
+			if x.task == e.task && x.at.After(e.at) && x.at.Before(next) {
+				next = x.at
+			}
+		}
+		if gap := next.Sub(e.at); gap > longest {
+			longest, what = gap, fmt.Sprintf("task %s, which lasts, had no run for %s from %.3f", e.task, gap.Round(time.Millisecond), e.at.Sub(s.began).Seconds())
+		}
+	}
+	return what
+}
+
+// unanswered asks for the states of accepted jobs, at one host after another, and returns those
+// without an answer within a time.
+func (s *site) unanswered(accepted []job, within time.Duration) []job {
+	deadline := time.Now().Add(within)
+	answered := make([]bool, len(accepted))
+	var group sync.WaitGroup
+	for i, j := range accepted {
+		group.Go(func() {
+			for k := i; !answered[i] && time.Now().Before(deadline); k++ {
+				state := s.state(s.nodes[k%len(s.nodes)], j.queue, j.id)
+				answered[i] = state == "queued" || state == "running" || state == "completed"
+				time.Sleep(200 * time.Millisecond)
+			}
+		})
+	}
+	group.Wait()
+	var lost []job
+	for i, j := range accepted {
+		if !answered[i] {
+			lost = append(lost, j)
+		}
+	}
+	return lost
+}
+
+const (
+	finishTime   = 14 * time.Second
+	memoryKB     = 284 << 10
+	restartPause = time.Second
+)
+
+// bound kills the process when it exceeds its memory, and starts it again, until ctx ends.
+func (n *node) bound(ctx context.Context) {
+	for ctx.Err() == nil {
+		time.Sleep(20 * time.Millisecond)
+		used := n.residentKB()
+		if used <= memoryKB {
+			continue
+		}
+		n.site.note("%s uses %d KB and is killed", n.name, used)
+		n.kills.Add(1)
+		n.kill()
+		time.Sleep(restartPause)
+		if n.start() != nil {
+			return
+		}
+	}
+}
+
+// residentKB returns the memory of the process, 0 if it is not known.
+func (n *node) residentKB() int {
+	data, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", n.command.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	used := 0
+	for line := range strings.Lines(string(data)) {
+		if strings.HasPrefix(line, "VmRSS:") {
+			_, _ = fmt.Sscanf(line, "VmRSS: %d kB", &used)
+		}
+	}
+	return used
+}
+
+// postTimed sends a job that is due the first time in an hour, and then each day.
+func (s *site) postTimed(n *node, j job, spec fake.TaskSpec, steps []map[string]any, times int) (int, error) {
+	body, err := json.Marshal(map[string]any{
+		"spec": spec.Spec(), "steps": steps,
+		"startAtMs": time.Now().Add(time.Hour).UnixMilli(), "intervalMs": 24 * time.Hour.Milliseconds(), "repeatCount": times,
+	})
+	if err != nil {
+		return 0, err
+	}
+	status, _ := n.call(http.MethodPost, "/"+j.queue+"/"+j.id, body)
+	return status, nil
+}
+
+// Bounds of a cancelling, as on the users' pages.
+const (
+	ackTime    = 4 * time.Second
+	cancelTime = 3 * time.Second
+	stopTime   = 200 * time.Millisecond
+)
+
+// cancelling is the cancelling of an accepted job. ackedAt is zero if it was not confirmed.
+type cancelling struct {
+	id              string
+	sentAt, ackedAt time.Time
+}
+
+// cancel cancels a job, at one host after another while it is not confirmed, for ackTime.
+func (s *site) cancel(j job, first int) cancelling {
+	c := cancelling{id: j.id, sentAt: time.Now()}
+	for i := first; time.Since(c.sentAt) < ackTime; i++ {
+		status, _ := s.nodes[i%len(s.nodes)].call(http.MethodDelete, "/"+j.queue+"/"+j.id, nil)
+		if status/100 == 2 || status == http.StatusGone {
+			c.ackedAt = time.Now()
+			return c
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	return c
+}
+
+// ranAfterCancel checks the parts of UNASKED about cancelled jobs.
+func (s *site) ranAfterCancel(cancels []cancelling) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	unconfirmed, count, first := 0, 0, ""
+	for _, c := range cancels {
+		limit := c.sentAt.Add(ackTime)
+		if !c.ackedAt.IsZero() && c.ackedAt.Before(limit) {
+			limit = c.ackedAt
+		} else {
+			unconfirmed++
+		}
+		limit = limit.Add(cancelTime)
+		for _, x := range s.starts {
+			if id, _, _ := strings.Cut(x.task, "."); id != c.id {
+				continue
+			}
+			over := time.Now()
+			for _, e := range s.ends {
+				if e.task == x.task && e.run == x.run {
+					over = e.at
+				}
+			}
+			what := ""
+			switch {
+			case x.at.After(limit):
+				what = fmt.Sprintf("started %s after the cancelling of its job", x.at.Sub(c.sentAt).Round(time.Millisecond))
+			case over.After(limit.Add(stopTime)):
+				what = fmt.Sprintf("ran on until %s after the cancelling of its job", over.Sub(c.sentAt).Round(time.Millisecond))
+			default:
+				continue
+			}
+			count++
+			if first == "" {
+				first = fmt.Sprintf("UNASKED: task %s run %d %s", x.task, x.run, what)
+			}
+		}
+	}
+	s.noteLocked("%d of %d cancels were not confirmed within %s", unconfirmed, len(cancels), ackTime)
+	if count == 0 {
+		return ""
+	}
+	return fmt.Sprintf("%s; %d runs of this kind; %d of %d cancels were not confirmed within %s", first, count, unconfirmed, len(cancels), ackTime)
+}
+
+// silentChannels: a manifest comes, the open connections to the store go silent, and another
+// manifest comes.
+func (s *site) silentChannels(ctx context.Context) (string, error) {
+	const rounds = 5
+	services := []string{"a", "b"}
+	if err := s.open(ctx, services, map[string]string{"qa": "a", "qb": "b"}, 2); err != nil {
+		return "", err
+	}
+	broken := ""
+	for i := range rounds {
+		s.setManifest(services, map[string]string{"qa": "a", "qb": "b", "old": "b"})
+		time.Sleep(50*time.Millisecond + rand.N(200*time.Millisecond))
+		if s.trouble {
+			for _, l := range s.silencers {
+				l.silence()
+			}
+			s.note("open connections to the store are silent")
+		}
+		silentAt := time.Now()
+		time.Sleep(500 * time.Millisecond)
+		s.setManifest(services, map[string]string{"qa": "a", "qb": "b", "new": "a"})
+		confirmedAt := time.Now()
+		time.Sleep(time.Until(later(silentAt.Add(contactTime), confirmedAt.Add(configApply)).Add(50 * time.Millisecond)))
+		for time.Since(silentAt) < contactTime+2*time.Second {
+			for _, n := range s.nodes {
+				if what := s.handledByOld(n, silentAt, confirmedAt); what != "" && broken == "" {
+					broken = fmt.Sprintf("%s, in round %d", what, i+1)
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		time.Sleep(3 * time.Second)
+	}
+	return broken, nil
+}
+
+// handledByOld sends requests to a new queue and to a dropped one, and checks CONFIG.
+func (s *site) handledByOld(n *node, silentAt, confirmedAt time.Time) string {
+	sent := time.Now()
+	when := fmt.Sprintf("sent to %s %s after a manifest was confirmed and %s after the connections had gone silent",
+		n.name, sent.Sub(confirmedAt).Round(time.Millisecond), sent.Sub(silentAt).Round(time.Millisecond))
+	if status, _ := n.call(http.MethodGet, "/new/", nil); status == http.StatusNotFound {
+		return "CONFIG: 404 for a queue of the manifest, " + when
+	}
+	if status, _ := n.call(http.MethodGet, "/old/", nil); status == http.StatusOK {
+		return "CONFIG: 200 for a queue that the manifest dropped, " + when
+	}
+	return ""
+}
+
+func later(x, y time.Time) time.Time {
+	if x.After(y) {
+		return x
+	}
+	return y
+}
+
+const (
+	contactTime = 3 * time.Second
+	configApply = 2 * time.Second
+)
+
+// strongHostLost: the one strong host, which leads all services, loses power for some seconds.
+func (s *site) strongHostLost(ctx context.Context) (string, error) {
+	const (
+		traffic   = 55 * time.Second
+		perSecond = 12 // jobs of each service
+		specBytes = 2000
+		powerOff  = 3500 * time.Millisecond
+		askTime   = 10 * time.Second
+	)
+	s.sizes = []size{{Share: 0.8, Memory: 536, Link: 200}, {Share: 0.192, Memory: 184, Link: 10}, {Share: 0.192, Memory: 184, Link: 10}}
+	services := []string{"a", "b", "c", "d"}
+	queues := make(map[string]string)
+	for _, service := range services {
+		queues["q"+service] = service
+	}
+	if err := s.open(ctx, services, queues, 3); err != nil {
+		return "", err
+	}
+	spec := fmt.Sprintf(`{"millis":[200],"cpu":[500],"text":%q}`, strings.Repeat("x", specBytes))
+	body, err := json.Marshal(map[string]any{"spec": spec, "steps": []map[string]any{{"count": 2, "cpu": 500, "memMb": 4, "estimatedMs": 200}}})
+	if err != nil {
+		return "", err
+	}
+	var mu sync.Mutex
+	var accepted []job
+	var group sync.WaitGroup
+	began := time.Now()
+	for i := 0; time.Since(began) < traffic; i++ {
+		for k, service := range services {
+			n, j := s.nodes[(i+k)%len(s.nodes)], job{queue: "q" + service, id: newID()}
+			group.Go(func() {
+				if status, _ := n.call(http.MethodPost, "/"+j.queue+"/"+j.id, body); status == http.StatusOK {
+					mu.Lock()
+					defer mu.Unlock()
+					accepted = append(accepted, j)
+				}
+			})
+		}
+		time.Sleep(time.Until(began.Add(time.Duration(i+1) * time.Second / perSecond)))
+	}
+	group.Wait()
+	s.note("%d jobs were accepted", len(accepted))
+	if s.trouble {
+		s.note("%s loses power", s.nodes[0].name)
+		s.nodes[0].kill()
+		time.Sleep(powerOff)
+		if err := s.nodes[0].start(); err != nil {
+			return "", err
+		}
+		s.note("%s is back", s.nodes[0].name)
+	}
+	time.Sleep(finishTime)
+	var asked []job
+	for i := range 40 {
+		asked = append(asked, accepted[len(accepted)*i/40])
+	}
+	if lost := s.unanswered(asked, askTime); len(lost) > 0 {
+		return fmt.Sprintf("LOST: %d of %d accepted jobs that were asked for got no answer within %s, the first %s/%s",
+			len(lost), len(asked), askTime, lost[0].queue, lost[0].id), nil
+	}
+	return "", nil
+}
+
 // removedQueue: the manifest drops a queue while a job in it runs that can never be done.
 func (s *site) removedQueue(ctx context.Context) (string, error) {
 	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a", "qb": "a"}, 2); err != nil {
@@ -1035,7 +1589,7 @@
 // play plays a case and returns the exit status.
 func (s *site) play(name string) int {
 	cases := map[string]func(context.Context) (string, error){
-		"lost-answer": s.lostAnswer, "many-ends": s.manyEnds, "removed-queue": s.removedQueue,
+		"lost-answer": s.lostAnswer, "many-ends": s.manyEnds, "large-job": s.largeJob, "strong-host-lost": s.strongHostLost, "silent-channels": s.silentChannels, "many-times": s.manyTimes, "removed-queue": s.removedQueue,
 		"late-maintenance": s.lateMaintenance, "reset-starts": s.resetStarts, "refused-stop": s.refusedStop,
 	}
 	run, ok := cases[name]
