--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -535,13 +535,21 @@
 	// bytesPerSecond is the bandwidth of the answers on all connections; 0 means no limit.
 	bytesPerSecond float64
 	linkMu         sync.Mutex
+	linkFreeAt     time.Time
 }
 
-// sendPiece waits until a piece of an answer has passed the link.
+// sendPiece waits until a piece of an answer has passed the link. A wait that takes too long
+// shortens the next ones, so that the bandwidth is not lower than it says.
 func (l *silencer) sendPiece(bytes int) {
+	const catchUp = 100 * time.Millisecond
 	l.linkMu.Lock()
-	defer l.linkMu.Unlock()
-	time.Sleep(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
+	if idle := time.Now().Add(-catchUp); l.linkFreeAt.Before(idle) {
+		l.linkFreeAt = time.Now()
+	}
+	l.linkFreeAt = l.linkFreeAt.Add(time.Duration(float64(bytes) / l.bytesPerSecond * float64(time.Second)))
+	until := l.linkFreeAt
+	l.linkMu.Unlock()
+	time.Sleep(time.Until(until))
 }
 
 // Accept accepts a connection that can be made silent.
