--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -61,9 +61,10 @@
 
 // start is a start of a task on a runner, and end an end of a run.
 type start struct {
-	task string
-	run  int64
-	at   time.Time
+	task   string
+	run    int64
+	at     time.Time
+	runner glade.RunnerID
 }
 
 type end struct {
@@ -128,7 +129,7 @@
 func (s *site) started(e fake.RunEvent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.starts = append(s.starts, start{task: e.Task, run: e.Run, at: time.Now()})
+	s.starts = append(s.starts, start{task: e.Task, run: e.Run, at: time.Now(), runner: e.Runner})
 	s.noteLocked("start %s run %d on %s", e.Task, e.Run, e.Runner)
 }
 
@@ -162,19 +163,24 @@
 	return false
 }
 
-// shedShare is the share of the writes that are rejected while the store is unavailable in part.
-const shedShare = 0.3
+// Shares of the writes that are rejected while the store is unavailable in part, and that are
+// carried out and not answered.
+const (
+	shedShare = 0.3
+	lostShare = 0.35
+)
 
 // gate stands before the store and disturbs the calls of all hosts.
 type gate struct {
 	site *site
 	mu   sync.Mutex
 	// loses means that writes are carried out and not answered, down that every call is
-	// rejected with 503, and sheds that a share of the writes is rejected with 503.
-	loses, down, sheds bool
-	rng                *rand.Rand
-	lost               map[string]bool // parts whose new batches were in a lost write
-	oversize           int
+	// rejected with 503, sheds that a share of the writes is rejected with 503, and fails that a
+	// share is rejected so and another share is carried out and not answered.
+	loses, down, sheds, fails bool
+	rng                       *rand.Rand
+	lost                      map[string]bool // parts whose new batches were in a lost write
+	oversize                  int
 }
 
 func (g *gate) set(loses, down, sheds bool) {
@@ -184,6 +190,14 @@
 	g.site.note("store: loses answers %v, down %v, rejects a part of the writes %v", loses, down, sheds)
 }
 
+// setFails makes the store unavailable in part, or available.
+func (g *gate) setFails(fails bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.fails = fails
+	g.site.note("store: rejects %v of the writes and loses the answers of %v: %v", shedShare, lostShare, fails)
+}
+
 // lostParts returns the number of services of which a write with a new batch got no answer.
 func (g *gate) lostParts() int {
 	g.mu.Lock()
@@ -208,8 +222,9 @@
 func (g *gate) wrap(view http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.mu.Lock()
-		loses, down, sheds := g.loses, g.down, g.sheds
-		reject := sheds && g.rng.Float64() < shedShare
+		down := g.down
+		reject := (g.sheds || g.fails) && g.rng.Float64() < shedShare
+		loses := g.loses || g.fails && g.rng.Float64() < lostShare
 		g.mu.Unlock()
 		if down {
 			w.WriteHeader(http.StatusServiceUnavailable)
@@ -627,13 +642,22 @@
 
 func zoneOf(i int) glade.Zone { return glade.Zone(fmt.Sprintf("z%d", i%nodeCount)) }
 
-// setManifest writes the next version of the manifest.
+// setManifest writes the next version of the manifest, with queues whose names are their paths.
 func (s *site) setManifest(services []string, queues map[string]string) {
+	s.setRoutes(services, queues, nil)
+}
+
+// setRoutes writes the next version of the manifest. A queue without a path has its name as path.
+func (s *site) setRoutes(services []string, queues, paths map[string]string) {
 	s.version += 3
 	var routes, pools []map[string]any
 	for queue, service := range queues {
+		path := paths[queue]
+		if path == "" {
+			path = queue
+		}
 		routes = append(routes, map[string]any{
-			"name": queue, "host": callerHost, "pathPrefix": "/" + queue + "/", "service": service, "timeoutMs": 3000,
+			"name": queue, "host": callerHost, "pathPrefix": "/" + path + "/", "service": service, "timeoutMs": 3000,
 			"targetLatencyMs": 60000, "priority": 1, "maxAttempts": maxAttempts, "stretch": 2.0,
 		})
 	}
@@ -647,7 +671,7 @@
 		panic(err)
 	}
 	s.table.Put(glade.PartitionRow{Table: "op", Key: "config", Value: data})
-	s.note("manifest %d: queues %v", s.version, queues)
+	s.note("manifest %d: queues %v, paths %v", s.version, queues, paths)
 }
 
 // size is what a host has, in the words of its settings.
@@ -778,6 +802,8 @@
 	fails       bool
 	checkpoints bool
 	lasts       bool // the tasks run until the job is cancelled
+	exits       bool // tasks that last end as done by themselves
+	apart       bool // one task on a runner
 }
 
 // post sends a job of several steps once.
@@ -795,11 +821,14 @@
 
 // submit sends a job once.
 func (s *site) submit(n *node, j job) int {
-	spec := fake.TaskSpec{Millis: []int{j.millis}, CPU: []int{j.cpu}, Fails: j.fails, UntilStopped: j.lasts}
-	body, err := json.Marshal(map[string]any{"spec": spec.Spec(), "steps": []map[string]any{{
-		"count": j.count, "cpu": j.cpu, "memMb": 4, "estimatedMs": j.millis, "checkpointing": j.checkpoints,
-		"longRunning": j.lasts,
-	}}})
+	spec := fake.TaskSpec{Millis: []int{j.millis}, CPU: []int{j.cpu}, Fails: j.fails, UntilStopped: j.lasts && !j.exits}
+	step := map[string]any{
+		"count": j.count, "cpu": j.cpu, "memMb": 4, "estimatedMs": j.millis, "checkpointing": j.checkpoints, "longRunning": j.lasts,
+	}
+	if j.apart {
+		step["antiAffinity"] = 1
+	}
+	body, err := json.Marshal(map[string]any{"spec": spec.Spec(), "steps": []map[string]any{step}})
 	if err != nil {
 		panic(err)
 	}
@@ -920,6 +949,48 @@
 	return s.startedThoughRefused(), nil
 }
 
+// refusedThenRun: the store rejects a part of the writes and loses the answers of others, some
+// times. Then the hosts are restarted in turn, as planned.
+func (s *site) refusedThenRun(ctx context.Context) (string, error) {
+	const (
+		rounds  = 7
+		outage  = 4500 * time.Millisecond
+		between = 125 * time.Millisecond // two jobs of one service
+	)
+	services := []string{"a", "b", "c", "d", "e"}
+	queues := make(map[string]string)
+	for _, service := range services {
+		queues["q"+service] = service
+	}
+	if err := s.open(ctx, services, queues, 1); err != nil {
+		return "", err
+	}
+	var group sync.WaitGroup
+	for range rounds {
+		s.gate.setFails(s.trouble)
+		began := time.Now()
+		for i := 0; time.Since(began) < outage; i++ {
+			for k, service := range services {
+				j := job{queue: "q" + service, id: newID(), count: 2, cpu: 500, millis: 300}
+				n := s.nodes[(i+k)%len(s.nodes)]
+				group.Go(func() { s.submit(n, j) })
+			}
+			time.Sleep(between)
+		}
+		s.gate.setFails(false)
+		time.Sleep(2500 * time.Millisecond)
+	}
+	group.Wait()
+	for _, n := range s.nodes {
+		if err := n.restart(); err != nil {
+			return "", err
+		}
+		time.Sleep(3 * time.Second)
+	}
+	time.Sleep(5 * time.Second)
+	return s.startedThoughRefused(), nil
+}
+
 // submitDuringOutage sends a job to each service as the store goes down.
 func (s *site) submitDuringOutage(services []string, outage, shedding time.Duration) {
 	s.gate.forgetLost()
@@ -967,19 +1038,36 @@
 // manyEnds: the store is down while many short tasks end.
 func (s *site) manyEnds(ctx context.Context) (string, error) {
 	const (
-		jobs   = 30
+		jobs   = 24
+		stages = 4  // steps of a job
+		width  = 24 // tasks of a step
+		cpu    = 100
+		millis = 400
+		pause  = 50 * time.Millisecond // between two jobs
 		outage = 4200 * time.Millisecond
 	)
 	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a"}, 2); err != nil {
 		return "", err
 	}
+	var spec fake.TaskSpec
+	var steps []map[string]any
+	for range stages {
+		spec.Millis, spec.CPU = append(spec.Millis, millis), append(spec.CPU, cpu)
+		steps = append(steps, map[string]any{"count": width, "cpu": cpu, "memMb": 4, "estimatedMs": millis})
+	}
 	var ids []string
 	for i := range jobs {
-		j := job{queue: "qa", id: newID(), count: 100, cpu: 50, millis: 800}
-		if s.submit(s.nodes[i%len(s.nodes)], j) == http.StatusOK {
-			ids = append(ids, j.id)
+		id := newID()
+		status, err := s.post(s.nodes[i%len(s.nodes)], "qa", id, spec, steps)
+		if err != nil {
+			return "", err
 		}
+		if status == http.StatusOK {
+			ids = append(ids, id)
+		}
+		time.Sleep(pause)
 	}
+	s.note("%d jobs were accepted", len(ids))
 	if s.trouble {
 		s.gate.set(false, true, false)
 		s.table.SetFault(memory.PartitionedDown)
@@ -1432,6 +1520,147 @@
 	return "", nil
 }
 
+// movedQueue: the manifest drops a queue with jobs, and adds one with the same path at another
+// service. Callers send their jobs once more, ask for their states and then cancel them.
+func (s *site) movedQueue(ctx context.Context) (string, error) {
+	const (
+		jobs      = 6
+		sendAgain = 2500 * time.Millisecond // after the manifest, which is in force after configApply
+		askAt     = 4 * time.Second         // after the manifest; jobs are visible 3 s after their confirmation
+		watchTime = 10 * time.Second
+	)
+	services := []string{"a", "b"}
+	if err := s.open(ctx, services, map[string]string{"qa": "a", "qb": "b"}, 3); err != nil {
+		return "", err
+	}
+	var sent []job
+	for i := range jobs {
+		j := job{queue: "qa", id: newID(), count: 2, cpu: 200, millis: 500, lasts: true}
+		if s.submit(s.nodes[i%len(s.nodes)], j) != http.StatusOK {
+			return "", errUnplayed
+		}
+		sent = append(sent, j)
+	}
+	time.Sleep(500 * time.Millisecond)
+	if s.trouble {
+		s.setRoutes(services, map[string]string{"qnew": "b", "qb": "b"}, map[string]string{"qnew": "qa"})
+	} else {
+		s.setManifest(services, map[string]string{"qa": "a", "qb": "b"})
+	}
+	confirmedAt := time.Now()
+	time.Sleep(time.Until(confirmedAt.Add(sendAgain)))
+	for i, j := range sent[:jobs/2] {
+		s.submit(s.nodes[(i+1)%len(s.nodes)], j)
+	}
+	time.Sleep(time.Until(confirmedAt.Add(askAt)))
+	unknown := 0
+	for i, j := range sent {
+		if s.state(s.nodes[i%len(s.nodes)], j.queue, j.id) == fmt.Sprint(http.StatusGone) {
+			unknown++
+		}
+	}
+	s.note("%d of %d accepted jobs are answered with 410", unknown, jobs)
+	var cancels []cancelling
+	for i, j := range sent[jobs/2:] {
+		cancels = append(cancels, s.cancel(j, i))
+	}
+	time.Sleep(watchTime)
+	twice, unasked := s.runAtOnce(), s.ranAfterCancel(cancels)
+	s.note("%s; %s", twice, unasked)
+	switch {
+	case twice != "" || unasked != "":
+		return fmt.Sprintf("%s; %s; %d of %d accepted jobs were answered with 410", twice, unasked, unknown, jobs), nil
+	case unknown > 0:
+		return fmt.Sprintf("LOST: %d of %d accepted jobs were answered with 410", unknown, jobs), nil
+	}
+	return "", nil
+}
+
+// lastingDone: tasks that last end by themselves, as done.
+func (s *site) lastingDone(ctx context.Context) (string, error) {
+	const (
+		jobs      = 4
+		watchTime = 25 * time.Second
+	)
+	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a"}, 3); err != nil {
+		return "", err
+	}
+	var lasting []job
+	for i := range jobs {
+		j := job{queue: "qa", id: newID(), count: 2, cpu: 500, millis: 3000, lasts: true, exits: s.trouble}
+		if s.submit(s.nodes[i%len(s.nodes)], j) != http.StatusOK {
+			return "", errUnplayed
+		}
+		lasting = append(lasting, j)
+	}
+	time.Sleep(watchTime)
+	shown := 0
+	for i, j := range lasting {
+		if s.state(s.nodes[i%len(s.nodes)], j.queue, j.id) == "completed" {
+			shown++
+		}
+	}
+	if broken := s.withoutRun(lasting); broken != "" {
+		return fmt.Sprintf("LOST: %s; %d of %d jobs that last are shown as completed", broken, shown, jobs), nil
+	}
+	return "", nil
+}
+
+// reservedRunners: one of the jobs that come lasts and can never be placed: each runner has less
+// room than its tasks need, as another job lasts there.
+func (s *site) reservedRunners(ctx context.Context) (string, error) {
+	const (
+		runners   = 3
+		jobs      = 24
+		pause     = 200 * time.Millisecond // between two jobs
+		watchTime = 30 * time.Second
+		allowed   = finishTime + 3*time.Second // after the last job
+	)
+	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a"}, runners); err != nil {
+		return "", err
+	}
+	lasting := job{queue: "qa", id: newID(), count: runners, cpu: 5000, millis: 500, lasts: true, apart: true}
+	if s.submit(s.nodes[0], lasting) != http.StatusOK {
+		return "", errUnplayed
+	}
+	time.Sleep(2 * time.Second)
+	if s.trouble {
+		s.submit(s.nodes[1], job{queue: "qa", id: newID(), count: runners, cpu: 12000, millis: 500, lasts: true})
+	}
+	var short []job
+	for i := range jobs {
+		time.Sleep(pause)
+		j := job{queue: "qa", id: newID(), count: 2, cpu: 500, millis: 500}
+		if s.submit(s.nodes[i%len(s.nodes)], j) == http.StatusOK {
+			short = append(short, j)
+		}
+	}
+	last := time.Now()
+	time.Sleep(watchTime)
+	late, never := 0, 0
+	for i, j := range short {
+		if !s.hasStarted(j.id, last.Add(allowed)) {
+			late++
+		}
+		if !s.hasStarted(j.id, time.Now()) {
+			never++
+		}
+		s.state(s.nodes[i%len(s.nodes)], j.queue, j.id)
+	}
+	if late > 0 {
+		return fmt.Sprintf("LOST: %d of %d accepted jobs had nothing running until %s after the last job had come, %d of them until the end of the play; at most 15 of 48 cores were in use",
+			late, len(short), allowed, never), nil
+	}
+	return "", nil
+}
+
+// hasStarted reports whether a task of a job has started by a time.
+func (s *site) hasStarted(id string, by time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.ContainsFunc(s.starts, func(x start) bool { return strings.HasPrefix(x.task, id) && x.at.Before(by) })
+}
+
 // removedQueue: the manifest drops a queue while a job in it runs that can never be done.
 func (s *site) removedQueue(ctx context.Context) (string, error) {
 	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a", "qb": "a"}, 2); err != nil {
@@ -1540,7 +1769,7 @@
 func (s *site) refusedStop(ctx context.Context) (string, error) {
 	const (
 		runners = 7
-		rounds  = 5
+		rounds  = 10
 		trouble = 5 * time.Second
 	)
 	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a"}, runners); err != nil {
@@ -1567,9 +1796,14 @@
 func (s *site) runAtOnce() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	ended := make(map[string]time.Time)
+	type key struct {
+		task   string
+		run    int64
+		runner glade.RunnerID
+	}
+	ended := make(map[key]time.Time)
 	for _, e := range s.ends {
-		ended[fmt.Sprint(e.task, e.run)] = e.at
+		ended[key{e.task, e.run, e.runner}] = e.at
 	}
 	byTask := make(map[string][]start)
 	for _, x := range s.starts {
@@ -1578,7 +1812,7 @@
 	count, first := 0, ""
 	for task, runs := range byTask {
 		for i := 1; i < len(runs); i++ {
-			over, ok := ended[fmt.Sprint(task, runs[i-1].run)]
+			over, ok := ended[key{task, runs[i-1].run, runs[i-1].runner}]
 			if ok && !over.After(runs[i].at) {
 				continue
 			}
@@ -1598,7 +1832,8 @@
 func (s *site) play(name string) int {
 	cases := map[string]func(context.Context) (string, error){
 		"lost-answer": s.lostAnswer, "many-ends": s.manyEnds, "large-job": s.largeJob, "strong-host-lost": s.strongHostLost, "silent-channels": s.silentChannels, "many-times": s.manyTimes, "removed-queue": s.removedQueue,
-		"late-maintenance": s.lateMaintenance, "reset-starts": s.resetStarts, "refused-stop": s.refusedStop,
+		"late-maintenance": s.lateMaintenance, "reset-starts": s.resetStarts, "refused-stop": s.refusedStop, "moved-queue": s.movedQueue, "refused-then-run": s.refusedThenRun,
+		"lasting-done": s.lastingDone, "reserved-runners": s.reservedRunners,
 	}
 	run, ok := cases[name]
 	if !ok {
