Play both ways of moving a path in the review's case

A queue that keeps its name and gets another service, and a queue that is dropped for one with the same path, may be judged differently: the script has both now.

--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -1520,22 +1520,24 @@
 	return "", nil
 }
 
-// movedQueue: the manifest drops a queue with jobs, and adds one with the same path at another
-// service. Callers send their jobs once more, ask for their states and then cancel them.
+// movedQueue: the manifest sends a queue with jobs to another service, and drops another queue
+// for one with the same path at another service. Callers send their jobs once more, ask for
+// their states and then cancel them.
 func (s *site) movedQueue(ctx context.Context) (string, error) {
 	const (
-		jobs      = 6
+		jobs      = 6                       // in each queue
 		sendAgain = 2500 * time.Millisecond // after the manifest, which is in force after configApply
 		askAt     = 4 * time.Second         // after the manifest; jobs are visible 3 s after their confirmation
 		watchTime = 10 * time.Second
 	)
 	services := []string{"a", "b"}
-	if err := s.open(ctx, services, map[string]string{"qa": "a", "qb": "b"}, 3); err != nil {
+	before := map[string]string{"qa": "a", "qb": "b", "qc": "a"}
+	if err := s.open(ctx, services, before, 3); err != nil {
 		return "", err
 	}
 	var sent []job
-	for i := range jobs {
-		j := job{queue: "qa", id: newID(), count: 2, cpu: 200, millis: 500, lasts: true}
+	for i := range 2 * jobs {
+		j := job{queue: []string{"qa", "qc"}[i%2], id: newID(), count: 2, cpu: 200, millis: 500, lasts: true}
 		if s.submit(s.nodes[i%len(s.nodes)], j) != http.StatusOK {
 			return "", errUnplayed
 		}
@@ -1543,13 +1545,13 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	if s.trouble {
-		s.setRoutes(services, map[string]string{"qnew": "b", "qb": "b"}, map[string]string{"qnew": "qa"})
+		s.setRoutes(services, map[string]string{"qa": "b", "qb": "b", "qnew": "b"}, map[string]string{"qnew": "qc"})
 	} else {
-		s.setManifest(services, map[string]string{"qa": "a", "qb": "b"})
+		s.setManifest(services, before)
 	}
 	confirmedAt := time.Now()
 	time.Sleep(time.Until(confirmedAt.Add(sendAgain)))
-	for i, j := range sent[:jobs/2] {
+	for i, j := range sent[:jobs] {
 		s.submit(s.nodes[(i+1)%len(s.nodes)], j)
 	}
 	time.Sleep(time.Until(confirmedAt.Add(askAt)))
@@ -1559,9 +1561,9 @@
 			unknown++
 		}
 	}
-	s.note("%d of %d accepted jobs are answered with 410", unknown, jobs)
+	s.note("%d of %d accepted jobs are answered with 410", unknown, len(sent))
 	var cancels []cancelling
-	for i, j := range sent[jobs/2:] {
+	for i, j := range sent[jobs:] {
 		cancels = append(cancels, s.cancel(j, i))
 	}
 	time.Sleep(watchTime)
@@ -1569,9 +1571,9 @@
 	s.note("%s; %s", twice, unasked)
 	switch {
 	case twice != "" || unasked != "":
-		return fmt.Sprintf("%s; %s; %d of %d accepted jobs were answered with 410", twice, unasked, unknown, jobs), nil
+		return fmt.Sprintf("%s; %s; %d of %d accepted jobs were answered with 410", twice, unasked, unknown, len(sent)), nil
 	case unknown > 0:
-		return fmt.Sprintf("LOST: %d of %d accepted jobs were answered with 410", unknown, jobs), nil
+		return fmt.Sprintf("LOST: %d of %d accepted jobs were answered with 410", unknown, len(sent)), nil
 	}
 	return "", nil
 }
