--- a/review/stand/main.go
+++ b/review/stand/main.go
@@ -1608,6 +1608,62 @@
 	return "", nil
 }
 
+// failingLasting: one of the jobs lasts and can never be done: its tasks fail soon after each start.
+// All hosts have slow links.
+func (s *site) failingLasting(ctx context.Context) (string, error) {
+	const (
+		count     = 24
+		failAfter = 20  // milliseconds
+		cpu       = 500 // 12 of the 48 cores in all
+		specBytes = 2000
+		jobs      = 60
+		pause     = 200 * time.Millisecond // between two jobs
+		allowed   = finishTime + 3*time.Second
+	)
+	weak := size{Share: 0.192, Memory: 184, Link: 10}
+	s.sizes = []size{weak, weak, weak}
+	if err := s.open(ctx, []string{"a"}, map[string]string{"qa": "a"}, 3); err != nil {
+		return "", err
+	}
+	spec := fmt.Sprintf(`{"millis":[%d],"cpu":[%d],"fails":%v,"lasts":%v,"text":%q}`, failAfter, cpu, s.trouble, !s.trouble, strings.Repeat("x", specBytes))
+	body, err := json.Marshal(map[string]any{"spec": spec, "steps": []map[string]any{{"count": count, "cpu": cpu, "memMb": 4, "estimatedMs": 500, "longRunning": true}}})
+	if err != nil {
+		return "", err
+	}
+	lasting := newID()
+	if status, _ := s.nodes[0].call(http.MethodPost, "/qa/"+lasting, body); status != http.StatusOK {
+		return "", errUnplayed
+	}
+	var short []job
+	for i := range jobs {
+		time.Sleep(pause)
+		j := job{queue: "qa", id: newID(), count: 4, cpu: 500, millis: 500}
+		if s.submit(s.nodes[i%len(s.nodes)], j) == http.StatusOK {
+			short = append(short, j)
+		}
+	}
+	last := time.Now()
+	time.Sleep(allowed)
+	late := 0
+	for i, j := range short {
+		if !s.hasStarted(j.id, last.Add(allowed)) {
+			late++
+		}
+		s.state(s.nodes[i%len(s.nodes)], j.queue, j.id)
+	}
+	s.note("%d starts in all", s.countStarts())
+	if late > 0 {
+		return fmt.Sprintf("LOST: %d of %d accepted jobs had nothing running until %s after the last job had come", late, len(short), allowed), nil
+	}
+	return "", nil
+}
+
+func (s *site) countStarts() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.starts)
+}
+
 // reservedRunners: one of the jobs that come lasts and can never be placed: each runner has less
 // room than its tasks need, as another job lasts there.
 func (s *site) reservedRunners(ctx context.Context) (string, error) {
@@ -1847,7 +1903,7 @@
 	cases := map[string]func(context.Context) (string, error){
 		"lost-answer": s.lostAnswer, "many-ends": s.manyEnds, "large-job": s.largeJob, "strong-host-lost": s.strongHostLost, "silent-channels": s.silentChannels, "many-times": s.manyTimes, "removed-queue": s.removedQueue,
 		"late-maintenance": s.lateMaintenance, "reset-starts": s.resetStarts, "refused-stop": s.refusedStop, "moved-queue": s.movedQueue, "refused-then-run": s.refusedThenRun,
-		"lasting-done": s.lastingDone, "reserved-runners": s.reservedRunners,
+		"lasting-done": s.lastingDone, "failing-lasting": s.failingLasting, "reserved-runners": s.reservedRunners,
 	}
 	run, ok := cases[name]
 	if !ok {
