A new leader reads its rows at the pace of its link, and keeps what it has read

Cause: a page of rows had to arrive within 1.5 s, whatever the link and the number of services that share it (a full page is 1.4 MB, 1.1 s at 10 Mbit/s, two at once 2.2 s). A read that failed began with the first page again, and the term was renewed before each attempt, so that no other host could try. The logs of both weak hosts show `context deadline exceeded` for both their services every 1.62 s, 32 times, and no `claim` after the first. Ruled out: lost calls (feeds and renewals were served) and lost terms.

A host that gets no page for 8 s, while the store takes its renewals, releases the term. Log line `service rows read` and metric `takeovers` with rows, bytes, time and a computed bound; an empty page that others follow is an error.

Why it works: no limit of time depends on how many services share a link; progress is never lost; a host that can't read gives way to one that can.

TestContractWhileLoading calls loadState in place of tryLoadState, which is gone; its checks are the same.

--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -238,6 +238,8 @@
 	limits lead.Limits
 	// peers connects the managers that start from now on, unless it is nil.
 	peers *peerNetwork
+	// prepare is called with the link of each host that starts from now on, unless it is nil.
+	prepare func(link *tableLink)
 	// rules is the contract of the managers that start from now on.
 	rules glade.Rules
 }
@@ -257,6 +259,8 @@
 	// failLists makes lists fail, failShares reads of the tenants' shares, and slowCommits
 	// delays the answers to commits by a second.
 	failLists, failShares, slowCommits atomic.Bool
+	// slow is the way of rows to the host, unless it is nil.
+	slow *slowLink
 	refusal                            refusal
 }
 
@@ -270,6 +274,20 @@
 	return l.PartitionedTable.List(ctx, table, part)
 }
 
+func (l *tableLink) ListPage(ctx context.Context, table, part, from string, limit int) (glade.RowPage, error) {
+	if err := l.refuseRead(ctx, false); err != nil {
+		return glade.RowPage{}, err
+	}
+	if l.failLists.Load() && table == "work" {
+		return glade.RowPage{}, errNoAnswer
+	}
+	page, err := l.PartitionedTable.ListPage(ctx, table, part, from, limit)
+	if page = cut(page); err == nil {
+		err = l.slow.transfer(ctx, page.Rows)
+	}
+	return page, err
+}
+
 func (l *tableLink) Commit(ctx context.Context, txn glade.PartitionTxn) (int64, []glade.PartitionRow, glade.CommitResult) {
 	if l.cut.Load() {
 		<-ctx.Done()
@@ -331,6 +349,9 @@
 func (s *cluster) start(node glade.Node) {
 	ctx, cancel := context.WithCancel(context.Background())
 	link := &tableLink{PartitionedTable: s.table}
+	if s.prepare != nil {
+		s.prepare(link)
+	}
 	s.links[node] = link
 	directory := lead.NewDirectory(lead.DirectoryConfig{Self: node, Row: lead.NodeRow{Address: string(node), Capacity: s.capacity[node]}, PartitionedTable: link, Clock: clock.System{}, Log: logr.Discard()})
 	manager := lead.New(lead.Config{
--- a/lead/manager.go
+++ b/lead/manager.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"sync"
 	"time"
@@ -49,6 +50,9 @@
 	// StartRate is how many bytes of starts this host may send per second beside its
 	// other traffic; 0 means no limit.
 	StartRate float64
+	// LinkRate is the bandwidth of this host's link in bytes per second; 0 means that it is
+	// not known.
+	LinkRate float64
 	// HostsCheckFences means that hosts refuse orders with a fencing token lower than
 	// one that they have seen. Where they don't, HostLease is the least time between
 	// the orders of two leaders for one host.
@@ -82,11 +86,14 @@
 	claiming  map[glade.Service]bool
 	hold      claimHold
 	handovers handoverCounts
+	pages     *pageSize
+	// takeovers holds how this process has last taken over each service.
+	takeovers map[glade.Service]TakeoverStats
 }
 
 // New returns a manager that leads no service until Run is called.
 func New(config Config) *Manager {
-	m := &Manager{config: config, leaders: make(map[glade.Service]*ServiceLeader), claiming: make(map[glade.Service]bool)}
+	m := &Manager{config: config, leaders: make(map[glade.Service]*ServiceLeader), claiming: make(map[glade.Service]bool), takeovers: make(map[glade.Service]TakeoverStats), pages: newPageSize()}
 	m.router = newRouter(m)
 	m.isolation = newIsolationMonitor(m)
 	return m
@@ -199,6 +206,26 @@
 	return shares
 }
 
+// recordTakeover records and logs what a new leader has read.
+func (m *Manager) recordTakeover(service glade.Service, stats TakeoverStats) {
+	m.mu.Lock()
+	if m.config.Limits.LinkRate > 0 {
+		stats.BoundMs = stats.Bound(m.config.Limits.LinkRate, max(len(m.leaders), 1)).Milliseconds()
+	}
+	m.takeovers[service] = stats
+	m.mu.Unlock()
+	m.config.Log.Info("service rows read", "service", service, "rows", stats.Rows, "pages", stats.Pages, "bytes", stats.Bytes,
+		"ms", stats.Ms, "bound", stats.BoundMs)
+}
+
+// Takeovers returns, for each service that this process has led, what it read when it last took
+// the service over.
+func (m *Manager) Takeovers() map[glade.Service]TakeoverStats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.takeovers)
+}
+
 // LedServices returns the number of services that this process leads, without
 // the fleet, whose leader moves and maintains hosts.
 func (m *Manager) LedServices() int {
--- a/lead/quota_test.go
+++ b/lead/quota_test.go
@@ -83,6 +83,10 @@
 	return f.table.Commit(ctx, txn)
 }
 
+func (f *fakeService) ListPage(ctx context.Context, table, part, from string, limit int) (glade.RowPage, error) {
+	return f.table.ListPage(ctx, table, part, from, limit)
+}
+
 func (f *fakeService) List(ctx context.Context, table, part string) ([]glade.PartitionRow, int64, error) {
 	return f.table.List(ctx, table, part)
 }
--- a/lead/service.go
+++ b/lead/service.go
@@ -78,6 +78,9 @@
 	case s.quit.Err() != nil:
 		s.release(ctx)
 		return
+	case errors.Is(err, errLoadStalled):
+		s.giveUpLoading(ctx)
+		return
 	case err != nil:
 		s.manager.config.Log.Error(err, "leadership not taken: the rows could not be read", "service", s.service)
 		return
@@ -143,63 +146,23 @@
 // triggered.
 const minStepPause = 5 * time.Millisecond
 
-// loadState reads the rows of the service and builds its scheduler. It retries until
-// the rows are read, and fails only when leadership is lost, this host steps down or ctx
-// ends.
+// loadState reads the rows of the service and builds its scheduler. It fails when leadership is
+// lost, this host steps down, ctx ends or the rows can't be read.
 func (s *ServiceLeader) loadState(ctx context.Context) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(s.quit, cancel)()
-	var rows stateRows
-	for {
-		err := s.tryLoadState(ctx, &rows)
-		if err == nil || errors.Is(err, errNotLeader) || ctx.Err() != nil {
-			return err
-		}
-		s.manager.config.Log.Info("service rows could not be read", "service", s.service, "error", err.Error())
-		if err := s.clock.Sleep(ctx, storeRetryPause); err != nil {
-			return err
-		}
-	}
-}
-
-// stateRows holds the rows of a service that a new leader has read. No older write can take effect
-// any more, so that what an earlier attempt has read stays valid.
-type stateRows struct {
-	batches, progress       []glade.PartitionRow
-	runners                 glade.PartitionRow
-	hasBatches, hasProgress bool
-}
-
-// read reads the rows that are missing.
-func (r *stateRows) read(ctx context.Context, table glade.PartitionedTable, service glade.Service) (err error) {
-	part := string(service)
-	if !r.hasBatches {
-		if r.batches, _, err = table.List(ctx, tableBatch, part); err != nil {
-			return err
-		}
-		r.hasBatches = true
-	}
-	if !r.hasProgress {
-		if r.progress, _, err = table.List(ctx, tableProgress, part); err != nil {
-			return err
-		}
-		r.hasProgress = true
+	rows := newLoader(s)
+	if err := rows.load(ctx); err != nil {
+		return err
 	}
-	r.runners, err = table.Get(ctx, tableRunners, part, singletonKey)
-	return err
+	s.buildState(rows)
+	return nil
 }
 
-func (s *ServiceLeader) tryLoadState(ctx context.Context, rows *stateRows) error {
-	if s.clock.Now().Sub(s.heartbeatAt) > heartbeatPeriod {
-		if err := s.fencePendingWrite(ctx); err != nil {
-			return err
-		}
-	}
-	if err := rows.read(ctx, s.manager.config.PartitionedTable, s.service); err != nil {
-		return err
-	}
-	batchRows, progressRows, runnersRow := rows.batches, rows.progress, rows.runners
+// buildState builds the scheduler from the rows that were read.
+func (s *ServiceLeader) buildState(rows *loader) {
+	batchRows, progressRows, runnersRow := rows.batches.rows, rows.progress.rows, rows.runners
 	now := s.clock.Now()
 	scheduler := sched.New(s.manager.schedConfig(s.service, s.term.Epoch), now)
 	if err := loadBatches(scheduler, batchRows, progressRows, now); err != nil {
@@ -218,8 +181,7 @@
 	scheduler.LeaderRenewed(s.confirmedAt)
 	rules := s.publish(scheduler, now)
 	s.limits.setRules(rules)
-	s.manager.config.Log.Info("service rows read", "service", s.service, "batches", len(batchRows), "marks", len(progressRows), "crew", len(ids))
-	return nil
+	s.manager.recordTakeover(s.service, rows.stats)
 }
 
 // publish gives a scheduler the contract and the runners, and makes it that of this leader. No
--- a/lead/service_test.go
+++ b/lead/service_test.go
@@ -49,7 +49,7 @@
 		limited := []glade.TenantRule{{Tenant: limitedTenant, Limit: glade.Need{CPU: 1}}}
 		r := &rulesSetter{manager: m, rules: glade.Rules{Version: 2, Queues: queues, Tenants: limited}, delay: time.Duration(i) * 20 * time.Microsecond, done: make(chan struct{})}
 		go r.run()
-		qt.Assert(t, s.tryLoadState(context.Background(), &stateRows{}), qt.IsNil)
+		qt.Assert(t, s.loadState(context.Background()), qt.IsNil)
 		<-r.done
 		work := glade.Batch{Tenant: limitedTenant, Steps: []glade.Step{{Count: 1, Need: glade.Need{CPU: 2}, Estimate: 1}}}
 		var admission sched.Admission
--- a/memory/ledger.go
+++ b/memory/ledger.go
@@ -255,6 +255,21 @@
 	return rows, t.version, nil
 }
 
+// ListPage returns the first rows of a partition whose keys are not below from.
+func (t *PartitionedTable) ListPage(ctx context.Context, table, part, from string, limit int) (glade.RowPage, error) {
+	rows, version, err := t.List(ctx, table, part)
+	if err != nil {
+		return glade.RowPage{}, err
+	}
+	first, _ := slices.BinarySearchFunc(rows, from, func(row glade.PartitionRow, key string) int { return cmp.Compare(row.Key, key) })
+	page := glade.RowPage{Rows: rows[first:], Version: version}
+	if len(page.Rows) > limit {
+		page.Next = page.Rows[limit].Key
+		page.Rows = page.Rows[:limit]
+	}
+	return page, nil
+}
+
 // Get returns one row. Version 0 means that the row is absent.
 func (t *PartitionedTable) Get(ctx context.Context, table, part, key string) (glade.PartitionRow, error) {
 	t.sleepDelay()
--- a/runner.go
+++ b/runner.go
@@ -169,6 +169,15 @@
 	Deletes []PartitionRow
 }
 
+// RowPage is a part of a listing, in the order of the keys.
+type RowPage struct {
+	Rows []PartitionRow
+	// Next is where the listing continues; empty if nothing follows.
+	Next string
+	// Version is the newest version in the table service when the page was read.
+	Version int64
+}
+
 // ErrHistoryTrimmed means that the feed no longer has all changes after the requested
 // version.
 var ErrHistoryTrimmed = errors.New("feed history does not reach back to the requested version")
@@ -181,6 +190,9 @@
 	// List returns every row of a partition of a table, and the version at
 	// which they were read.
 	List(ctx context.Context, table, part string) ([]PartitionRow, int64, error)
+	// ListPage returns the first rows of a partition whose keys are not below from, at
+	// most limit of them. The service may return fewer.
+	ListPage(ctx context.Context, table, part, from string, limit int) (RowPage, error)
 	// Get returns one row. Version 0 means that the row is absent.
 	Get(ctx context.Context, table, part, key string) (PartitionRow, error)
 	// Feed waits for changes of a table after the version after. It returns the
