Rows of ended batches are deleted as fast as they come

A new leader counted their time from its takeover. A batch that was withdrawn while the store failed stayed first in the queue of ended batches and kept the tasks of all others in memory.

Deletions ride on writes that are made anyway, up to 96 rows each, 24 of them kept free while some wait.

The model deletes the rows as well.

--- a/lead/writer.go
+++ b/lead/writer.go
@@ -57,10 +57,9 @@
 		}
 		if s.clock.Now().Sub(lastCleanup) > cleanupPeriod {
 			lastCleanup = s.clock.Now()
-			if err := s.deleteExpired(ctx); err != nil {
-				s.loseLeadership(err.Error())
-				return
-			}
+			s.mu.Lock()
+			s.sched.Sweep(lastCleanup)
+			s.mu.Unlock()
 		}
 		if s.clock.Sleep(ctx, writeInterval) != nil {
 			return
@@ -75,22 +74,21 @@
 func (s *ServiceLeader) write(ctx context.Context) error {
 	s.mu.Lock()
 	var w sched.Write
-	hasChanges := s.sched.HasWrites()
+	renew := s.sched.NeedsRenewal() || s.clock.Now().Sub(s.heartbeatAt) >= heartbeatPeriod-writeInterval
+	hasChanges := s.sched.HasWrites() || renew && s.sched.HasDeletions()
 	if hasChanges {
 		w = s.sched.BeginWrite()
 	}
-	needsRenewal := s.sched.NeedsRenewal()
 	s.mu.Unlock()
-	renew := needsRenewal || s.clock.Now().Sub(s.heartbeatAt) >= heartbeatPeriod-writeInterval
 	if !hasChanges && !renew {
 		return nil
 	}
-	puts := s.encodeWrite(w)
-	result, err := s.commit(ctx, puts, nil, renew)
+	puts, deletes := s.encodeWrite(w)
+	result, err := s.commit(ctx, puts, deletes, renew)
 	for err == nil && result == glade.Uncertain {
 		s.markStoreFailing()
 		if err = s.fencePendingWrite(ctx); err == nil {
-			result, err = s.commit(ctx, puts, nil, false)
+			result, err = s.commit(ctx, puts, deletes, false)
 		}
 	}
 	if err != nil {
@@ -153,9 +151,8 @@
 	s.writeAttempted = make(chan struct{})
 }
 
-func (s *ServiceLeader) encodeWrite(w sched.Write) []glade.PartitionRow {
+func (s *ServiceLeader) encodeWrite(w sched.Write) (puts, deletes []glade.PartitionRow) {
 	part := string(s.service)
-	var puts []glade.PartitionRow
 	for id, row := range w.Work {
 		puts = append(puts, glade.PartitionRow{Table: tableBatch, Part: part, Key: string(id), Value: encodeRow(row)})
 	}
@@ -165,29 +162,13 @@
 	if w.Registered != nil {
 		puts = append(puts, glade.PartitionRow{Table: tableRunners, Part: part, Key: singletonKey, Value: encodeRow(w.Registered)})
 	}
-	return puts
-}
-
-// deleteExpired deletes the rows of batches that ended longer ago than their state
-// must stay available.
-func (s *ServiceLeader) deleteExpired(ctx context.Context) error {
-	s.mu.Lock()
-	ids := s.sched.Sweep(s.clock.Now())
-	s.mu.Unlock()
-	if len(ids) == 0 {
-		return nil
-	}
-	var rows []glade.PartitionRow
-	for _, id := range ids {
-		for _, table := range []string{tableBatch, tableProgress} {
-			rows = append(rows, glade.PartitionRow{Table: table, Part: string(s.service), Key: string(id)})
-		}
+	for _, id := range w.Deletions.Work {
+		deletes = append(deletes, glade.PartitionRow{Table: tableBatch, Part: part, Key: string(id)})
 	}
-	result, err := s.commit(ctx, nil, rows, false)
-	if result == glade.Uncertain {
-		return s.fencePendingWrite(ctx) // rows that remain are deleted by the next leader
+	for _, id := range w.Deletions.Progress {
+		deletes = append(deletes, glade.PartitionRow{Table: tableProgress, Part: part, Key: string(id)})
 	}
-	return err
+	return puts, deletes
 }
 
 // maxFinalWrites bounds the transactions that are written before the term is
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -35,6 +35,11 @@
 	gen, writtenGen int64
 	writeQueued     bool // is in the queue of writes
 	workUnwritten   bool // the row of the work itself is not written
+	hasWorkRow      bool // the row of the work itself is stored
+	// isStateComplete means that the stored progress row tells all that is needed of an ended
+	// batch. Rows of earlier versions don't.
+	isStateComplete bool
+	isExpired       bool // its rows are to be deleted
 	// inherited batches were read from their rows, and may have runs that an
 	// earlier leader started on runners that have not answered this one yet.
 	inherited bool
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -319,6 +319,12 @@
 	}
 	maps.Copy(w.workRows, rows.Work)
 	maps.Copy(w.progressRows, rows.Progress)
+	for _, id := range rows.Deletions.Work {
+		delete(w.workRows, id)
+	}
+	for _, id := range rows.Deletions.Progress {
+		delete(w.progressRows, id)
+	}
 	if rows.Registered != nil {
 		w.registered = rows.Registered
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -114,6 +114,7 @@
 	trials         map[*run]bool
 	silences       []silence
 	writes         writes
+	drops          rowDrops
 	needsPlacement bool // something that placement depends on has changed
 	// placedAt is when tasks were last placed.
 	placedAt  time.Time
@@ -318,40 +319,3 @@
 	}
 	return n
 }
-
-// taskRetention is how long the tasks of an ended batch are kept: an order that was
-// delayed may still start one of them, which must then be stopped.
-const taskRetention = 15 * time.Second
-
-// releaseTasks frees the tasks of batches that ended long ago. Their state stays until
-// Sweep drops them.
-func (s *Scheduler) releaseTasks(now time.Time) {
-	for len(s.ended) > 0 {
-		b := s.ended[0]
-		if now.Sub(b.endedAt) < taskRetention || !b.writtenState.IsFinal() || len(b.runs) > 0 {
-			return
-		}
-		b.work, b.occurrences = glade.Batch{}, nil
-		s.ended = s.ended[1:]
-	}
-}
-
-// Sweep drops ended batches whose retention time has passed and returns their
-// ids, at most maxSweepBatches of them.
-func (s *Scheduler) Sweep(now time.Time) []glade.BatchID {
-	var old []glade.BatchID
-	for id, b := range s.batches {
-		if b.writtenState.IsFinal() && len(b.runs) == 0 && now.Sub(b.endedAt) > s.config.Retention {
-			old = append(old, id)
-			delete(s.batches, id)
-			if len(old) == maxSweepBatches {
-				break
-			}
-		}
-	}
-	return old
-}
-
-// maxSweepBatches keeps the deletes of one sweep, two rows for each batch, within
-// one transaction.
-const maxSweepBatches = 40
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -67,6 +67,8 @@
 	firstSeen    map[glade.ActiveRun]time.Time
 	workRows     map[glade.BatchID]sched.WorkRow
 	progressRows map[glade.BatchID]sched.ProgressRow
+	// mostRows is the largest number of rows in one write.
+	mostRows int
 }
 
 // fakeRunner is a simulated runner that carries out every order unless it is
@@ -206,10 +208,17 @@
 	}
 	r.failLostStarts()
 	r.answerHeartbeats()
-	if !r.storeDown && r.sched.HasWrites() {
+	if !r.storeDown && (r.sched.HasWrites() || r.sched.HasDeletions()) {
 		w := r.sched.BeginWrite()
 		maps.Copy(r.workRows, w.Work)
 		maps.Copy(r.progressRows, w.Progress)
+		for _, id := range w.Deletions.Work {
+			delete(r.workRows, id)
+		}
+		for _, id := range w.Deletions.Progress {
+			delete(r.progressRows, id)
+		}
+		r.mostRows = max(r.mostRows, w.Len()+w.Deletions.Len())
 		if w.Registered != nil {
 			r.registered = w.Registered
 		}
--- a/sched/write.go
+++ b/sched/write.go
@@ -25,6 +25,12 @@
 	State       glade.BatchState `json:"state,omitempty"`
 	Started     bool             `json:"begun,omitempty"`
 	Occurrences []OccurrenceRow  `json:"turns,omitempty"`
+	// Accepted is set with a final state, unless the batch never arrived: the row of its work
+	// may be gone. Owner is its tenant.
+	Accepted bool         `json:"taken,omitempty"`
+	Owner    glade.Tenant `json:"owner,omitempty"`
+	// EndedAt is when a batch in a final state ended, in milliseconds since 1970.
+	EndedAt int64 `json:"over,omitempty"`
 	// CancelledBy holds the tenants that cancelled the ID of a batch that had not arrived; an empty
 	// name is that of callers without a tenant.
 	CancelledBy []glade.Tenant `json:"by,omitempty"`
@@ -70,10 +76,13 @@
 // of a row.
 const maxCrashRows = 256
 
-// Limits of one write, below those of a transaction of the platform.
+// Limits of one write, below those of a transaction of the platform, which has room for two rows more:
+// the term is checked and renewed.
 const (
 	maxWriteRows  = 96
 	maxWriteBytes = 700 << 10
+	// minDeletions is the room that is kept for deletions while some wait.
+	minDeletions = 24
 )
 
 // Write is a set of rows to write in one transaction.
@@ -82,10 +91,11 @@
 	Progress map[glade.BatchID]ProgressRow
 	// Registered lists the runners that may run tasks; it is written unless it is nil.
 	Registered []glade.RunnerID
+	Deletions  Deletions
 	gen        int64
 }
 
-// Len returns the number of rows in the transaction.
+// Len returns the number of rows that are written.
 func (w Write) Len() int {
 	n := len(w.Work) + len(w.Progress)
 	if w.Registered != nil {
@@ -121,10 +131,11 @@
 	}
 	s.writes.inFlight = make(map[*batch]int64)
 	bytes, n := 0, 0
+	most := maxWriteRows - min(s.drops.len(), minDeletions)
 	for n < len(s.writes.list) {
 		b := s.writes.list[n]
 		size := len(b.work.Spec)*3/2 + 1024
-		if w.Len()+2 > maxWriteRows || (n > 0 && bytes+size > maxWriteBytes) {
+		if w.Len()+2 > most || (n > 0 && bytes+size > maxWriteBytes) {
 			break
 		}
 		bytes += size
@@ -139,6 +150,7 @@
 		}
 	}
 	s.writes.list = slices.Delete(s.writes.list, 0, n)
+	w.Deletions = s.takeDeletions(maxWriteRows - w.Len())
 	return w
 }
 
@@ -147,6 +159,7 @@
 func (s *Scheduler) FinishWrite(w Write, ok bool, now time.Time) {
 	inFlight := s.writes.inFlight
 	s.writes.inFlight = nil
+	s.finishDeletions(w.Deletions, ok)
 	if !ok {
 		for b := range inFlight {
 			if !b.writeQueued {
@@ -164,7 +177,7 @@
 		b.writtenGen = max(b.writtenGen, gen)
 		s.needsPlacement = s.needsPlacement || s.suspects[b] // a trial waits for its entry
 		if b.workUnwritten {
-			b.workUnwritten, b.replaced = false, nil
+			b.workUnwritten, b.replaced, b.hasWorkRow = false, nil, true
 			b.accepted = true
 			s.stats.Accepted++
 			if b.tenant != nil {
@@ -173,7 +186,7 @@
 			s.startDue(b, now)
 		}
 		if progress, written := w.Progress[b.id]; written && progress.State != "" {
-			b.writtenState = progress.State
+			b.writtenState, b.isStateComplete = progress.State, true
 		}
 	}
 	for _, r := range s.runners {
@@ -211,7 +224,7 @@
 func (b *batch) progress() ProgressRow {
 	progress := ProgressRow{Started: b.started, CancelledBy: b.cancelledBy}
 	if b.state.IsFinal() {
-		progress.State = b.state
+		progress.State, progress.Accepted, progress.Owner, progress.EndedAt = b.state, len(b.cancelledBy) == 0, b.owner, b.endedAt.UnixMilli()
 		return progress
 	}
 	for _, o := range b.occurrences {
@@ -276,21 +289,23 @@
 func (s *Scheduler) LoadBatch(id glade.BatchID, work *WorkRow, progress *ProgressRow, now time.Time) error {
 	if work == nil {
 		b := newBatch(id, "", glade.Batch{}, now)
-		b.accepted = false
+		b.accepted = progress != nil && progress.Accepted
 		if progress != nil {
+			b.owner = progress.Owner
 			b.cancelledBy = progress.CancelledBy // nobody in rows of versions without tenants: known to all
-			b.state, b.writtenState, b.endedAt = progress.State, progress.State, now
+			b.state, b.writtenState, b.endedAt = progress.State, progress.State, progress.endedAt(now)
 		}
 		s.batches[id] = b
 		return nil
 	}
 	b := newBatch(id, work.Queue, work.Work, fromUnixMillis(work.SubmittedAt, now))
-	b.accepted, b.inherited = true, true
+	b.accepted, b.inherited, b.hasWorkRow = true, true, true
 	s.setTenant(b)
 	s.batches[id] = b
 	if progress != nil && progress.State.IsFinal() {
 		b.started = progress.Started
-		b.state, b.writtenState, b.endedAt = progress.State, progress.State, now
+		b.state, b.writtenState, b.endedAt = progress.State, progress.State, progress.endedAt(now)
+		b.isStateComplete = progress.Accepted
 		s.ended = append(s.ended, b)
 		return nil
 	}
@@ -313,6 +328,14 @@
 	return nil
 }
 
+// endedAt returns when the batch ended; now if that is not known.
+func (p *ProgressRow) endedAt(now time.Time) time.Time {
+	if p.EndedAt == 0 {
+		return now
+	}
+	return fromUnixMillis(p.EndedAt, now)
+}
+
 // fromUnixMillis converts a stored wall-clock time to a time on the scheduler's
 // clock. A time in the future becomes now.
 func fromUnixMillis(at int64, now time.Time) time.Time {
