A stop that a runner rejects does not count as carried out

Cause: one field, settledAt, stood for two orders. Scheduler.Stopped set it for every answer but a newer fencing token, so that a stop rejected with 503 looked like one that was carried out. The next heartbeat did not list the run, whose start had had no answer; it was given up as lost, the task started elsewhere, and then the runner carried the first start out, within its lease. Ruled out: a start after its lease (runners reject it; it was 1.7 s old), a cut list.

Change: package effect keeps what is known of an operation over all its attempts (none, unknown, done); only evidence about the operation itself ends the unknown. A run has one for its start and one for its stop. A run that its runner does not list is over if its start or a stop was carried out before the list was asked for, or if the lease of a start without an answer has ended. A rejected stop is logged and sent again. A run that a heartbeat has listed stays, also if its start gets no answer.

Why it works: an unlisted run whose start is unknown may still begin until a stop that was carried out, or its lease, excludes it; until then its task starts nowhere else.

--- a/sched/answers.go
+++ b/sched/answers.go
@@ -4,6 +4,7 @@
 	"time"
 
 	glade "indigoglade"
+	"indigoglade/effect"
 )
 
 // maxStartWait is how long a start may wait until it is sent. The decision for it, and
@@ -32,6 +33,7 @@
 func (s *Scheduler) Started(o Start, answer glade.RunAnswer, err error, now time.Time) bool {
 	n, refused := o.run, answer.Refused
 	n.orderInFlight = false
+	n.start.Record(resultOf(answer, err), now)
 	n.runner.checkRestart(n, answer, err)
 	if !wasNotCarriedOut(err) {
 		s.pace.observe(now.Sub(n.startedAt), now)
@@ -49,7 +51,9 @@
 		s.addEvent("unanswered", "runner", n.runner.info.ID, "batch", n.step.occurrence.batch.id, "step", n.step.index,
 			"task", n.index, "run", n.number, "error", err.Error())
 		s.noteSilence(n.runner, now)
-		n.phase = unconfirmed
+		if n.start.State() == effect.Unknown { // a heartbeat may have listed the run
+			n.phase = unconfirmed
+		}
 		s.touched[n.runner] = true
 		if !n.runner.lastAnswerAt.After(n.startedAt) {
 			n.runner.backOff(now)
@@ -58,7 +62,7 @@
 		if n.phase == starting {
 			n.phase = running
 		}
-		n.settledAt, n.started = now, true
+		n.started = true
 		n.runner.noteAlive(n.startedAt)
 		if n.step.occurrence.batch.state.IsFinal() || n.task().done {
 			s.touched[n.runner] = true
@@ -82,6 +86,17 @@
 	return true
 }
 
+// resultOf returns the result of an order.
+func resultOf(answer glade.RunAnswer, err error) effect.Result {
+	switch {
+	case err == nil && answer.Refused == glade.RunAccepted:
+		return effect.Applied
+	case err == nil || wasNotCarriedOut(err):
+		return effect.Rejected
+	}
+	return effect.Lost
+}
+
 // clockSlackMillis allows for rounding of a runner's clock.
 const clockSlackMillis = 20
 
@@ -100,21 +115,22 @@
 }
 
 // Stopped processes the answer to a stop. It returns false if the runner has
-// seen a newer leader.
+// seen a newer leader. A runner that rejects a stop has done nothing: it may still
+// carry out a start that got no answer.
 func (s *Scheduler) Stopped(o Stop, answer glade.RunAnswer, err error, now time.Time) bool {
-	o.run.orderInFlight = false
-	if err != nil {
-		s.addEvent("unstopped", "runner", o.run.runner.info.ID, "batch", o.run.step.occurrence.batch.id, "step", o.run.step.index,
-			"task", o.run.index, "run", o.run.number, "error", err.Error())
-		return true
-	}
-	if answer.Refused == glade.RefusedFence {
+	n := o.run
+	n.orderInFlight = false
+	n.stop.Record(resultOf(answer, err), now)
+	if err == nil && answer.Refused == glade.RefusedFence {
 		return false
 	}
-	// The first answer counts: later ones must not postpone the heartbeat that
-	// shows that the run has ended.
-	if o.run.settledAt.IsZero() {
-		o.run.settledAt = now
+	if n.stop.State() != effect.Done {
+		why := string(answer.Refused)
+		if err != nil {
+			why = err.Error()
+		}
+		s.addEvent("unstopped", "runner", n.runner.info.ID, "batch", n.step.occurrence.batch.id, "step", n.step.index,
+			"task", n.index, "run", n.number, "error", why)
 	}
 	return true
 }
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -4,6 +4,7 @@
 	"time"
 
 	glade "indigoglade"
+	"indigoglade/effect"
 )
 
 // batch is the leader's state of one batch.
@@ -126,10 +127,10 @@
 	number int64
 	runner *runner
 	phase  phase
-	// settledAt is when the newest order, a start or stop, was answered or the run
-	// was first listed; it is zero before that. A heartbeat that is sent later lists
-	// the run, or the run is gone.
-	settledAt     time.Time
+	// start and stop tell whether the orders were carried out. They are two operations:
+	// an answer to a stop says nothing about a start without an answer, unless the stop
+	// was carried out, after which the runner accepts no late start.
+	start, stop   effect.Effect
 	leaseEnd      int64 // end of the lease given with the start, on the runner's clock
 	startedAt     time.Time
 	percent       int       // reported progress
--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -4,6 +4,7 @@
 	"time"
 
 	glade "indigoglade"
+	"indigoglade/effect"
 )
 
 // goneAfter is how long a runner must have been unresponsive before the inventory
@@ -48,19 +49,25 @@
 		}
 	}
 	for n := range r.runs {
-		if listed[n] || (n.orderInFlight && n.phase == starting) {
+		if listed[n] || (n.orderInFlight && n.phase == starting) || !n.isOver(sent, answer.Clock) {
 			continue
 		}
-		settled := n.phase != unconfirmed && !n.settledAt.IsZero() && n.settledAt.Before(sent)
-		expired := n.phase != starting && n.leaseEnd > 0 && answer.Clock > n.leaseEnd && n.settledAt.IsZero()
-		if settled || expired {
-			s.stats.Lost++
-			s.addEvent("lost", "runner", r.info.ID, "batch", n.step.occurrence.batch.id, "step", n.step.index,
-				"task", n.index, "run", n.number, "phase", int(n.phase))
-			n.task().lostAt = now
-			s.removeRun(n, now)
-		}
+		s.stats.Lost++
+		s.addEvent("lost", "runner", r.info.ID, "batch", n.step.occurrence.batch.id, "step", n.step.index,
+			"task", n.index, "run", n.number, "phase", int(n.phase))
+		n.task().lostAt = now
+		s.removeRun(n, now)
+	}
+}
+
+// isOver reports whether a run that its runner does not list has ended and can't start any more.
+// The list was asked for at the given time, and answered at a time on the runner's clock.
+func (n *run) isOver(asked time.Time, clock int64) bool {
+	if n.start.IsDoneBefore(asked) || n.stop.IsDoneBefore(asked) {
+		return true
 	}
+	// A start without an answer is refused once its lease has ended.
+	return n.start.State() == effect.Unknown && n.leaseEnd > 0 && clock > n.leaseEnd
 }
 
 // giveUpRuns detaches every run from a runner, except those with an order in
--- /dev/null
+++ b/sched/late_test.go
@@ -0,0 +1,55 @@
+package sched_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	glade "indigoglade"
+)
+
+// TestRejectedStop guards against a task that runs twice: its start got no answer, its runner
+// rejects the stop, and the task starts elsewhere before the first start is carried out late.
+func TestRejectedStop(t *testing.T) {
+	newLost := func(t *testing.T) *harness {
+		r := newHarness(qt.New(t), 3, twoCores)
+		r.advance(time.Second)
+		r.loseStarts, r.rejectStops = 1, true
+		r.submit("a", oneTask(5000))
+		r.advance(2 * time.Second)
+		r.c.Assert(r.lostOrders, qt.HasLen, 1)
+		return r
+	}
+	t.Run("starts the task nowhere else while the first start may be carried out", func(t *testing.T) {
+		r := newLost(t)
+		r.c.Assert(r.running("a"), qt.Equals, 0)
+		r.carryOutLate()
+		r.advance(500 * time.Millisecond)
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+	})
+	t.Run("starts it elsewhere when the lease of that start has ended", func(t *testing.T) {
+		r := newLost(t)
+		r.advance(3 * time.Second)
+		r.carryOutLate()
+		r.advance(100 * time.Millisecond)
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+	})
+	t.Run("starts it elsewhere once a stop was carried out", func(t *testing.T) {
+		r := newLost(t)
+		r.rejectStops = false
+		r.advance(time.Second)
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+	})
+	t.Run("stops again until the run has ended", func(t *testing.T) {
+		r := newLost(t)
+		r.carryOutLate()
+		r.sched.Cancel("a", r.now)
+		r.advance(time.Second)
+		r.c.Assert(r.running("a"), qt.Equals, 1)
+		r.rejectStops = false
+		r.advance(time.Second)
+		r.c.Assert(r.running("a"), qt.Equals, 0)
+		r.expectState("a", glade.BatchCancelled)
+	})
+}
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -155,7 +155,6 @@
 // markStopping marks a run that is to be stopped.
 func (s *Scheduler) markStopping(n *run) {
 	n.phase = stopping
-	n.settledAt = time.Time{}
 	s.stopping[n] = true
 }
 
@@ -206,7 +205,7 @@
 		if n.orderInFlight || now.Sub(n.lastOrderAt) < stopRetry {
 			continue
 		}
-		if !n.settledAt.IsZero() && now.Sub(n.settledAt) < stopRepeat {
+		if at, ok := n.stop.DoneAt(); ok && now.Sub(at) < stopRepeat {
 			continue
 		}
 		n.lastOrderAt = now
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -6,6 +6,7 @@
 	"time"
 
 	glade "indigoglade"
+	"indigoglade/effect"
 )
 
 // runner is the leader's state of one runner.
@@ -407,9 +408,9 @@
 			continue
 		}
 		n.started = true
+		n.start.Record(effect.Applied, now)
 		if n.phase == starting || n.phase == unconfirmed {
 			n.phase = running
-			n.settledAt = now
 			s.markStarted(n.step.occurrence.batch, now)
 		}
 		if sent.Sub(n.adoptedAt) > time.Duration(float64(s.config.StopTimeout)*clockDriftFactor)+leaseMargin {
@@ -468,7 +469,7 @@
 		return nil
 	}
 	n := &run{
-		step: st, index: active.Task.Index, number: active.Run, runner: r, phase: running, settledAt: now,
+		step: st, index: active.Task.Index, number: active.Run, runner: r, phase: running,
 		startedAt: now, progressedAt: now, adoptedAt: now, speedPercent: fullSpeedPercent, leaseEnd: r.leaseEnd,
 	}
 	if len(t.runs) == 0 && !t.done {
@@ -482,7 +483,6 @@
 	s.resumeTrial(n)
 	if unwanted {
 		s.markStopping(n)
-		n.settledAt = now
 	}
 	return n
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -45,6 +45,10 @@
 	// loseStarts is the number of next starts that are neither carried out nor
 	// answered.
 	loseStarts int
+	// lostOrders are the starts that got lost so. They may be carried out late.
+	lostOrders []lostOrder
+	// rejectStops makes runners reject stops, as unhealthy ones do.
+	rejectStops bool
 	// delayAnswers keeps the answers to starts back; delayed holds those starts.
 	delayAnswers bool
 	delayed      []sched.Start
@@ -185,6 +189,10 @@
 			r.sched.Stopped(o, glade.RunAnswer{}, fmt.Errorf("no answer"), r.now)
 			continue
 		}
+		if r.rejectStops {
+			r.sched.Stopped(o, glade.RunAnswer{Refused: glade.RefusedOther}, nil, r.now)
+			continue
+		}
 		r.orderLog = append(r.orderLog, fmt.Sprintf("stop %s.%d.%d on %s", task.Batch, task.Step, task.Index, o.To().ID))
 		f.end(task, run, glade.EndStopped)
 		r.sched.Stopped(o, glade.RunAnswer{}, nil, r.now)
@@ -239,6 +247,7 @@
 	}
 	if r.loseStarts > 0 {
 		r.loseStarts--
+		r.lostOrders = append(r.lostOrders, lostOrder{order: order, to: o.To().ID})
 		r.sched.Started(o, glade.RunAnswer{}, fmt.Errorf("no answer"), r.now)
 		return
 	}
@@ -263,6 +272,25 @@
 	r.sched.Started(o, glade.RunAnswer{}, nil, r.now)
 }
 
+// lostOrder is a start that may be carried out late.
+type lostOrder struct {
+	order glade.StartOrder
+	to    glade.RunnerID
+}
+
+// carryOutLate carries out the starts that got lost, unless their lease has ended.
+func (r *harness) carryOutLate() {
+	for _, lost := range r.lostOrders {
+		f := r.runners[lost.to]
+		if lost.order.LeaseUntil < r.clock(f) {
+			continue
+		}
+		f.running = append(f.running, glade.ActiveRun{Task: lost.order.Task, Run: lost.order.Run, Percent: 100})
+		f.leaseEnd = max(f.leaseEnd, lost.order.LeaseUntil)
+	}
+	r.lostOrders = nil
+}
+
 // lostStart is a start that did not arrive.
 type lostStart struct {
 	start   sched.Start
