A refused repetition of a write does not mean that nothing was written

Cause: a write without an answer is fenced off and repeated. When the repetition was refused with 503, the rows counted as certainly not written, the batch was withdrawn and its caller refused; but the first attempt may have been written before the fence, and the next leader read the row.

Change: the outcome of a transaction is an effect.Effect over its attempts. Until one is committed, or the term is lost, the write is repeated and its batches are neither withdrawn nor refused; a caller whose time is over gets 504.

Tests: TestRefusedRepetition fails when each attempt counts alone.

--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -259,11 +260,26 @@
 	// failLists makes lists fail, failShares reads of the tenants' shares, and slowCommits
 	// delays the answers to commits by a second.
 	failLists, failShares, slowCommits atomic.Bool
+	// batchWrites disturbs writes of new batches, unless it is nil.
+	batchWrites atomic.Pointer[batchWrites]
 	// slow is the way of rows to the host, unless it is nil.
 	slow *slowLink
 	refusal                            refusal
 }
 
+// batchWrites loses the answer of the first write of a new batch, and lets some that follow be
+// refused.
+type batchWrites struct{ count, refused atomic.Int64 }
+
+func (b *batchWrites) next() (lost, refused bool) {
+	n := b.count.Add(1)
+	return n == 1, n > 1 && n <= 1+b.refused.Load()
+}
+
+func hasBatch(txn glade.PartitionTxn) bool {
+	return slices.ContainsFunc(txn.Puts, func(row glade.PartitionRow) bool { return row.Table == "work" })
+}
+
 func (l *tableLink) List(ctx context.Context, table, part string) ([]glade.PartitionRow, int64, error) {
 	if err := l.refuseRead(ctx, false); err != nil {
 		return nil, 0, err
@@ -296,6 +312,14 @@
 	if refused, result := l.refuseCommit(ctx, txn); refused {
 		return 0, nil, result
 	}
+	if batchWrites := l.batchWrites.Load(); batchWrites != nil && hasBatch(txn) {
+		if lost, refused := batchWrites.next(); lost {
+			l.PartitionedTable.Commit(ctx, txn)
+			return 0, nil, glade.Uncertain
+		} else if refused {
+			return 0, nil, glade.Unavailable
+		}
+	}
 	if ctx.Err() != nil {
 		return 0, nil, glade.Uncertain // the call is not sent
 	}
@@ -642,6 +666,29 @@
 	})
 }
 
+// TestRefusedRepetition guards against a batch that runs although its caller was told that it
+// never will: its write took effect without an answer, and the repetition was refused.
+func TestRefusedRepetition(t *testing.T) {
+	expectTrue := func(name string, refused int64, want lead.SubmitCode) {
+		runCluster(t, name, func(c *qt.C, s *cluster) {
+			node := s.leader()
+			s.sleep(time.Second)
+			writes := &batchWrites{}
+			writes.refused.Store(refused)
+			s.links[node].batchWrites.Store(writes)
+			c.Assert(s.submit(node, "a", 1).Code, qt.Equals, want)
+			s.links[node].batchWrites.Store(nil)
+			s.managers[node].StepDown()
+			s.cancels[node]()
+			s.cancels[node] = nil
+			s.sleep(4 * time.Second)
+			s.expectState(s.leader(), "a", glade.BatchDone)
+		})
+	}
+	expectTrue("for a short time", 3, lead.SubmitAccepted)
+	expectTrue("until the caller gives up", 1000, lead.SubmitUnknown)
+}
+
 func TestStoreFaults(t *testing.T) {
 	runCluster(t, "down: submissions are refused at once and running tasks go on", func(c *qt.C, s *cluster) {
 		node := s.leader()
--- a/lead/writer.go
+++ b/lead/writer.go
@@ -5,6 +5,7 @@
 	"time"
 
 	glade "indigoglade"
+	"indigoglade/effect"
 	"indigoglade/sched"
 )
 
@@ -68,9 +69,9 @@
 	}
 }
 
-// write writes the changes that are queued and renews the term when that is due.
-// If the outcome of the transaction is uncertain, it fences the transaction off
-// and repeats the write until the outcome is known.
+// write writes the changes that are queued and renews the term when that is due. A transaction
+// without an answer is fenced off and repeated until one is committed: that a repetition was refused
+// doesn't mean that nothing was written.
 func (s *ServiceLeader) write(ctx context.Context) error {
 	s.mu.Lock()
 	var w sched.Write
@@ -84,25 +85,49 @@
 		return nil
 	}
 	puts, deletes := s.encodeWrite(w)
-	result, err := s.commit(ctx, puts, deletes, renew)
-	for err == nil && result == glade.Uncertain {
-		s.markStoreFailing()
-		if err = s.fencePendingWrite(ctx); err == nil {
-			result, err = s.commit(ctx, puts, deletes, false)
+	var txn effect.Effect
+	for {
+		result, err := s.commit(ctx, puts, deletes, renew)
+		if err != nil {
+			return err
+		}
+		txn.Record(resultOf(result), s.clock.Now())
+		if result == glade.Committed {
+			s.finishWrite(w, hasChanges, true)
+			return nil
 		}
-	}
-	if err != nil {
-		return err
-	}
-	if result != glade.Committed {
 		s.markStoreFailing()
+		if result == glade.Uncertain {
+			// Now it can't take effect later, but it may have done so before.
+			if err := s.fencePendingWrite(ctx); err != nil {
+				return err
+			}
+		}
+		if txn.State() == effect.None {
+			s.finishWrite(w, hasChanges, false)
+			wake(s.writeWake)
+		}
+		if result == glade.Unavailable {
+			if err := s.clock.Sleep(ctx, storeRetryPause); err != nil {
+				return err
+			}
+		}
+		if txn.State() == effect.None {
+			return nil
+		}
+		renew = false
 	}
-	s.finishWrite(w, hasChanges, result == glade.Committed)
-	if result != glade.Committed {
-		wake(s.writeWake)
-		return s.clock.Sleep(ctx, storeRetryPause)
-	}
-	return nil
+}
+
+// resultOf returns the result of a transaction.
+func resultOf(result glade.CommitResult) effect.Result {
+	switch result {
+	case glade.Committed:
+		return effect.Applied
+	case glade.Unavailable:
+		return effect.Rejected
+	}
+	return effect.Lost
 }
 
 // markStoreFailing records the start of an outage of the store, if none is recorded.
