An order for a host stays possible when its repetition is refused

Cause: an order without an answer is repeated. A refusal of the repetition (429, 503, busy) dropped the order, the host counted as up, another one was ordered, and the platform carried the first order out late. The same after a change of the fleet leader: the order in the wave's row was repeated, and its refusal dropped it.

Change: an action has an effect.Effect. While it is unknown, limited and busy refusals leave it pending: the host counts as down and the order is repeated until it is accepted or refused for a reason that covers all attempts. A host that is busy and under way in the inventory has been accepted. An order that was never sent is no attempt.

Tests: a subtest of TestWave, which fails when the refusal drops the order.

--- a/moves/plan.go
+++ b/moves/plan.go
@@ -9,7 +9,10 @@
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	glade "indigoglade"
+	"indigoglade/effect"
 	"indigoglade/sched"
 )
 
@@ -44,11 +47,22 @@
 	since time.Time
 	// sentAt is when the action was last sent, zero while the host is drained.
 	sentAt time.Time
-	// accepted means that the platform has accepted the action, at acceptedAt.
-	accepted   bool
-	acceptedAt time.Time
+	// effect tells whether the platform has accepted the action.
+	effect effect.Effect
+}
+
+// isUnderWay reports whether an attempt without an answer explains the state of the host.
+func (a *hostAction) isUnderWay(state glade.HostState) bool {
+	underWay := glade.HostMoving
+	if a.spec.Kind == KindMaintain {
+		underWay = glade.HostMaintenance
+	}
+	return a.effect.State() == effect.Unknown && state == underWay
 }
 
+// acceptedAt returns when the platform accepted the action, and false if it is not known to have.
+func (a *hostAction) acceptedAt() (time.Time, bool) { return a.effect.DoneAt() }
+
 // Planner plans the actions on hosts and tracks those that are pending. It is
 // not safe for concurrent use.
 type Planner struct {
@@ -133,7 +147,9 @@
 		w.started[host] = now
 	}
 	for _, host := range requested {
-		p.pending[host] = &hostAction{spec: Action{Host: host, Kind: KindMaintain, Wave: spec.Wave}, since: now, sentAt: now}
+		a := &hostAction{spec: Action{Host: host, Kind: KindMaintain, Wave: spec.Wave}, since: now, sentAt: now}
+		a.effect.Record(effect.Lost, now) // the answer went to the earlier leader
+		p.pending[host] = a
 	}
 	p.waves[spec.Wave] = w
 }
@@ -175,7 +191,7 @@
 	evacuating := make(map[glade.Service][]glade.RunnerID)
 	for host, a := range p.pending {
 		info, ok := p.hosts[host]
-		if ok && info.Runner != "" && a.acceptedAt.IsZero() {
+		if _, accepted := a.acceptedAt(); ok && info.Runner != "" && !accepted {
 			evacuating[info.Pool] = append(evacuating[info.Pool], info.Runner)
 		}
 	}
@@ -258,8 +274,9 @@
 			downtime = p.config.MaintenanceDowntime
 		}
 		_, listed := p.hosts[host]
+		acceptedAt, accepted := a.acceptedAt()
 		switch {
-		case !a.acceptedAt.IsZero() && now.Sub(a.acceptedAt) > downtime+downMargin,
+		case accepted && now.Sub(acceptedAt) > downtime+downMargin,
 			a.sentAt.IsZero() && !listed:
 			delete(p.pending, host)
 		case a.sentAt.IsZero() && now.Sub(a.since) > drainTimeout:
@@ -294,12 +311,17 @@
 	if err != nil {
 		// The action may have been carried out: it is repeated, and the host counts as
 		// down meanwhile.
+		result := effect.Lost
+		if errors.Is(err, glade.ErrNotExecuted) {
+			result = effect.Rejected
+		}
+		a.effect.Record(result, now)
 		p.event("unordered", "host", action.Host, "kind", string(action.Kind), "error", err.Error())
 		return
 	}
 	p.event("ordered", "host", action.Host, "kind", string(action.Kind), "wave", action.Wave, "pool", action.Pool, "answer", string(refusal))
-	if refusal == glade.HostAccepted {
-		a.accepted, a.acceptedAt = true, now
+	if refusal == glade.HostAccepted || refusal == glade.HostBusy && a.isUnderWay(p.hosts[action.Host].State) {
+		a.effect.Record(effect.Applied, now)
 		if action.Kind == KindMove {
 			p.arrivedAt[action.Host] = now.Add(p.config.MoveDowntime)
 		}
@@ -308,6 +330,9 @@
 		}
 		return
 	}
+	if a.effect.State() == effect.Unknown && (refusal == glade.HostLimited || refusal == glade.HostBusy) {
+		return // the refusal says nothing about an earlier attempt, which may take effect late
+	}
 	delete(p.pending, action.Host)
 	if w := p.waves[action.Wave]; w != nil && action.Kind == KindMaintain && refusal == glade.HostNoWave {
 		w.started[action.Host] = now // the platform says that the host is not part of this wave
@@ -318,7 +343,7 @@
 func (p *Planner) UnansweredActions(now time.Time) []Action {
 	var actions []Action
 	for _, a := range p.pending {
-		if !a.sentAt.IsZero() && !a.accepted && now.Sub(a.sentAt) > repeatDelay {
+		if a.effect.State() != effect.Done && !a.sentAt.IsZero() && now.Sub(a.sentAt) > repeatDelay {
 			a.sentAt = now
 			actions = append(actions, a.spec)
 		}
@@ -369,7 +394,7 @@
 		started = append(started, host)
 	}
 	for host, a := range p.pending {
-		if a.spec.Kind == KindMaintain && a.spec.Wave == number && !a.sentAt.IsZero() && !a.accepted {
+		if a.spec.Kind == KindMaintain && a.spec.Wave == number && !a.sentAt.IsZero() && a.effect.State() != effect.Done {
 			requested = append(requested, host)
 		}
 	}
--- a/moves/plan_test.go
+++ b/moves/plan_test.go
@@ -28,6 +28,10 @@
 	shrunk       int                 // by how much the runners of service a have shrunk, in millicores
 	maxDown      int                 // the most hosts that were down for maintenance at once
 	lostAnswer   map[glade.Host]bool // hosts for which the next answer is lost
+	// late maps hosts whose next order gets no answer to when it is carried out. Later orders for
+	// them are refused until then.
+	late map[glade.Host]time.Time
+	held map[glade.Host]moves.Action
 	// rise is the increase of each service's demand, in millicores per second.
 	rise map[glade.Service]int
 	// unheld are the hosts whose runner has not answered the leader of its service,
@@ -53,7 +57,7 @@
 	s := &simulation{
 		c: c, now: time.Unix(1_000_000, 0), hosts: make(map[glade.Host]*fakeHost), demand: make(map[glade.Service]int),
 		planner: moves.New(moves.Config{MoveDowntime: 1500 * time.Millisecond, MaintenanceDowntime: 2 * time.Second}),
-		rise:    make(map[glade.Service]int), lostAnswer: make(map[glade.Host]bool), unheld: make(map[glade.Host]bool), unlisted: make(map[glade.Host]bool),
+		rise:    make(map[glade.Service]int), lostAnswer: make(map[glade.Host]bool), late: make(map[glade.Host]time.Time), held: make(map[glade.Host]moves.Action), unheld: make(map[glade.Host]bool), unlisted: make(map[glade.Host]bool),
 	}
 	s.planner.SetSparePools(glade.Rules{Services: []glade.ServiceRule{{Service: spare, Spare: true}}})
 	for service, n := range sizes {
@@ -98,6 +102,14 @@
 
 func (s *simulation) step() {
 	var list []glade.HostInfo
+	for host, at := range s.late {
+		if _, held := s.held[host]; held && !s.now.Before(at) {
+			delete(s.late, host)
+			h := s.hosts[host]
+			h.info.State, h.awayUntil = glade.HostMaintenance, s.now.Add(2*time.Second)
+			h.maintained++
+		}
+	}
 	loads := make(map[glade.Service]sched.Load)
 	evacuating := s.planner.Evacuating()
 	down := 0
@@ -147,6 +159,19 @@
 // answer is to be lost.
 func (s *simulation) execute(action moves.Action) {
 	h := s.hosts[action.Host]
+	if at, ok := s.late[action.Host]; ok && s.now.Before(at) {
+		if _, held := s.held[action.Host]; held {
+			s.planner.HandleAnswer(action, glade.HostLimited, nil, s.now)
+			return
+		}
+		s.held[action.Host] = action
+		s.planner.HandleAnswer(action, "", fmt.Errorf("no answer"), s.now)
+		return
+	}
+	if _, done := s.held[action.Host]; done && h.maintained > 0 {
+		s.planner.HandleAnswer(action, glade.HostAccepted, nil, s.now)
+		return
+	}
 	if action.Kind == moves.KindMaintain {
 		h.info.State, h.awayUntil = glade.HostMaintenance, s.now.Add(2*time.Second)
 		h.maintained++
@@ -197,6 +222,22 @@
 		s.c.Assert(s.maxDown, qt.Equals, 1)
 		s.c.Assert(s.planner.FinishedWaves(), qt.DeepEquals, []int64{1})
 	})
+	// An order without an answer whose repetition is refused is not void: the platform may carry it
+	// out late, while another host is down for the wave.
+	t.Run("counts a host as down while an order for it may be carried out late", func(t *testing.T) {
+		s := newSimulation(qt.New(t), map[glade.Service]int{"a": 9, "b": 9})
+		s.demand["a"], s.demand["b"] = 8*hostCPU, 8*hostCPU
+		s.late["a0"] = s.now.Add(3 * time.Second)
+		s.planner.AddWave(wave(1, "a0", "b0"), nil, nil, s.now, s.now)
+		s.run(time.Second)
+		s.c.Assert(s.held, qt.HasLen, 1)
+		s.demand["b"] = 7 * hostCPU // from now on the other host would go first
+		s.run(24 * time.Second)
+		s.c.Assert(s.maxDown, qt.Equals, 1)
+		for _, host := range []glade.Host{"a0", "b0"} {
+			s.c.Assert(s.hosts[host].maintained, qt.Equals, 1)
+		}
+	})
 	expectSkipped := func(name string, hide func(s *simulation)) {
 		t.Run(name, func(t *testing.T) {
 			s := newSimulation(qt.New(t), map[glade.Service]int{"a": 9})
