A batch whose path has moved to another service is found there, and keeps its rule

Cause: a batch outlives the contract it came under, and was looked up by the queue of today: its service by the path, its limit of attempts, objective, priority and need of advice by the queue's rule. Ruled out: hosts with different contracts (all lines 3 s later name b), a former leader without the batches (it held their runs until the end).

Each service stores the paths that it accepts batches from, with the version of the contract. For a path that is new to it all others are former services, until each has answered from a stored row of that version that it takes nothing from there and knows no batch of it. An unknown ID of such a path is asked for at the former services by the caller's host, for submissions, states, cancellations and the number that waits. What a former service knows is looked up after its row is stored. If one does not answer, the caller gets 504 or 503. The row of a batch holds its path and the rule it came under; states of ended batches and cancellations of unknown IDs hold the path. Paths without former services cost no call. Former services are asked with calls of their own (`held`, `known`), which hosts of earlier versions don't know; a service that has batches and no row had leaders of earlier versions, and keeps its paths.

Why it works: at any time at most one service accepts an unknown ID of a path: another one has proved, by a row that binds its later leaders too, that it accepts nothing from there.

--- a/batch.go
+++ b/batch.go
@@ -1,6 +1,9 @@
 package glade
 
-import "time"
+import (
+	"strings"
+	"time"
+)
 
 // BatchID identifies a batch: 16 hexadecimal digits chosen by its caller.
 type BatchID string
@@ -131,6 +134,10 @@
 	Public bool
 }
 
+// Path returns the host name in lower case, followed by the path prefix. It identifies the queue to
+// callers.
+func (r QueueRule) Path() string { return strings.ToLower(r.Host) + r.Prefix }
+
 // TenantRule is the part of the contract about one tenant.
 type TenantRule struct {
 	Tenant Tenant
--- a/lead/directory.go
+++ b/lead/directory.go
@@ -18,7 +18,7 @@
 	glade "indigoglade"
 )
 
-// Tables, partitions and keys of the rows that this package stores.
+// Tables, partitions and keys of the rows that this package stores, besides tablePaths and tableWave.
 const (
 	tableQuota     = "quota" // the shares of each tenant's limit, one partition a tenant
 	tableTerm      = "term"  // the leader of each service
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -37,6 +37,8 @@
 	hangStarts atomic.Bool
 	// services are those that the runners belong to, in turn.
 	services []glade.Service
+	// fails makes every run end as failed.
+	fails bool
 	// mostRunning is the most tasks that have run at a time.
 	mostRunning int
 }
@@ -90,6 +92,8 @@
 			how = glade.EndLeaseExpired
 		case now.Before(e.endsAt):
 			continue
+		case f.fails:
+			how = glade.EndFailed
 		}
 		delete(r.running, task)
 		r.endCount++
@@ -119,7 +123,11 @@
 	return n
 }
 
-const taskTime = 800 * time.Millisecond
+const (
+	taskTime = 800 * time.Millisecond
+	// lastingSpec is the spec of tasks that run until they are stopped.
+	lastingSpec = "lasts"
+)
 
 // Start starts a run.
 func (c route) Start(ctx context.Context, to glade.RunnerInfo, o glade.StartOrder) (glade.RunAnswer, error) {
@@ -140,7 +148,11 @@
 	if c.isRunning(o.Task) || c.completed[o.Task] > 0 {
 		c.duplicates++
 	}
-	r.running[o.Task] = &execution{run: o.Run, endsAt: time.Now().Add(taskTime), leaseEnd: c.began.Add(time.Duration(o.LeaseUntil) * time.Millisecond)}
+	endsAt := time.Now().Add(taskTime)
+	if o.Spec == lastingSpec {
+		endsAt = endsAt.Add(time.Hour)
+	}
+	r.running[o.Task] = &execution{run: o.Run, endsAt: endsAt, leaseEnd: c.began.Add(time.Duration(o.LeaseUntil) * time.Millisecond)}
 	c.mostRunning = max(c.mostRunning, c.countRunning())
 	return glade.RunAnswer{}, nil
 }
@@ -263,8 +275,8 @@
 	// batchWrites disturbs writes of new batches, unless it is nil.
 	batchWrites atomic.Pointer[batchWrites]
 	// slow is the way of rows to the host, unless it is nil.
-	slow *slowLink
-	refusal                            refusal
+	slow    *slowLink
+	refusal refusal
 }
 
 // batchWrites loses the answer of the first write of a new batch, and lets some that follow be
--- a/lead/loading.go
+++ b/lead/loading.go
@@ -105,7 +105,7 @@
 type loader struct {
 	leader            *ServiceLeader
 	batches, progress tableRows
-	runners           glade.PartitionRow
+	runners, paths    glade.PartitionRow
 	stats             TakeoverStats
 	// progressAt is when a page was last read, or when the store last did not take a
 	// renewal: an outage of the store is no reason to release the term.
@@ -130,8 +130,10 @@
 			}
 		}
 	}
-	if err := l.readRunners(ctx); err != nil {
-		return err
+	for table, row := range map[string]*glade.PartitionRow{tableRunners: &l.runners, tablePaths: &l.paths} {
+		if err := l.readRow(ctx, table, row); err != nil {
+			return err
+		}
 	}
 	l.stats.Ms = l.leader.clock.Now().Sub(began).Milliseconds()
 	return nil
@@ -229,16 +231,16 @@
 	return err
 }
 
-// readRunners reads the row of the runners in use.
-func (l *loader) readRunners(ctx context.Context) error {
+// readRow reads the only row of a table.
+func (l *loader) readRow(ctx context.Context, table string, row *glade.PartitionRow) error {
 	s := l.leader
 	for {
-		row, err := s.manager.config.PartitionedTable.Get(ctx, tableRunners, string(s.service), singletonKey)
+		found, err := s.manager.config.PartitionedTable.Get(ctx, table, string(s.service), singletonKey)
 		if err == nil {
-			l.runners = row
+			*row = found
 			return nil
 		}
-		s.manager.config.Log.Info("service rows could not be read", "service", s.service, "table", tableRunners, "error", err.Error())
+		s.manager.config.Log.Info("service rows could not be read", "service", s.service, "table", table, "error", err.Error())
 		if err := l.renew(ctx); err != nil {
 			return err
 		}
--- a/lead/offer.go
+++ b/lead/offer.go
@@ -16,6 +16,7 @@
 	Service glade.Service `json:"service"`
 	ID      glade.BatchID `json:"id"`
 	Queue   glade.Queue   `json:"queue"`
+	Path    string        `json:"path,omitempty"`
 	Batch   sched.Summary `json:"batch"`
 	// TimeoutMs is the time that the caller waits, in milliseconds.
 	TimeoutMs int64 `json:"within"`
@@ -31,7 +32,11 @@
 	var admission sched.Admission
 	decided := false
 	s.activity.recordOffer()
+	former, _, hasPath := s.paths.formers(in.Path)
 	if !s.withSched(func(scheduler *sched.Scheduler) {
+		if (len(former) > 0 || !hasPath) && !scheduler.IsKnown(in.ID) {
+			return // another service may know the batch, which decides with the whole of it
+		}
 		admission, decided = scheduler.Offer(in.ID, in.Queue, in.Batch, s.clock.Now())
 	}) {
 		return SubmitReply{Code: SubmitNotLeader, Reason: "loading"}
--- a/lead/router.go
+++ b/lead/router.go
@@ -30,6 +30,10 @@
 	SubmitMoved SubmitCode = "moved"
 	// SubmitNeeded means that the leader needs the batch to decide on an offer.
 	SubmitNeeded SubmitCode = "needed"
+	// SubmitFormer means that other services may know the batch: its path has moved.
+	SubmitFormer SubmitCode = "former"
+	// SubmitAbsent is the answer of a former service that doesn't know the batch and never will.
+	SubmitAbsent SubmitCode = "absent"
 )
 
 // ReasonOwner is the reason of a refusal because the ID belongs to a batch of another tenant. The
@@ -47,6 +51,12 @@
 	// Epoch is that of the leader that the batch is sent to; 0 if it is not known. A late
 	// arrival is not taken by a later leader, which may have refused the batch.
 	Epoch int64 `json:"epoch,omitempty"`
+	// Path is that of the queue in the sender's contract.
+	Path string `json:"path,omitempty"`
+	// Cleared lists services that don't know the batch and never will, as of Version of the
+	// contract.
+	Cleared []glade.Service `json:"cleared,omitempty"`
+	Version int64           `json:"number,omitempty"`
 }
 
 // SubmitReply is the leader's answer to a submission.
@@ -59,6 +69,15 @@
 	Epoch int64 `json:"epoch,omitempty"`
 	// Known is the term that the called host knows, if it does not lead.
 	Known *KnownTerm `json:"known,omitempty"`
+	// Former has the services to ask first, with SubmitFormer.
+	Former *FormerServices `json:"former,omitempty"`
+}
+
+// FormerServices are services that may know a batch, because its path has moved.
+type FormerServices struct {
+	Services []glade.Service `json:"services"`
+	// Version is the version of the contract as of which they must answer.
+	Version int64 `json:"number"`
 }
 
 // KnownTerm tells a host whose feed of the terms is interrupted which host leads.
@@ -89,6 +108,13 @@
 	// Tenant is the tenant of the key that the caller presented. A batch of
 	// another tenant is unknown to it.
 	Tenant glade.Tenant `json:"tenant,omitempty"`
+	// Path is that of the queue in the sender's contract.
+	Path string `json:"path,omitempty"`
+	// FormerOnly asks a former service of the path, as of Version of the contract. Cleared means that
+	// none of them knows the batch.
+	FormerOnly bool  `json:"formerOnly,omitempty"`
+	Version    int64 `json:"number,omitempty"`
+	Cleared    bool  `json:"cleared,omitempty"`
 }
 
 // BatchReply is the state of a batch, or the backlog of a queue.
@@ -102,6 +128,10 @@
 	Waiting int `json:"waiting,omitempty"`
 	// KnownTerm is the term that the called host knows, if it does not lead.
 	KnownTerm *KnownTerm `json:"term,omitempty"`
+	// Former lists other services that may know the batch, which this one doesn't, or may have
+	// batches that wait, and Version the version of the contract as of which they must answer.
+	Former  []glade.Service `json:"former,omitempty"`
+	Version int64           `json:"number,omitempty"`
 }
 
 // RPC methods between hosts.
@@ -119,6 +149,7 @@
 	handlePing(mux)
 	m.handleYield(mux)
 	m.handleExplain(mux)
+	m.handleHeld(mux)
 	jrpc.Handle(mux, methodSubmit, func(ctx context.Context, in SubmitArgs) (SubmitReply, error) {
 		return m.submitLocal(ctx, in), nil
 	})
@@ -156,12 +187,24 @@
 	if !ok || leader.hasEnded() {
 		return BatchReply{KnownTerm: m.knownTerm(in.Service)}, nil
 	}
-	known, gen := false, int64(0)
+	known, gen, absent := false, int64(0), false
+	former, version, hasPath := leader.paths.formers(in.Path)
+	decided := hasPath
+	if in.FormerOnly {
+		decided = leader.paths.proves(in.Version) // a later submission must not be taken here
+	}
 	if !leader.withSched(func(scheduler *sched.Scheduler) {
-		known, gen = scheduler.CancelBy(in.Tenant, in.ID, leader.clock.Now())
+		// An ID that has not arrived is cancelled only where it would arrive.
+		absent = !scheduler.IsKnown(in.ID) && (in.FormerOnly || !hasPath || len(former) > 0 && !in.Cleared)
+		if !absent {
+			known, gen = scheduler.CancelAt(in.Path, in.Tenant, in.ID, leader.clock.Now())
+		}
 	}) {
 		return BatchReply{}, nil
 	}
+	if absent {
+		return BatchReply{IsLeader: decided && !leader.mayBeReplaced(), Former: former, Version: version}, nil
+	}
 	bounded, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if !leader.awaitWritten(bounded, in.ID, gen) {
@@ -178,7 +221,7 @@
 	reply := BatchReply{IsLeader: true}
 	if !leader.withSched(func(scheduler *sched.Scheduler) {
 		if in.ID == "" {
-			reply.Known, reply.Waiting = true, scheduler.Waiting(in.Queue)
+			reply.Known, reply.Waiting = true, scheduler.Waiting(in.Queue, in.Path)
 			return
 		}
 		if scheduler.IsKnownTo(in.Tenant, in.ID) {
@@ -190,6 +233,14 @@
 	if in.ID != "" && !reply.Known && leader.mayBeReplaced() {
 		reply.IsLeader = false
 	}
+	if in.FormerOnly || reply.Known && in.ID != "" {
+		return reply
+	}
+	var hasPath bool
+	reply.Former, reply.Version, hasPath = leader.paths.formers(in.Path)
+	if !hasPath && in.ID != "" {
+		reply.IsLeader = false // the contract of this host or of the sender is older
+	}
 	return reply
 }
 
@@ -307,6 +358,9 @@
 func (r *Router) submit(ctx context.Context, in SubmitArgs, timeout time.Duration, a *attempt) SubmitReply {
 	deadline := r.clock.Now().Add(timeout)
 	searchEnd := r.clock.Now().Add(searchTimeout)
+	// inDoubt is set while a former service of the path, or a leader with another version of the
+	// contract, may know the batch.
+	inDoubt := false
 	offer := r.overloads.isRecent(in.Service, in.Queue, r.clock.Now()) || r.overloads.isLimitRecent(in.Service, in.Queue, in.Batch.Tenant, r.clock.Now())
 	for {
 		if r.isUnreachable(in.Service) {
@@ -329,6 +383,16 @@
 			continue
 		case found && reply.Code == SubmitMoved:
 			a.add(reply.Epoch)
+		case found && reply.Code == SubmitFormer && reply.Former != nil:
+			answer, known, cleared := r.askFormers(ctx, in, *reply.Former)
+			if known {
+				return answer
+			}
+			if cleared {
+				in.Cleared, in.Version = reply.Former.Services, reply.Former.Version
+				continue
+			}
+			inDoubt = true
 		case found && reply.Code != SubmitNotLeader:
 			switch {
 			case reply.Code == SubmitUnknown:
@@ -339,11 +403,14 @@
 			}
 			return reply
 		case found:
+			inDoubt = inDoubt || reply.Reason == reasonContract
 			r.manager.config.Directory.Refresh()
 		}
 		now := r.clock.Now()
 		expired := now.After(deadline) || r.clock.Sleep(ctx, searchInterval) != nil
 		switch {
+		case (expired || now.After(searchEnd)) && inDoubt:
+			return SubmitReply{Code: SubmitUnknown, Reason: "former"}
 		case (expired || now.After(searchEnd)) && !a.isOpen(0, now):
 			return SubmitReply{Code: SubmitRefused, Reason: "lead", After: leaderRetryAfter.Milliseconds()}
 		case expired:
@@ -372,7 +439,7 @@
 // submitOnce sends a batch, or only an offer of it, to the leader that is known now.
 func (r *Router) submitOnce(ctx context.Context, in SubmitArgs, offer bool) (reply SubmitReply, found bool, err error) {
 	if offer {
-		o := OfferArgs{Service: in.Service, ID: in.ID, Queue: in.Queue, Batch: sched.Summarize(in.Batch), TimeoutMs: in.TimeoutMs}
+		o := OfferArgs{Service: in.Service, ID: in.ID, Queue: in.Queue, Path: in.Path, Batch: sched.Summarize(in.Batch), TimeoutMs: in.TimeoutMs}
 		reply, found, err = route(ctx, r, in.Service, methodOffer, o, func() (SubmitReply, error) {
 			return r.manager.offerLocal(ctx, o), nil
 		})
@@ -408,13 +475,57 @@
 
 // Cancel cancels a batch. It returns false if the batch does not exist.
 func (r *Router) Cancel(ctx context.Context, in BatchArgs, timeout time.Duration) (bool, error) {
-	reply, err := callIdempotent(ctx, r, in.Service, methodCancel, in, timeout, func() (BatchReply, error) { return r.manager.cancelLocal(ctx, in) })
+	cancel := func(in BatchArgs) (BatchReply, error) {
+		return callIdempotent(ctx, r, in.Service, methodCancel, in, timeout, func() (BatchReply, error) { return r.manager.cancelLocal(ctx, in) })
+	}
+	reply, err := cancel(in)
+	if err != nil || reply.Known || len(reply.Former) == 0 {
+		return reply.Known, err
+	}
+	in.Version = reply.Version
+	if found, err := r.askEach(in, reply.Former, cancel); err != nil || found.Known {
+		return found.Known, err
+	}
+	in.Cleared = true
+	reply, err = cancel(in)
 	return reply.Known, err
 }
 
 // State returns the state of a batch, or of a queue if the ID is empty.
 func (r *Router) State(ctx context.Context, in BatchArgs, timeout time.Duration) (BatchReply, error) {
-	return callIdempotent(ctx, r, in.Service, methodState, in, timeout, func() (BatchReply, error) { return r.manager.stateLocal(in), nil })
+	state := func(in BatchArgs) (BatchReply, error) {
+		return callIdempotent(ctx, r, in.Service, methodState, in, timeout, func() (BatchReply, error) { return r.manager.stateLocal(in), nil })
+	}
+	reply, err := state(in)
+	if err != nil || len(reply.Former) == 0 {
+		return reply, err
+	}
+	if in.ID != "" {
+		return r.askEach(in, reply.Former, state)
+	}
+	in.FormerOnly = true
+	for _, service := range reply.Former { // a number that is too low for a time is better than none
+		in.Service = service
+		former, _, err := route(ctx, r, service, methodState, in, func() (BatchReply, error) { return r.manager.stateLocal(in), nil })
+		if err == nil {
+			reply.Waiting += former.Waiting
+		}
+	}
+	return reply, nil
+}
+
+// askEach asks the former services of a path for a batch, until one knows it.
+func (*Router) askEach(in BatchArgs, former []glade.Service, ask func(BatchArgs) (BatchReply, error)) (BatchReply, error) {
+	in.FormerOnly = true
+	var reply BatchReply
+	for _, service := range former {
+		in.Service = service
+		var err error
+		if reply, err = ask(in); err != nil || reply.Known {
+			return reply, err
+		}
+	}
+	return reply, nil
 }
 
 // answer is the reply to a call that only the leader of a service decides.
--- a/lead/service.go
+++ b/lead/service.go
@@ -29,6 +29,7 @@
 	answers        answerTimer   // of starts and stops
 	activity       activity
 	limits         *tenantLimits
+	paths          *servicePaths
 	adviceMu       sync.Mutex // the advice service takes one call at a time
 	cancel         context.CancelFunc
 	// quit ends when this host steps down on its own, which stopLeading brings about.
@@ -58,6 +59,7 @@
 		startSlots: make(chan struct{}, maxStarts), stopSlots: make(chan struct{}, maxStops),
 		quit: quit, stopLeading: stopLeading, done: make(chan struct{}),
 	}
+	s.paths = newServicePaths(s)
 	s.limits = newTenantLimits(limitsConfig{
 		service: l.service, epoch: l.term.Epoch, table: m.config.PartitionedTable, clock: l.clock, log: m.config.Log,
 		access: s.withTenants, ask: m.askYield, changed: s.wakeStep,
@@ -94,6 +96,7 @@
 		<-w.done
 	}()
 	go s.limits.run(ctx)
+	go s.paths.run(ctx)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	due := s.clock.Now()
@@ -179,8 +182,10 @@
 	}
 	scheduler.LoadRegistered(ids)
 	scheduler.LeaderRenewed(s.confirmedAt)
+	s.paths.load(rows.paths, len(batchRows)+len(progressRows) > 0)
 	rules := s.publish(scheduler, now)
 	s.limits.setRules(rules)
+	s.paths.setRules(rules)
 	s.manager.recordTakeover(s.service, rows.stats)
 }
 
@@ -248,6 +253,7 @@
 func (s *ServiceLeader) setRules(rules glade.Rules) {
 	s.withSched(func(scheduler *sched.Scheduler) { scheduler.SetRules(rules) })
 	s.limits.setRules(rules)
+	s.paths.setRules(rules)
 }
 
 func (s *ServiceLeader) setRunners(runners []glade.RunnerInfo) {
--- a/lead/submit.go
+++ b/lead/submit.go
@@ -20,6 +20,10 @@
 // not take writes.
 const storeRetryAfter = 2 * time.Second
 
+// reasonContract is why a host takes no batch whose path its version of the contract doesn't send
+// to the service.
+const reasonContract = "contract"
+
 // refusedByStore refuses a batch that certainly was not written.
 func (s *ServiceLeader) refusedByStore() SubmitReply {
 	return SubmitReply{Code: SubmitRefused, Reason: "store", After: storeRetryAfter.Milliseconds(), Epoch: s.term.Epoch}
@@ -39,13 +43,16 @@
 	if in.Epoch != 0 && in.Epoch < s.term.Epoch {
 		return s.manager.notLeader(s.service, "epoch")
 	}
+	former, version, cleared := s.paths.isCleared(in.Path, in.Cleared, in.Version)
+	uncleared := false
 	var admission sched.Admission
 	s.activity.recordSubmission()
 	now := s.clock.Now()
 	storeFailing, handedOver := false, false
 	if !s.withSched(func(scheduler *sched.Scheduler) {
 		handedOver = !scheduler.IsKnown(in.ID) && s.health.isHandingOver()
-		if handedOver {
+		uncleared = !scheduler.IsKnown(in.ID) && !cleared
+		if handedOver || uncleared {
 			return
 		}
 		storeFailing = !scheduler.IsKnown(in.ID) && s.isStoreFailing(now)
@@ -60,6 +67,10 @@
 	switch {
 	case handedOver:
 		return s.manager.notLeader(s.service, "handover")
+	case uncleared && len(former) == 0:
+		return s.manager.notLeader(s.service, reasonContract)
+	case uncleared:
+		return SubmitReply{Code: SubmitFormer, Former: &FormerServices{Services: former, Version: version}, Epoch: s.term.Epoch}
 	case storeFailing:
 		return s.refusedByStore()
 	}
--- a/lead/writer.go
+++ b/lead/writer.go
@@ -81,10 +81,14 @@
 		w = s.sched.BeginWrite()
 	}
 	s.mu.Unlock()
-	if !hasChanges && !renew {
+	pathsRow := s.paths.beginWrite()
+	if !hasChanges && !renew && pathsRow == nil {
 		return nil
 	}
 	puts, deletes := s.encodeWrite(w)
+	if pathsRow != nil {
+		puts = append(puts, pathsRow.row)
+	}
 	var txn effect.Effect
 	for {
 		result, err := s.commit(ctx, puts, deletes, renew)
@@ -93,6 +97,7 @@
 		}
 		txn.Record(resultOf(result), s.clock.Now())
 		if result == glade.Committed {
+			s.paths.finishWrite(pathsRow, true)
 			s.finishWrite(w, hasChanges, true)
 			return nil
 		}
@@ -104,6 +109,7 @@
 			}
 		}
 		if txn.State() == effect.None {
+			s.paths.finishWrite(pathsRow, false)
 			s.finishWrite(w, hasChanges, false)
 			wake(s.writeWake)
 		}
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -54,6 +54,7 @@
 		return s.refuse(id, queue, t, reason, wait)
 	}
 	b := newBatch(id, queue, work, now)
+	s.updateRule(b)
 	s.setTenant(b)
 	if !expected {
 		for _, e := range s.appendWaiting(nil, b, now) {
@@ -270,15 +271,20 @@
 	return s.CancelBy("", id, now)
 }
 
-// CancelBy ends a batch, also one that has not arrived yet, which then never runs for the tenant.
-// It returns false if the batch is unknown to the tenant. The caller may be answered once the
-// change gen is written.
+// CancelBy is CancelAt for callers whose queue has no path.
 func (s *Scheduler) CancelBy(tenant glade.Tenant, id glade.BatchID, now time.Time) (known bool, gen int64) {
+	return s.CancelAt("", tenant, id, now)
+}
+
+// CancelAt ends a batch, also one that has not arrived yet, which then never runs for the tenant.
+// It returns false if the batch is unknown to the tenant. The caller may be answered once the
+// change gen is written. path is that of the caller's queue.
+func (s *Scheduler) CancelAt(path string, tenant glade.Tenant, id glade.BatchID, now time.Time) (known bool, gen int64) {
 	b, ok := s.batches[id]
 	switch {
 	case !ok:
 		b = newBatch(id, "", glade.Batch{}, now)
-		b.state, b.endedAt, b.cancelledBy = glade.BatchCancelled, now, []glade.Tenant{tenant}
+		b.state, b.endedAt, b.cancelledBy, b.path = glade.BatchCancelled, now, []glade.Tenant{tenant}, path
 		s.batches[id] = b
 		s.markChanged(b)
 		return false, b.gen
--- a/sched/advice.go
+++ b/sched/advice.go
@@ -51,7 +51,7 @@
 		if len(requests) == maxAdviceRequests {
 			break
 		}
-		if !s.rules[st.occurrence.batch.queue].NeedsAdvice || st.adviceInFlight || now.Before(st.adviceRetryAt) {
+		if !st.occurrence.batch.rule.NeedsAdvice || st.adviceInFlight || now.Before(st.adviceRetryAt) {
 			continue
 		}
 		var ids []glade.RunnerID
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -12,6 +12,10 @@
 	id    glade.BatchID
 	queue glade.Queue
 	work  glade.Batch
+	// path is that of the queue by which the batch came, and rule the queue's newest rule while it
+	// was in the service. The contract may have sent the path elsewhere since then.
+	path string
+	rule glade.QueueRule
 	// owner is the tenant that submitted the batch. It is kept when the work of an ended batch is released.
 	owner glade.Tenant
 	// cancelledBy is not empty if the batch has not arrived and holds the tenants that have cancelled its
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -90,7 +90,7 @@
 	}
 	t.failed = append(t.failed, end.Run)
 	s.markChanged(b)
-	if rule, ok := s.rules[b.queue]; ok && rule.MaxFailures > 0 && st.failures(end.Task.Index) >= rule.MaxFailures {
+	if b.rule.MaxFailures > 0 && st.failures(end.Task.Index) >= b.rule.MaxFailures {
 		s.finish(b, glade.BatchFailed, now)
 	}
 }
--- a/sched/explain.go
+++ b/sched/explain.go
@@ -148,6 +148,7 @@
 	}
 	work.Times = min(work.Times, 1) // only the first occurrence is explained
 	b := newBatch(id, queue, work, now)
+	s.updateRule(b)
 	s.setTenant(b)
 	ready := s.readyRanks(now)
 	usable, unreserved := s.explainUsable(ready, now)
@@ -372,7 +373,7 @@
 		return excludedNoLease
 	case st.rule.Label != "" && !slices.Contains(r.info.Labels, st.rule.Label):
 		return excludedLabel
-	case s.rules[st.occurrence.batch.queue].NeedsAdvice && !st.hasTicket(r.info.ID, now):
+	case st.occurrence.batch.rule.NeedsAdvice && !st.hasTicket(r.info.ID, now):
 		return excludedTicket
 	case !s.allows(r, st, now):
 		return excludedSpread
--- a/sched/owner.go
+++ b/sched/owner.go
@@ -22,6 +22,12 @@
 	return ok && b.isKnownTo(tenant)
 }
 
+// AdmitKnown decides on a batch whose ID is in use, and returns false if the ID is free for the tenant. It never
+// accepts a batch that has not arrived before.
+func (s *Scheduler) AdmitKnown(id glade.BatchID, queue glade.Queue, tenant glade.Tenant) (Admission, bool) {
+	return s.admitKnown(id, queue, tenant)
+}
+
 // admitKnown decides on a batch whose ID is in use. It returns false if the ID is free for the tenant: it is unknown,
 // or only other tenants have cancelled it before it arrived.
 func (s *Scheduler) admitKnown(id glade.BatchID, queue glade.Queue, tenant glade.Tenant) (Admission, bool) {
--- a/sched/place.go
+++ b/sched/place.go
@@ -263,7 +263,7 @@
 			return false
 		}
 	}
-	if s.rules[st.occurrence.batch.queue].NeedsAdvice {
+	if st.occurrence.batch.rule.NeedsAdvice {
 		return st.hasTicket(r.info.ID, now)
 	}
 	return true
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -51,11 +51,10 @@
 
 // objective returns the target time from the submission of a batch to its end.
 func (s *Scheduler) objective(b *batch) time.Duration {
-	rule, ok := s.rules[b.queue]
-	if !ok || len(b.occurrences) == 0 {
+	if len(b.occurrences) == 0 {
 		return 0
 	}
-	return objectiveOf(rule, s.criticalPath(b.occurrences[0], true))
+	return objectiveOf(b.rule, s.criticalPath(b.occurrences[0], true))
 }
 
 // objectiveOf returns the target time of a batch whose longest chain takes path.
@@ -223,7 +222,7 @@
 func (s *Scheduler) rank(st *step, now time.Time) rank {
 	b := st.occurrence.batch
 	if st.rule.LongRunning {
-		return rank{step: st, class: classLongRunning, key: time.Duration(s.rules[b.queue].Priority)}
+		return rank{step: st, class: classLongRunning, key: time.Duration(b.rule.Priority)}
 	}
 	start := b.submittedAt
 	if !st.occurrence.due.IsZero() {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -281,10 +281,32 @@
 			s.needsAdvice = s.needsAdvice || rule.NeedsAdvice
 		}
 	}
+	for b := range s.live {
+		s.updateRule(b)
+		s.needsAdvice = s.needsAdvice || b.rule.NeedsAdvice
+	}
 	s.setTenantRules(rules.Tenants)
 	s.needsPlacement = true
 }
 
+// updateRule gives a batch the rule of its queue. A batch whose queue has gone, or has another
+// path by now, keeps the rule that it came under.
+func (s *Scheduler) updateRule(b *batch) {
+	rule, ok := s.rules[b.queue]
+	if ok && (b.path == "" || b.path == rule.Path()) {
+		b.rule, b.path = rule, rule.Path()
+	}
+}
+
+// Paths returns the paths by which the known batches came.
+func (s *Scheduler) Paths() map[string]bool {
+	paths := make(map[string]bool)
+	for _, b := range s.batches {
+		paths[b.path] = true
+	}
+	return paths
+}
+
 // State returns the state of a batch as callers see it, and false if the batch is
 // unknown or not accepted. A final state is reported only once its row is written.
 func (s *Scheduler) State(id glade.BatchID) (glade.BatchState, bool) {
@@ -308,12 +330,12 @@
 	return ok
 }
 
-// Waiting returns the number of accepted batches of a queue that have not
+// Waiting returns the number of accepted batches that came by the path of a queue and have not
 // started.
-func (s *Scheduler) Waiting(queue glade.Queue) int {
+func (s *Scheduler) Waiting(queue glade.Queue, path string) int {
 	n := 0
 	for b := range s.live {
-		if b.queue == queue && b.accepted && !b.started {
+		if (b.path == path && path != "" || b.queue == queue && path == "") && b.accepted && !b.started {
 			n++
 		}
 	}
--- a/sched/write.go
+++ b/sched/write.go
@@ -18,6 +18,33 @@
 	// SubmittedAt is when the batch was submitted, in milliseconds since 1970.
 	SubmittedAt int64       `json:"at"`
 	Work        glade.Batch `json:"work"`
+	// Path and Rule are those of the queue when the batch was accepted. Rows of earlier versions
+	// have none.
+	Path string  `json:"path,omitempty"`
+	Rule RuleRow `json:"rule,omitzero"`
+}
+
+// RuleRow is the part of a queue's rule that a batch needs when the contract no longer has the queue.
+type RuleRow struct {
+	Priority    int     `json:"rank,omitempty"`
+	MaxFailures int     `json:"most,omitempty"`
+	Stretch     float64 `json:"stretch,omitempty"`
+	SlackMs     int64   `json:"slack,omitempty"`
+	NeedsAdvice bool    `json:"advice,omitempty"`
+}
+
+func encodeRule(rule glade.QueueRule) RuleRow {
+	return RuleRow{
+		Priority: rule.Priority, MaxFailures: rule.MaxFailures, Stretch: rule.Stretch, SlackMs: rule.Slack.Milliseconds(),
+		NeedsAdvice: rule.NeedsAdvice,
+	}
+}
+
+func (r RuleRow) decode(queue glade.Queue) glade.QueueRule {
+	return glade.QueueRule{
+		Queue: queue, Priority: r.Priority, MaxFailures: r.MaxFailures, Stretch: r.Stretch, Slack: time.Duration(r.SlackMs) * time.Millisecond,
+		NeedsAdvice: r.NeedsAdvice,
+	}
 }
 
 // ProgressRow is the stored row of a batch's progress.
@@ -31,6 +58,8 @@
 	Owner    glade.Tenant `json:"owner,omitempty"`
 	// EndedAt is when a batch in a final state ended, in milliseconds since 1970.
 	EndedAt int64 `json:"over,omitempty"`
+	// Path is that of the queue by which a batch in a final state came.
+	Path string `json:"path,omitempty"`
 	// CancelledBy holds the tenants that cancelled the ID of a batch that had not arrived; an empty
 	// name is that of callers without a tenant.
 	CancelledBy []glade.Tenant `json:"by,omitempty"`
@@ -143,7 +172,7 @@
 		b.writeQueued = false
 		s.writes.inFlight[b] = b.gen
 		if b.workUnwritten {
-			w.Work[b.id] = WorkRow{Queue: b.queue, SubmittedAt: b.submittedAt.UnixMilli(), Work: b.work}
+			w.Work[b.id] = WorkRow{Queue: b.queue, SubmittedAt: b.submittedAt.UnixMilli(), Work: b.work, Path: b.path, Rule: encodeRule(b.rule)}
 		}
 		if !b.workUnwritten || b.state != "" || b.replaced != nil {
 			w.Progress[b.id] = b.progress()
@@ -224,6 +253,7 @@
 func (b *batch) progress() ProgressRow {
 	progress := ProgressRow{Started: b.started, CancelledBy: b.cancelledBy}
 	if b.state.IsFinal() {
+		progress.Path = b.path
 		progress.State, progress.Accepted, progress.Owner, progress.EndedAt = b.state, len(b.cancelledBy) == 0, b.owner, b.endedAt.UnixMilli()
 		return progress
 	}
@@ -291,7 +321,7 @@
 		b := newBatch(id, "", glade.Batch{}, now)
 		b.accepted = progress != nil && progress.Accepted
 		if progress != nil {
-			b.owner = progress.Owner
+			b.owner, b.path = progress.Owner, progress.Path
 			b.cancelledBy = progress.CancelledBy // nobody in rows of versions without tenants: known to all
 			b.state, b.writtenState, b.endedAt = progress.State, progress.State, progress.endedAt(now)
 		}
@@ -300,6 +330,8 @@
 	}
 	b := newBatch(id, work.Queue, work.Work, fromUnixMillis(work.SubmittedAt, now))
 	b.accepted, b.inherited, b.hasWorkRow = true, true, true
+	b.path, b.rule = work.Path, work.Rule.decode(work.Queue)
+	s.updateRule(b)
 	s.setTenant(b)
 	s.batches[id] = b
 	if progress != nil && progress.State.IsFinal() {
