A run that is missing from a list that may be cut is not lost

Cause: a runner lists 500 ended runs and further ones when those are acknowledged, which needs the store. giveUpMissing took every run that was neither active nor on the list for lost (606 `lost` lines, all of runners with full lists).

Change: HeartbeatAnswer.Incomplete.

The model's runners list four ends at a time.

--- a/runner.go
+++ b/runner.go
@@ -136,6 +136,9 @@
 	Refused RunRefusal
 	Running []ActiveRun
 	Ended   []EndedRun
+	// Incomplete means that further runs may have ended: their absence from the lists
+	// shows nothing.
+	Incomplete bool
 }
 
 // Runners sends orders to runners. After an error other than ErrNotExecuted the
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -98,7 +98,7 @@
 // other runs may be on runners that have not answered yet is left alone.
 func (s *Scheduler) stopPartialGangs(now time.Time) {
 	for st := range s.ready {
-		if !st.rule.Gang || st.pending == 0 || st.pending == len(st.tasks) || (st.occurrence.batch.inherited && s.anyUnknownRuns(now)) {
+		if !st.rule.Gang || st.pending == 0 || st.pending == len(st.tasks) || (st.occurrence.batch.inherited && (s.anyUnknownRuns(now) || s.hidesAnyEnds())) {
 			continue
 		}
 		for i := range st.tasks {
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -173,6 +173,9 @@
 // leader, it could accept orders of that leader.
 const minDown = 1200 * time.Millisecond
 
+// modelListedEnds is the number of end reports in one answer.
+const modelListedEnds = 4
+
 // modelTick is the time between two ticks of the simulation.
 const modelTick = 50 * time.Millisecond
 
@@ -477,6 +480,9 @@
 		}
 		answer.Born, answer.Clock = r.incarnation, w.clock(r)
 		answer.Ended = append([]glade.EndedRun(nil), r.unackedEnds...)
+		if len(answer.Ended) >= modelListedEnds {
+			answer.Ended, answer.Incomplete = answer.Ended[:modelListedEnds], true
+		}
 		for task, run := range r.runs {
 			answer.Running = append(answer.Running, glade.ActiveRun{Task: task, Run: run.run, Percent: int(w.now.UnixMilli() % 97)})
 		}
--- a/sched/place.go
+++ b/sched/place.go
@@ -34,7 +34,7 @@
 func (s *Scheduler) updateRegistry(r *runner) {
 	id := r.info.ID
 	leaving := !r.listed || !r.evacuateAskedAt.IsZero()
-	if leaving && len(r.runs) == 0 && len(r.unwrittenEnds) == 0 && r.registryGen > 0 {
+	if leaving && len(r.runs) == 0 && len(r.unwrittenEnds) == 0 && !r.isIncomplete && r.registryGen > 0 {
 		// Nothing runs there and no end is unknown to the next leader, so that it need
 		// not wait for the runner.
 		s.deregister(id)
@@ -78,7 +78,7 @@
 	// spared is the CPU that tenants beyond their share leave to the gangs of others that
 	// found no room.
 	spared, maxSpared, anyBeyond := 0, int(sparedShare*float64(s.pool())), s.anyBeyond()
-	unknownRuns := s.anyUnknownRuns(now)
+	unknownRuns := s.anyUnknownRuns(now) || s.hidesAnyEnds()
 	s.largestFree = math.MaxInt
 	s.holdRoom(now)
 	clear(s.blocked)
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -19,6 +19,9 @@
 	// contacted means that the runner has answered a heartbeat of this leader, and
 	// thus refuses orders of earlier ones.
 	contacted bool
+	// isIncomplete means that the last answer did not list all runs that have ended there,
+	// hidesEnds that none since the first one did: runs of an earlier leader may be missing.
+	isIncomplete, hidesEnds bool
 	// heartbeatInFlight is true until the last heartbeat is answered or has failed.
 	heartbeatInFlight bool
 	// incarnation is the start time of the runner's process, as the runner reports
@@ -329,6 +332,7 @@
 		s.needsPlacement = true
 		s.addEvent("held", "runner", id, "running", len(answer.Running), "ended", len(answer.Ended))
 	}
+	s.recordCompleteness(r, len(answer.Ended), first, answer.Incomplete)
 	s.applyRunning(r, answer.Running, sent, now)
 	s.applyEnds(r, answer.Ended, now)
 	s.giveUpMissing(r, sent, answer, now)
@@ -337,6 +341,21 @@
 	return true
 }
 
+// recordCompleteness records whether an answer listed all runs that have ended on a runner.
+func (s *Scheduler) recordCompleteness(r *runner, listed int, first, incomplete bool) {
+	if r.isIncomplete != incomplete {
+		s.needsPlacement = true
+		s.addEvent("ends", "runner", r.info.ID, "listed", listed, "incomplete", incomplete)
+	}
+	r.isIncomplete, r.hidesEnds = incomplete, incomplete && (first || r.hidesEnds)
+}
+
+// hidesAnyEnds reports whether an end that an earlier leader has not seen may be missing from
+// the list of a runner. The ends stay there until those before them are acknowledged.
+func (s *Scheduler) hidesAnyEnds() bool {
+	return slices.ContainsFunc(s.ordered, func(r *runner) bool { return r.hidesEnds })
+}
+
 // Pauses before the next heartbeat after one that has reported ends. Runners whose tasks
 // end some times a second are then asked less often and report several ends at once.
 const (
@@ -385,6 +404,7 @@
 	}
 	r.incarnation = answer.Born
 	r.processed, r.written, r.acked, r.unwrittenEnds = 0, 0, 0, nil
+	r.isIncomplete, r.hidesEnds = false, false // the ends of before are lost
 	// A restarted runner's clock starts anew, so that a late start with a lease on
 	// the earlier clock gets the longest lease that a runner grants. At first
 	// contact, only leases of earlier leaders count.
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -71,6 +71,8 @@
 	firstSeen    map[glade.ActiveRun]time.Time
 	workRows     map[glade.BatchID]sched.WorkRow
 	progressRows map[glade.BatchID]sched.ProgressRow
+	// listedEnds bounds the end reports in one answer, unless it is 0.
+	listedEnds int
 	// mostRows is the largest number of rows in one write.
 	mostRows int
 }
@@ -360,6 +362,9 @@
 		f.unackedEnds = f.unackedEnds[1:]
 	}
 	answer := glade.HeartbeatAnswer{Born: f.incarnation, Clock: r.clock(f), Running: f.running, Ended: f.unackedEnds}
+	if r.listedEnds > 0 && len(answer.Ended) >= r.listedEnds {
+		answer.Ended, answer.Incomplete = answer.Ended[:r.listedEnds], true
+	}
 	r.sched.HeartbeatAnswered(o.To.ID, sent, o.Order, answer, nil, r.now)
 }
 
