One odd entry no longer hides all others, and none is taken for what can't be true

Reported by other operators: an entry among those of the runners that is deeply nested, has a number too large or a port out of range ended the processes that read the list, or stopped them from following it.

Here no process ended, and nested entries and numbers too large were left out. But a row whose value is no base64, or with a field of another type, failed the whole listing or feed again and again; one run that can't be read dropped the whole answer of its runner, one host the whole inventory; ports out of range were dialled for ever, 2^62 cores counted as capacity (also in a submission), and an entry at whose address nothing answers counted in the pool.

A runner that has not answered five heartbeats and was never used is no capacity and is asked each 2 s. Where absence has a meaning, an entry that is left out makes a list incomplete or keeps its name (HostUnknown).

--- a/batch.go
+++ b/batch.go
@@ -93,6 +93,18 @@
 	return n.CPU <= capacity.CPU && n.Memory <= capacity.Memory && n.Accels <= capacity.Accels
 }
 
+// Largest amounts that a host can have. Sums of them over a fleet stay within an int.
+const (
+	maxCPU    = 1 << 30 // millicores
+	maxMemory = 1 << 40 // megabytes
+	maxAccels = 1 << 20
+)
+
+// IsPlausible reports whether one host can have these amounts: none is negative or too large.
+func (n Need) IsPlausible() bool {
+	return n.CPU >= 0 && n.CPU <= maxCPU && n.Memory >= 0 && n.Memory <= maxMemory && n.Accels >= 0 && n.Accels <= maxAccels
+}
+
 // BatchState is the state of a batch that callers see.
 type BatchState string
 
--- a/moves/plan.go
+++ b/moves/plan.go
@@ -206,7 +206,7 @@
 	}
 	upRunners := make(map[glade.RunnerID]bool, len(p.hosts))
 	for _, info := range p.hosts {
-		if info.State == glade.HostUp {
+		if info.State == glade.HostUp || info.State == glade.HostUnknown {
 			upRunners[info.Runner] = true
 		}
 	}
--- a/runner.go
+++ b/runner.go
@@ -212,6 +212,8 @@
 	HostMoving      HostState = "moving"
 	HostMaintenance HostState = "upkeep"
 	HostDown        HostState = "down"
+	// HostUnknown is the state of a host whose entry can't be read.
+	HostUnknown HostState = "unknown"
 )
 
 // HostInfo is a host in the platform's inventory.
--- a/sched/admit.go
+++ b/sched/admit.go
@@ -254,11 +254,11 @@
 }
 
 // pool returns the capacity for tasks that end, in millicores: that of all listed
-// runners which are not draining, without what long-running tasks take.
+// runners which are not draining and have been heard of, without what long-running tasks take.
 func (s *Scheduler) pool() int {
 	sum := 0
 	for _, r := range s.ordered {
-		if !r.listed || r.info.Draining {
+		if !r.listed || r.info.Draining || !s.isHeard(r) {
 			continue
 		}
 		sum += max(r.info.Capacity.CPU-r.longRunningCPU, 0) // it may have shrunk below what runs there
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -107,7 +107,7 @@
 				entry.LongRunning++
 			}
 		}
-		if !r.info.Draining {
+		if !r.info.Draining && s.isHeard(r) {
 			load.Capacity += r.info.Capacity.CPU
 			load.Shrunk += r.largestCPU - r.info.Capacity.CPU
 		}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -297,7 +297,7 @@
 			s.addEvent("silent", "runner", id, "missed", r.missed, "heard", sinceMillis(now, r.lastAnswerAt), "error", err.Error())
 		}
 		r.nextHeartbeat = sent.Add(min(time.Duration(r.missed)*heartbeatBackoff, maxHeartbeatBackoff))
-		if leaving {
+		if leaving || r.missed > maxUnheard && !s.isHeard(r) {
 			r.nextHeartbeat = sent.Add(leavingBackoff)
 		}
 		return true
@@ -309,6 +309,9 @@
 	if answer.Refused != glade.RunAccepted {
 		r.missed++
 		r.nextHeartbeat = now.Add(maxHeartbeatBackoff)
+		if r.missed > maxUnheard && !s.isHeard(r) {
+			r.nextHeartbeat = now.Add(leavingBackoff)
+		}
 		return true
 	}
 	if r.missed > 0 {
@@ -381,10 +384,18 @@
 	heartbeatBackoff    = 100 * time.Millisecond
 	maxHeartbeatBackoff = 500 * time.Millisecond
 	// leavingBackoff is for runners that were emptied: their hosts are moved, and the
-	// platform lists the runners for some seconds more.
+	// platform lists the runners for some seconds more. It is also for those that have
+	// not answered maxUnheard heartbeats and were never heard of.
 	leavingBackoff = 2 * time.Second
+	maxUnheard     = 5
 )
 
+// isHeard reports whether a runner counts as capacity: any writer of the platform's list may
+// leave an entry that names no runner. One that an earlier leader has used is a runner.
+func (s *Scheduler) isHeard(r *runner) bool {
+	return r.contacted || r.missed <= maxUnheard || s.registered[r.info.ID]
+}
+
 func sinceMillis(now, then time.Time) int64 {
 	if then.IsZero() {
 		return -1
