--- a/tunnel/tunnel.go
+++ b/tunnel/tunnel.go
@@ -40,6 +40,9 @@
 	// Delay is the delay of each read in mode Slow, measured by Clock.
 	Delay time.Duration
 	Clock glade.Clock
+	// Rate bounds the data from the server on all connections together, in bytes per second; 0
+	// means no bound.
+	Rate float64
 }
 
 // Proxy is a listener with the connections that it forwards.
@@ -49,6 +52,8 @@
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
 	closed   bool
+	// freeAt is when the data from the server that has come so far has passed the bound of the rate.
+	freeAt time.Time
 }
 
 // New returns a proxy that is already listening.
@@ -80,6 +85,22 @@
 	}
 }
 
+// pace waits until some data from the server may be passed on.
+func (p *Proxy) pace(bytes int) error {
+	if p.config.Rate <= 0 {
+		return nil
+	}
+	now := p.config.Clock.Now()
+	p.mu.Lock()
+	if p.freeAt.Before(now) {
+		p.freeAt = now
+	}
+	p.freeAt = p.freeAt.Add(time.Duration(float64(bytes) / p.config.Rate * float64(time.Second)))
+	wait := p.freeAt.Sub(now)
+	p.mu.Unlock()
+	return p.config.Clock.Sleep(context.Background(), wait)
+}
+
 // Reset closes every connection with a TCP reset.
 func (p *Proxy) Reset() {
 	p.mu.Lock()
@@ -143,7 +164,7 @@
 		return
 	}
 	defer p.closeConn(server)
-	responses := &stream{proxy: p, from: server, to: c.client, dropModes: []Mode{DropAll, DropResponses}}
+	responses := &stream{proxy: p, from: server, to: c.client, isPaced: true, dropModes: []Mode{DropAll, DropResponses}}
 	go responses.run()
 	requests := &stream{proxy: p, from: c.client, to: server, dropModes: []Mode{DropAll, DropRequests}}
 	requests.run()
@@ -154,6 +175,7 @@
 	proxy     *Proxy
 	from, to  net.Conn
 	dropModes []Mode
+	isPaced   bool // the rate bounds it
 	// dropping is set once data was dropped: later data is dropped too, so that
 	// the receiver never sees a gap.
 	dropping bool
@@ -181,6 +203,9 @@
 	if config.Mode() == Slow && config.Clock.Sleep(context.Background(), config.Delay) != nil {
 		return false
 	}
+	if s.isPaced && s.proxy.pace(len(data)) != nil {
+		return false
+	}
 	mode := config.Mode()
 	s.dropping = s.dropping || slices.Contains(s.dropModes, mode)
 	if mode == Disconnect {
