Long-running tasks that fail again and again, or never fit, leave room to other work

Cause: work that lasts goes before all other work without a bound: it was started again at once and took all that the link carries; a runner was reserved for each pending task, whatever lasts there already.

Change: the second failure of a row delays the next start by 0.1 s, each further one twice as long, up to 4 s, spread by a quarter among the tasks of a step; a run of 5 s ends the row. A runner is reserved only if the task fits beside what lasts there.

--- a/sched/batch.go
+++ b/sched/batch.go
@@ -119,6 +119,10 @@
 	evicted bool
 	// readySince is when the task became ready to start.
 	readySince time.Time
+	// failuresInRow counts the failures of a long-running task without a healthy run between them.
+	// It does not start again before restartAt.
+	failuresInRow int
+	restartAt     time.Time
 	// lostAt is when a run was found missing. A newer leader may have seen its end,
 	// so that the task waits for a renewal of the leader row after lostAt.
 	lostAt time.Time
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -31,7 +31,9 @@
 	if t != nil {
 		s.dropCrash(st, t, end.Run) // the runner has survived the run
 	}
+	lasted := healthyRun
 	if n != nil {
+		lasted = now.Sub(n.startedAt)
 		s.recordOutcome(n, end.Reason, now)
 		if end.Reason == glade.EndStopped || end.Reason == glade.EndLeaseExpired {
 			s.stats.Stopped++
@@ -53,7 +55,7 @@
 	case glade.EndDone:
 		s.recordDone(st, end.Task.Index, now)
 	case glade.EndFailed:
-		s.recordFailure(r, st, end, now)
+		s.recordFailure(r, st, end, lasted, now)
 	default:
 		s.addEvent("ended", "batch", b.id, "step", st.index, "task", end.Task.Index, "run", end.Run,
 			"how", string(end.Reason), "runner", r.info.ID)
@@ -75,7 +77,8 @@
 	}
 }
 
-func (s *Scheduler) recordFailure(r *runner, st *step, end glade.EndedRun, now time.Time) {
+// recordFailure records that a run has failed after it has lasted for a time.
+func (s *Scheduler) recordFailure(r *runner, st *step, end glade.EndedRun, lasted time.Duration, now time.Time) {
 	b, t := st.occurrence.batch, &st.tasks[end.Task.Index]
 	if slices.Contains(t.failed, end.Run) {
 		return
@@ -86,6 +89,7 @@
 	}
 	s.addEvent("failed", "batch", b.id, "step", st.index, "task", end.Task.Index, "run", end.Run, "fails", len(t.failed)+1, "runner", r.info.ID)
 	if st.rule.LongRunning {
+		t.delayRestart(end.Task.Index, lasted, now)
 		return // long-running tasks have no limit of attempts
 	}
 	t.failed = append(t.failed, end.Run)
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -12,7 +12,7 @@
 	number := int64(0)
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.runs) > 0 || (!t.lostAt.IsZero() && !s.confirmedSince(t.lostAt)) {
+		if t.done || len(t.runs) > 0 || now.Before(t.restartAt) || (!t.lostAt.IsZero() && !s.confirmedSince(t.lostAt)) {
 			return nil
 		}
 		number = max(number, t.lastNumber+1)
--- a/sched/place.go
+++ b/sched/place.go
@@ -103,8 +103,8 @@
 			}
 		} else {
 			starts = append(starts, s.placeStep(next.step, all, now)...)
-			if next.step.pending > 0 && s.mayStart(next.step, 1) {
-				unreserved = s.reserve(next.step, newHeadrooms(false).take(next.step, next.step.pending), unreserved, now)
+			if due := next.step.duePending(now); due > 0 && s.mayStart(next.step, 1) {
+				unreserved = s.reserve(next.step, newHeadrooms(false).take(next.step, due), unreserved, now)
 			}
 		}
 		if len(starts) >= maxStarts || !s.pace.isOpen() {
@@ -132,13 +132,14 @@
 
 // reserve returns the usable runners without those that count pending tasks of a
 // long-running step wait for. Otherwise short tasks take every gap in a full
-// pool, and long-running tasks are never restarted.
+// pool, and long-running tasks are never restarted. A runner on which too much lasts
+// is not waited for: nothing there may end for minutes.
 func (s *Scheduler) reserve(st *step, count int, usable []*runner, now time.Time) []*runner {
 	left := slices.Clone(usable)
 	for range count {
 		best := -1
 		for i, r := range left {
-			if s.allows(r, st, now) && allocation(st.rule).Fits(r.info.Capacity) &&
+			if s.allows(r, st, now) && allocation(st.rule).Fits(r.info.Capacity.Minus(r.lasting())) &&
 				(best < 0 || r.utilization() < left[best].utilization()) {
 				best = i
 			}
@@ -189,7 +190,7 @@
 	limited := false
 	for i := range st.tasks {
 		t := &st.tasks[i]
-		if t.done || len(t.runs) > 0 || (!t.lostAt.IsZero() && !s.confirmedSince(t.lostAt)) {
+		if t.done || len(t.runs) > 0 || now.Before(t.restartAt) || (!t.lostAt.IsZero() && !s.confirmedSince(t.lostAt)) {
 			continue
 		}
 		if !s.pace.isOpen() {
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -119,6 +119,17 @@
 	}
 }
 
+// lasting returns what long-running tasks reserve.
+func (r *runner) lasting() glade.Need {
+	var sum glade.Need
+	for n := range r.runs {
+		if n.step.rule.LongRunning {
+			sum = sum.Plus(allocation(n.step.rule))
+		}
+	}
+	return sum
+}
+
 // hasShortRuns reports whether a task that ends runs on the runner.
 func (r *runner) hasShortRuns() bool {
 	for n := range r.runs {
