What a leader takes on is bounded by what any host holds that may lead after it

Cause: nothing bounded the tasks of a service, nor the parts of a progress row.

Change: a service takes 100,000 tasks of batches that have not ended, some 250 bytes each, as a weak host has 184 MB and may lead five services; further batches are refused at once (`size`, 503, Retry-After 10). Failures, crashes and checkpoints of a row have 16, 8 and 10 KB; what has no room is left out, and a task without its checkpoint begins anew under the next leader.

--- a/sched/admit.go
+++ b/sched/admit.go
@@ -32,8 +32,15 @@
 	// maxRetryAfter and minRetryAfter bound the retry time of refused callers.
 	maxRetryAfter = 10 * time.Second
 	minRetryAfter = time.Second
+	// maxLiveTasks bounds the tasks of all batches of a service that have not ended. Each takes
+	// some 250 bytes, a host may lead five services, and a weak one has 184 MB.
+	maxLiveTasks = 100_000
 )
 
+// refusedSize means that the service has as many tasks as the memory of any host holds that may
+// have to lead it.
+const refusedSize = "size"
+
 // Submit accepts or refuses a batch. A batch that is already known is accepted
 // again by its tenant, so that callers may retry.
 func (s *Scheduler) Submit(id glade.BatchID, queue glade.Queue, work glade.Batch, now time.Time) Admission {
@@ -64,7 +71,7 @@
 	s.hasGangs = s.hasGangs || hasGang(work)
 	b.workUnwritten = true
 	s.takeID(b)
-	s.live[b] = true
+	s.addLive(b)
 	s.markChanged(b)
 	return Admission{Accepted: true, Gen: b.gen}
 }
@@ -128,6 +135,9 @@
 	if !ok {
 		return "queue", 0
 	}
+	if s.liveTasks+batch.Tasks > maxLiveTasks {
+		return refusedSize, maxRetryAfter
+	}
 	if reason, wait := s.limitRefusal(queue, batch, t, now); reason != "" {
 		return reason, wait
 	}
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -254,6 +254,30 @@
 	return b.startedAt.Sub(b.submittedAt)
 }
 
+// addLive and dropLive keep the batches that have not ended, and the number of their tasks.
+func (s *Scheduler) addLive(b *batch) {
+	if !s.live[b] {
+		s.live[b] = true
+		s.liveTasks += taskRuns(&b.work)
+	}
+}
+
+func (s *Scheduler) dropLive(b *batch) {
+	if s.live[b] {
+		delete(s.live, b)
+		s.liveTasks -= taskRuns(&b.work)
+	}
+}
+
+// taskRuns returns the number of tasks of all occurrences of a batch.
+func taskRuns(work *glade.Batch) int {
+	n := 0
+	for i := range work.Steps {
+		n += work.Steps[i].Count
+	}
+	return n * work.Occurrences()
+}
+
 // finish ends a batch in a final state.
 func (s *Scheduler) finish(b *batch, state glade.BatchState, now time.Time) {
 	if b.state.IsFinal() {
@@ -265,7 +289,7 @@
 	for n := range b.runs {
 		s.touched[n.runner] = true
 	}
-	delete(s.live, b)
+	s.dropLive(b)
 	delete(s.suspects, b)
 	s.noteLargest(b)
 	for _, o := range b.occurrences {
--- a/sched/offer.go
+++ b/sched/offer.go
@@ -15,6 +15,8 @@
 	Work float64 `json:"work"`
 	// StartBytes is about how many bytes the starts of these tasks take.
 	StartBytes float64 `json:"bytes"`
+	// Tasks is the number of tasks of all occurrences.
+	Tasks int `json:"tasks,omitempty"`
 	// HasNoObjective means that the batch repeats or is long-running. Such batches are
 	// never refused for lack of capacity.
 	HasNoObjective bool `json:"always,omitempty"`
@@ -31,7 +33,7 @@
 // Summarize returns the summary of a batch.
 func Summarize(work glade.Batch) Summary {
 	summary := Summary{
-		HasNoObjective: work.Times > 0, Tenant: work.Tenant,
+		HasNoObjective: work.Times > 0, Tenant: work.Tenant, Tasks: taskRuns(&work),
 		ChainMs: longestChain(work.Steps, func(int) bool { return true }),
 	}
 	for i := range work.Steps {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -64,9 +64,10 @@
 	// needsAdvice means that a queue needs the advice service.
 	needsAdvice bool
 	batches     map[glade.BatchID]*batch
-	// live holds the batches that have not ended.
-	live    map[*batch]bool
-	runners map[glade.RunnerID]*runner
+	// live holds the batches that have not ended, liveTasks is the number of their tasks.
+	live      map[*batch]bool
+	liveTasks int
+	runners   map[glade.RunnerID]*runner
 	// ordered holds the runners by id.
 	ordered []*runner
 	// touched holds the runners of which something has changed since the last step,
--- a/sched/write.go
+++ b/sched/write.go
@@ -105,6 +105,32 @@
 // of a row.
 const maxCrashRows = 256
 
+// rowRoom is what is left of a progress row, in bytes of its JSON. The store takes 64 KB. Beside these
+// parts the row has what can't be left out: up to 1,024 occurrences and the bitmaps of 16,384 tasks.
+// Without a checkpoint a task starts from its beginning, without its failures it may fail more often,
+// if the leader changes.
+type rowRoom struct{ failures, crashes, checkpoints int }
+
+func newRowRoom() *rowRoom {
+	return &rowRoom{failures: 16 << 10, crashes: 8 << 10, checkpoints: 10 << 10}
+}
+
+// take reports whether there is room for some bytes, and takes them.
+func take(room *int, bytes int) bool {
+	if *room < bytes {
+		return false
+	}
+	*room -= bytes
+	return true
+}
+
+// Sizes of the parts of a progress row, in bytes, besides the keys and texts in them.
+const (
+	keyBytes     = 6
+	failureBytes = 16
+	crashBytes   = 64
+)
+
 // Limits of one write, below those of a transaction of the platform, which has room for two rows more:
 // the term is checked and renewed.
 const (
@@ -238,7 +264,7 @@
 	if b.replaced != nil {
 		s.batches[id] = b.replaced
 	}
-	delete(s.live, b)
+	s.dropLive(b)
 	s.addEvent("withdraw", "batch", id)
 	return true
 }
@@ -257,8 +283,9 @@
 		progress.State, progress.Accepted, progress.Owner, progress.EndedAt = b.state, len(b.cancelledBy) == 0, b.owner, b.endedAt.UnixMilli()
 		return progress
 	}
+	room := newRowRoom()
 	for _, o := range b.occurrences {
-		if record, ok := o.record(); ok {
+		if record, ok := o.record(room); ok {
 			progress.Occurrences = append(progress.Occurrences, record)
 		}
 	}
@@ -267,7 +294,7 @@
 
 // record returns the stored form of the occurrence's progress, and false if there
 // is none yet.
-func (o *occurrence) record() (OccurrenceRow, bool) {
+func (o *occurrence) record(room *rowRoom) (OccurrenceRow, bool) {
 	row := OccurrenceRow{Occurrence: o.number}
 	if o.left == 0 {
 		row.All = true
@@ -284,14 +311,14 @@
 				progressed = true
 				continue
 			}
-			if len(t.failed) > 0 {
+			if len(t.failed) > 0 && take(&room.failures, keyBytes+len(key)+failureBytes*len(t.failed)) {
 				progressed = true
 				if row.FailedRuns == nil {
 					row.FailedRuns = make(map[string][]int64)
 				}
 				row.FailedRuns[key] = slices.Clone(t.failed)
 			}
-			if len(t.crashes) > 0 && len(row.Crashes) < maxCrashRows {
+			if len(t.crashes) > 0 && len(row.Crashes) < maxCrashRows && take(&room.crashes, keyBytes+len(key)+crashBytes*len(t.crashes)) {
 				progressed = true
 				if row.Crashes == nil {
 					row.Crashes = make(map[string][]CrashRow)
@@ -300,7 +327,7 @@
 					row.Crashes[key] = append(row.Crashes[key], CrashRow{Run: c.run, Late: c.late, Alone: c.alone, Started: c.started})
 				}
 			}
-			if t.checkpoint != "" {
+			if t.checkpoint != "" && take(&room.checkpoints, keyBytes+len(key)+len(t.checkpoint)) {
 				progressed = true
 				if row.Checkpoints == nil {
 					row.Checkpoints = make(map[string]string)
@@ -342,7 +369,7 @@
 		return nil
 	}
 	s.hasGangs = s.hasGangs || hasGang(work.Work)
-	s.live[b] = true
+	s.addLive(b)
 	if progress == nil {
 		s.startDue(b, now)
 		return nil
