--- a/lead/loading.go
+++ b/lead/loading.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -263,3 +264,23 @@
 	m.config.Log.Info("term given up", "service", s.service, "epoch", s.term.Epoch, "why", errLoadStalled.Error())
 	s.leadership.release(ctx)
 }
+
+// recordTakeover records and logs what a new leader has read.
+func (m *Manager) recordTakeover(service glade.Service, stats TakeoverStats) {
+	m.mu.Lock()
+	if m.config.Limits.LinkRate > 0 {
+		stats.BoundMs = stats.Bound(m.config.Limits.LinkRate, max(len(m.leaders), 1)).Milliseconds()
+	}
+	m.takeovers[service] = stats
+	m.mu.Unlock()
+	m.config.Log.Info("service rows read", "service", service, "rows", stats.Rows, "pages", stats.Pages, "bytes", stats.Bytes,
+		"ms", stats.Ms, "bound", stats.BoundMs)
+}
+
+// Takeovers returns, for each service that this process has led, what it read when it last took
+// the service over.
+func (m *Manager) Takeovers() map[glade.Service]TakeoverStats {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return maps.Clone(m.takeovers)
+}
--- a/lead/manager.go
+++ b/lead/manager.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"net"
 	"sync"
 	"time"
@@ -206,26 +205,6 @@
 	return shares
 }
 
-// recordTakeover records and logs what a new leader has read.
-func (m *Manager) recordTakeover(service glade.Service, stats TakeoverStats) {
-	m.mu.Lock()
-	if m.config.Limits.LinkRate > 0 {
-		stats.BoundMs = stats.Bound(m.config.Limits.LinkRate, max(len(m.leaders), 1)).Milliseconds()
-	}
-	m.takeovers[service] = stats
-	m.mu.Unlock()
-	m.config.Log.Info("service rows read", "service", service, "rows", stats.Rows, "pages", stats.Pages, "bytes", stats.Bytes,
-		"ms", stats.Ms, "bound", stats.BoundMs)
-}
-
-// Takeovers returns, for each service that this process has led, what it read when it last took
-// the service over.
-func (m *Manager) Takeovers() map[glade.Service]TakeoverStats {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return maps.Clone(m.takeovers)
-}
-
 // LedServices returns the number of services that this process leads, without
 // the fleet, whose leader moves and maintains hosts.
 func (m *Manager) LedServices() int {
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -119,17 +119,6 @@
 	}
 }
 
-// lasting returns what long-running tasks reserve.
-func (r *runner) lasting() glade.Need {
-	var sum glade.Need
-	for n := range r.runs {
-		if n.step.rule.LongRunning {
-			sum = sum.Plus(allocation(n.step.rule))
-		}
-	}
-	return sum
-}
-
 // hasShortRuns reports whether a task that ends runs on the runner.
 func (r *runner) hasShortRuns() bool {
 	for n := range r.runs {
@@ -355,21 +344,6 @@
 	return true
 }
 
-// recordCompleteness records whether an answer listed all runs that have ended on a runner.
-func (s *Scheduler) recordCompleteness(r *runner, listed int, first, incomplete bool) {
-	if r.isIncomplete != incomplete {
-		s.needsPlacement = true
-		s.addEvent("ends", "runner", r.info.ID, "listed", listed, "incomplete", incomplete)
-	}
-	r.isIncomplete, r.hidesEnds = incomplete, incomplete && (first || r.hidesEnds)
-}
-
-// hidesAnyEnds reports whether an end that an earlier leader has not seen may be missing from
-// the list of a runner. The ends stay there until those before them are acknowledged.
-func (s *Scheduler) hidesAnyEnds() bool {
-	return slices.ContainsFunc(s.ordered, func(r *runner) bool { return r.hidesEnds })
-}
-
 // Pauses before the next heartbeat after one that has reported ends. Runners whose tasks
 // end some times a second are then asked less often and report several ends at once.
 const (
@@ -401,12 +375,6 @@
 	maxUnheard     = 5
 )
 
-// isHeard reports whether a runner counts as capacity: any writer of the platform's list may
-// leave an entry that names no runner. One that an earlier leader has used is a runner.
-func (s *Scheduler) isHeard(r *runner) bool {
-	return r.contacted || r.missed <= maxUnheard || s.registered[r.info.ID]
-}
-
 func sinceMillis(now, then time.Time) int64 {
 	if then.IsZero() {
 		return -1
