Probes of runners whose answers are overdue

In the trial that shows it, a run that has ended as done is given up, since its runner got some eight heartbeats between its last answer and the end of its leases, each lost for 0.7 s or rejected; its end is read when a start of the successor may still be carried out.

Cause: one heartbeat at a time, and a wait of its whole timeout for each.

Answers that a later one has overtaken are ignored. Lost answers look like overload to the pace, so that only a leader that gets no quick answer at all sends no probes. New log lines unread, dropped; heard tells how long the leases have been over.

Measured: TestUnreadEnds fails without it (one run is given up in both cases), TestOvertakenAnswer without its guard. The rest of sched's tests but the two known failures passed.

--- a/runner.go
+++ b/runner.go
@@ -94,6 +94,9 @@
 	// Wait is how long the runner may delay its answer until a run ends (long
 	// polling).
 	Wait time.Duration
+	// Probe marks a heartbeat that is sent while the answer to another one is overdue. It renews
+	// no lease, acknowledges nothing and is answered at once.
+	Probe bool
 }
 
 // EndReason is the reason why a run ended.
--- a/sched/ends.go
+++ b/sched/ends.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -32,6 +33,9 @@
 	if t != nil {
 		s.dropCrash(st, t, end.Run) // the runner has survived the run
 	}
+	if t != nil && n == nil && end.Reason == glade.EndDone && !t.done {
+		s.recordUnread(r, t, end)
+	}
 	lasted := healthyRun
 	if n != nil {
 		lasted = now.Sub(n.startedAt)
@@ -68,6 +72,18 @@
 	return b
 }
 
+// recordUnread records that a run had ended as done when it was given up. Starts of its successors that
+// may still be carried out are the danger.
+func (s *Scheduler) recordUnread(r *runner, t *task, end glade.EndedRun) {
+	s.stats.Unread++
+	successors := make([]string, 0, len(t.runs))
+	for _, n := range t.runs {
+		successors = append(successors, fmt.Sprintf("%d on %s, phase %d, start %d", n.number, n.runner.info.ID, n.phase, n.start.State()))
+	}
+	s.addEvent("unread", "runner", r.info.ID, "batch", end.Task.Batch, "step", end.Task.Step, "task", end.Task.Index, "run", end.Run,
+		"lease", r.leaseEnd-r.clock, "successors", successors)
+}
+
 // recordDone marks a task as done. In a gang, one done task completes all.
 func (s *Scheduler) recordDone(st *step, index int, now time.Time) {
 	if !st.rule.Gang {
--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -179,11 +179,11 @@
 // lapse gives up the runs on runners whose leases have ended. A newer leader may
 // have renewed those leases, so that a renewal of the leader row after their end
 // is needed first. A run may also have ended before its lease, and its runner may have
-// said so in an answer that this leader has not read yet: so the runner is asked once
-// more after the end of the leases, unless there is no address to ask.
+// said so in an answer that this leader has not read yet: so the runner is asked
+// again after the end of the leases, unless there is no address to ask.
 func (s *Scheduler) lapse(now time.Time) {
 	for _, r := range s.runners {
-		if len(r.runs) == 0 || !r.leasesExpired(now) || (!r.silentAfterLease && r.info.Address != "") || !s.confirmedSince(r.lapse()) {
+		if len(r.runs) == 0 || !r.leasesExpired(now) || (!r.isSilentAfterLease(now) && r.info.Address != "") || !s.confirmedSince(r.lapse()) {
 			continue
 		}
 		s.recordCrash(r, "lapsed", false, now)
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -128,7 +128,7 @@
 			o.run.orderInFlight = true
 		}
 	}
-	orders.Heartbeats = s.heartbeats(now)
+	orders.Heartbeats = append(s.heartbeats(now), s.probes(now)...)
 	if wait := s.pace.opensIn(); wait > 0 && now.Add(wait).Before(orders.Next) {
 		orders.Next = now.Add(wait)
 		s.needsPlacement = true
@@ -149,6 +149,9 @@
 	}
 	for _, r := range s.ordered {
 		s.touched[r] = true
+		if r.isOverdue(now) {
+			s.overdue[r] = true
+		}
 	}
 	if len(s.tenants) > 0 {
 		s.logLimits(now)
--- a/sched/pace.go
+++ b/sched/pace.go
@@ -23,6 +23,8 @@
 	answers, slow int
 	// overloadedAt is when most starts of a period were last slow.
 	overloadedAt time.Time
+	// quickAt is when a start was last answered quickly.
+	quickAt time.Time
 	// workPerByte is the average work of a task for each byte of its start, in millicores
 	// times milliseconds; 0 before the first batch.
 	workPerByte float64
@@ -62,6 +64,8 @@
 	p.answers++
 	if took > slowAnswer {
 		p.slow++
+	} else {
+		p.quickAt = now
 	}
 	if now.Sub(p.periodStart) < adjustPeriod {
 		return
@@ -90,6 +94,15 @@
 // isOpen reports whether a start may be sent now.
 func (p *pace) isOpen() bool { return p.rate == 0 || p.tokens > 0 }
 
+// quickTTL is how long a quick answer shows that slow ones are due to their runners.
+const quickTTL = 500 * time.Millisecond
+
+// isCongested reports whether the leader is overloaded and no runner answers quickly. Answers that get
+// lost look like overload, until some others are quick.
+func (p *pace) isCongested(now time.Time) bool {
+	return p.isOverloaded(now) && now.Sub(p.quickAt) > quickTTL
+}
+
 func (p *pace) take(bytes float64) {
 	if p.rate > 0 {
 		p.tokens -= bytes
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -38,9 +38,12 @@
 	answerDue time.Time
 	// nextHeartbeat is the earliest time of the next heartbeat.
 	nextHeartbeat time.Time
-	// silentAfterLease means that a heartbeat which was sent after the end of every lease
-	// got no answer or was refused, although this leader was punctual.
-	silentAfterLease bool
+	// unheardAfterLease counts the heartbeats that were sent after the end of every lease and got
+	// no answer or were refused, although this leader was punctual.
+	unheardAfterLease int
+	// probes is the number of probes in flight, probedAt when the last one was sent.
+	probes   int
+	probedAt time.Time
 	// silentAt is when the runner went silent after its last answer, zero while it answers.
 	silentAt time.Time
 	// aliveAt is the latest time at which an answer has shown that the runner was alive.
@@ -219,7 +222,7 @@
 	id := r.info.ID
 	delete(s.runners, id)
 	s.ordered = slices.DeleteFunc(s.ordered, func(other *runner) bool { return other == r })
-	for _, set := range []map[*runner]bool{s.touched, s.evacuating, s.idleBeat} {
+	for _, set := range []map[*runner]bool{s.touched, s.evacuating, s.idleBeat, s.overdue} {
 		delete(set, r)
 	}
 }
@@ -281,48 +284,76 @@
 	if !ok {
 		return true
 	}
-	r.heartbeatInFlight = false
-	s.idleBeat[r], s.touched[r] = true, true
+	s.touched[r] = true
+	if order.Probe {
+		r.probes = max(r.probes-1, 0)
+	} else {
+		r.heartbeatInFlight = false
+		s.idleBeat[r] = true
+	}
+	switch {
+	case err == nil && answer.Refused == glade.RefusedFence:
+		s.addEvent("fenced", "runner", id, "fence", order.Fence)
+		return false
+	case err == nil && answer.Refused == glade.RunAccepted:
+		s.applyAnswer(r, sent, order, answer, now)
+	default:
+		s.recordUnheard(r, sent, order, err, now)
+	}
+	return true
+}
+
+// recordUnheard records that a heartbeat got no answer or was refused.
+func (s *Scheduler) recordUnheard(r *runner, sent time.Time, order glade.HeartbeatOrder, err error, now time.Time) {
 	// A refusal shows as well that this leader can learn nothing more from the runner.
-	unheard := err != nil || answer.Refused != glade.RunAccepted
-	if unheard && r.leasesExpired(sent) && now.Sub(s.delayedAt) > punctualTime {
-		r.silentAfterLease = true
+	if r.leasesExpired(sent) && now.Sub(s.delayedAt) > punctualTime {
+		r.unheardAfterLease++
 	}
-	if unheard {
-		if isPolled(sent, order.Wait, now) {
-			r.noteAlive(now)
-		}
-		s.noteSilence(r, now)
+	if order.Probe {
+		return
+	}
+	if r.lastAnswerAt.After(sent) { // a probe was answered meanwhile
+		s.answerLostAt, r.nextHeartbeat = now, now
+		return
+	}
+	if isPolled(sent, order.Wait, now) {
+		r.noteAlive(now)
 	}
+	s.noteSilence(r, now)
+	r.missed++
 	if err != nil {
-		r.missed++
 		leaving := len(r.runs) == 0 && !r.evacuateAskedAt.IsZero()
 		if !leaving && (r.missed == 1 || r.missed%10 == 0) {
-			s.addEvent("silent", "runner", id, "missed", r.missed, "heard", sinceMillis(now, r.lastAnswerAt), "error", err.Error())
+			s.addEvent("silent", "runner", r.info.ID, "missed", r.missed, "heard", sinceMillis(now, r.lastAnswerAt), "error", err.Error())
 		}
 		r.nextHeartbeat = sent.Add(min(time.Duration(r.missed)*heartbeatBackoff, maxHeartbeatBackoff))
 		if leaving || r.missed > maxUnheard && !s.isHeard(r) {
 			r.nextHeartbeat = sent.Add(leavingBackoff)
 		}
-		return true
+		return
 	}
-	if answer.Refused == glade.RefusedFence {
-		s.addEvent("fenced", "runner", id, "fence", order.Fence)
-		return false
+	r.nextHeartbeat = now.Add(maxHeartbeatBackoff)
+	if r.missed > maxUnheard && !s.isHeard(r) {
+		r.nextHeartbeat = now.Add(leavingBackoff)
 	}
-	if answer.Refused != glade.RunAccepted {
-		r.missed++
-		r.nextHeartbeat = now.Add(maxHeartbeatBackoff)
-		if r.missed > maxUnheard && !s.isHeard(r) {
-			r.nextHeartbeat = now.Add(leavingBackoff)
-		}
-		return true
+}
+
+// applyAnswer processes an accepted heartbeat.
+func (s *Scheduler) applyAnswer(r *runner, sent time.Time, order glade.HeartbeatOrder, answer glade.HeartbeatAnswer, now time.Time) {
+	if answer.Born < r.incarnation || answer.Born == r.incarnation && answer.Clock < r.clock {
+		return // overtaken by a later answer on another connection
 	}
 	if r.missed > 0 {
-		s.addEvent("heard", "runner", id, "missed", r.missed)
+		s.addEvent("heard", "runner", r.info.ID, "missed", r.missed, "probe", order.Probe, "lease", r.leaseEnd-answer.Clock)
+	}
+	if r.missed > 0 || order.Probe {
 		s.answerLostAt = now
 	}
-	r.missed, r.maybeRestarted, r.silentAfterLease = 0, false, false
+	if order.Probe {
+		s.stats.Probed++
+		r.nextHeartbeat = now
+	}
+	r.missed, r.maybeRestarted, r.unheardAfterLease = 0, false, 0
 	r.answerDue = now.Add(s.config.HeartbeatWait + heartbeatSlack)
 	if r.incarnation != answer.Born {
 		s.startIncarnation(r, answer, now)
@@ -337,7 +368,7 @@
 	r.contacted = true
 	if first {
 		s.needsPlacement = true
-		s.addEvent("held", "runner", id, "running", len(answer.Running), "ended", len(answer.Ended))
+		s.addEvent("held", "runner", r.info.ID, "running", len(answer.Running), "ended", len(answer.Ended))
 	}
 	s.recordCompleteness(r, len(answer.Ended), first, answer.Incomplete)
 	s.applyRunning(r, answer.Running, sent, now)
@@ -345,7 +376,6 @@
 	s.giveUpMissing(r, sent, answer, now)
 	s.reviewTrials(r, now)
 	r.advanceWritten()
-	return true
 }
 
 // Pauses before the next heartbeat after one that has reported ends. Runners whose tasks
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -73,6 +73,8 @@
 	// touched holds the runners of which something has changed since the last step,
 	// evacuating those under evacuation, and idleBeat those without a heartbeat in flight.
 	touched, evacuating, idleBeat map[*runner]bool
+	// overdue holds the runners that may need probes.
+	overdue map[*runner]bool
 	// stopping holds the runs that are to be stopped.
 	stopping map[*run]bool
 	// reviewedAt is when all runners were last reviewed.
@@ -157,9 +159,10 @@
 	// waits for its limit alone.
 	blocked map[*tenant]bool
 	// demandGen counts the changes of what tenants use and want.
-	demandGen int64
-	events    []Event
-	stats     Stats
+	demandGen     int64
+	events        []Event
+	droppedEvents int
+	stats         Stats
 }
 
 // Event is a decision or observation that the caller logs.
@@ -173,6 +176,8 @@
 type Stats struct {
 	Accepted, Refused, Started, Done, Failed, Lapsed, Lost, Crashed, CrashLoops, Stopped, Retried int64
 	OnTime, Late                                                                                  int64
+	// Probed counts answered probes, Unread the runs that had ended as done when they were given up.
+	Probed, Unread int64
 	// Waited counts tasks and gangs that have waited for a rack, WaitsGained those that got a
 	// place there, and WaitsGivenUp those that did not. WaitsGainMs is the expected time that
 	// this has saved, less the time of the waits.
@@ -192,6 +197,7 @@
 		touched:         make(map[*runner]bool),
 		evacuating:      make(map[*runner]bool),
 		idleBeat:        make(map[*runner]bool),
+		overdue:         make(map[*runner]bool),
 		stopping:        make(map[*run]bool),
 		suspects:        make(map[*batch]bool),
 		trials:          make(map[*run]bool),
@@ -216,21 +222,27 @@
 // Stats returns the counters since the takeover.
 func (s *Scheduler) Stats() Stats { return s.stats }
 
-// Events returns the events since the last call, at most maxEvents of them.
+// Events returns the events since the last call, at most maxEvents of them,
+// and how many more there were.
 func (s *Scheduler) Events() []Event {
 	events := s.events
-	s.events = nil
+	if s.droppedEvents > 0 {
+		events = append(events, Event{Name: "dropped", Pairs: []any{"events", s.droppedEvents}})
+	}
+	s.events, s.droppedEvents = nil, 0
 	return events
 }
 
 // maxEvents bounds the events between two calls of Events; later ones are
-// dropped.
+// dropped and counted.
 const maxEvents = 200
 
 func (s *Scheduler) addEvent(name string, pairs ...any) {
-	if len(s.events) < maxEvents {
-		s.events = append(s.events, Event{Name: name, Pairs: pairs})
+	if len(s.events) == maxEvents {
+		s.droppedEvents++
+		return
 	}
+	s.events = append(s.events, Event{Name: name, Pairs: pairs})
 }
 
 // LeaderRenewed records that a write sent at the given time has confirmed the
