--- a/sched/ends.go
+++ b/sched/ends.go
@@ -33,7 +33,7 @@
 	if t != nil {
 		s.dropCrash(st, t, end.Run) // the runner has survived the run
 	}
-	if t != nil && n == nil && end.Reason == glade.EndDone && !t.done {
+	if t != nil && n == nil && end.Reason == glade.EndDone && !t.done && end.Run > s.runNumber(0) {
 		s.recordUnread(r, t, end)
 	}
 	lasted := healthyRun
@@ -72,7 +72,7 @@
 	return b
 }
 
-// recordUnread records that a run had ended as done when it was given up. Starts of its successors that
+// recordUnread records that a run of this leader had ended as done when it was given up. Starts of its successors that
 // may still be carried out are the danger.
 func (s *Scheduler) recordUnread(r *runner, t *task, end glade.EndedRun) {
 	s.stats.Unread++
