A crash that no leader lived to record is found by the next one

Cause: what a leader knows of a crash is in its memory until a row has it. The count of one unseen crash for each task that was not found running was a guess: it came also where no runner was lost, and never for a second crash.

Change: the row of the registered runners names the incarnation of each, by a tag of 5 digits. One that has crashed stays there until the crashes under its tasks are written (before, it could be dropped in an earlier write than theirs). A leader that finds a registered runner gone, or of another incarnation at its first contact, counts it in the same row with the time of its takeover; each such loss counts as one possible crash for the tasks of batches submitted before, up to three, and only towards the five. The guess is gone. Rows of earlier versions are read. The other ways are in docs/DESIGN.md.

--- a/lead/service.go
+++ b/lead/service.go
@@ -171,16 +171,17 @@
 	if err := loadBatches(scheduler, batchRows, progressRows, now); err != nil {
 		s.manager.config.Log.Error(err, "batch row could not be loaded", "service", s.service)
 	}
-	var ids []glade.RunnerID
+	var registry sched.RegistryRow
 	if runnersRow.Version > 0 {
-		if err := json.Unmarshal(runnersRow.Value, &ids); err != nil {
+		if err := json.Unmarshal(runnersRow.Value, &registry); err != nil {
 			s.manager.config.Log.Error(err, "list of runners in use is not valid JSON: tasks may run on any runner", "service", s.service)
+			registry = sched.RegistryRow{}
 			for _, info := range s.listedRunners() {
-				ids = append(ids, info.ID)
+				registry.Runners = append(registry.Runners, info.ID)
 			}
 		}
 	}
-	scheduler.LoadRegistered(ids)
+	scheduler.LoadRegistered(registry)
 	scheduler.LeaderRenewed(s.confirmedAt)
 	s.paths.load(rows.paths, len(batchRows)+len(progressRows) > 0)
 	rules := s.publish(scheduler, now)
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -113,9 +113,6 @@
 	// crashes lists the crashes of runners under the task, in their order, and then the
 	// trial that may end in one.
 	crashes []crash
-	// mayHaveCrashed means that a run of an earlier leader may have ended with its runner, and
-	// that leader before it noticed. Starts are not stored, so that nothing tells.
-	mayHaveCrashed bool
 	// failedOn lists runners on which the task failed.
 	failedOn []glade.RunnerID
 	// evicted means that a run was stopped once to free its host.
--- a/sched/crash.go
+++ b/sched/crash.go
@@ -22,9 +22,6 @@
 	// started means that the task has certainly run there: a start without an answer may
 	// have found its runner dead.
 	started bool
-	// unseen stands for a crash that an earlier leader may not have lived to record. It counts
-	// towards maxCrashes only.
-	unseen bool
 }
 
 // Limits of crashes.
@@ -41,7 +38,8 @@
 	// looked for.
 	minCrashes     = 2
 	certainCrashes = 3
-	// maxCrashes is the number of crashes after which a task is given up in any case.
+	// maxCrashes is the number of crashes after which a task is given up in any case, those
+	// included that no row tells of.
 	maxCrashes = 5
 )
 
@@ -71,8 +69,9 @@
 		s.addCrash(n, c, explained || r.aliveAt.Sub(n.startedAt) > promptCrash, now)
 		s.addEvent("crashed", "runner", r.info.ID, "batch", n.step.occurrence.batch.id, "step", n.step.index, "task", n.index,
 			"run", n.number, "age", r.aliveAt.Sub(n.startedAt).Milliseconds(), "crashes", n.task().crashCount(), "alone", c.alone,
-			"explained", explained, "how", how)
+			"explained", explained, "unseen", s.unseenCrashes(n.step), "how", how)
 	}
+	s.holdLost(r)
 }
 
 // addCrash adds a crash to the task of a run. doubtful means that the crash may well have
@@ -87,26 +86,23 @@
 	}
 	t.crashes = slices.DeleteFunc(t.crashes, func(other crash) bool { return other.run == c.run })
 	c.alone = c.alone && (!doubtful || t.crashCount()+1 >= certainCrashes)
-	if t.mayHaveCrashed && !slices.ContainsFunc(t.crashes, func(other crash) bool { return other.unseen }) {
-		t.crashes = append(t.crashes, crash{run: s.runNumber(0), unseen: true})
-	}
-	t.mayHaveCrashed = false
 	t.crashes = append(t.crashes, c)
 	s.stats.Crashed++
 	s.suspects[b], n.step.survived = true, false
 	s.markChanged(b)
+	s.losses.unwritten[b] = b.gen
 	s.giveUpCrashLoop(n.step, n.index, now)
 }
 
 // giveUpCrashLoop gives up a batch if one of its tasks has crashed its runners.
 func (s *Scheduler) giveUpCrashLoop(st *step, index int, now time.Time) bool {
 	t, b := &st.tasks[index], st.occurrence.batch
-	if !t.isCrashLoop() {
+	if !t.isCrashLoop(s.unseenCrashes(st)) {
 		return false
 	}
 	s.stats.CrashLoops++
 	s.addEvent("crashloop", "batch", b.id, "queue", b.queue, "step", st.index, "task", index, "crashes", t.crashCount(),
-		"image", st.rule.Image)
+		"unseen", s.unseenCrashes(st), "image", st.rule.Image)
 	s.finish(b, glade.BatchFailed, now)
 	return true
 }
@@ -121,7 +117,7 @@
 func (t *task) crashCount() int {
 	count := 0
 	for _, c := range t.crashes {
-		if !c.pending && !c.unseen {
+		if !c.pending {
 			count++
 		}
 	}
@@ -129,36 +125,20 @@
 }
 
 // isCrashLoop reports whether a task has crashed enough runners, the last one alone, or so
-// many that it is given up in any case.
-func (t *task) isCrashLoop() bool {
+// many, with those that were not seen, that it is given up in any case.
+func (t *task) isCrashLoop(unseen int) bool {
 	count, started, alone := 0, 0, false
 	for _, c := range t.crashes {
 		if c.pending {
 			continue
 		}
 		count++
-		if c.unseen {
-			continue
-		}
 		alone = c.alone
 		if c.started {
 			started++
 		}
 	}
-	return count >= maxCrashes || (started >= minCrashes && alone)
-}
-
-// expectCrashes marks the tasks of a batch of an earlier leader that may have crashed their
-// runners since its rows were written. Each run of a suspect is stored before it starts.
-func (b *batch) expectCrashes() {
-	for _, o := range b.occurrences {
-		for _, st := range o.steps {
-			for i := range st.tasks {
-				t := &st.tasks[i]
-				t.mayHaveCrashed = !t.done && !t.isSuspect()
-			}
-		}
-	}
+	return count+unseen >= maxCrashes || (started >= minCrashes && alone)
 }
 
 // isSuspect reports whether a task may have crashed its runners, so that it must not start
@@ -169,9 +149,6 @@
 	}
 	late := 0
 	for _, c := range t.crashes {
-		if c.unseen {
-			continue
-		}
 		if !c.late {
 			return true
 		}
@@ -185,7 +162,7 @@
 func (t *task) crashesLate() bool {
 	late := 0
 	for _, c := range t.crashes {
-		if !c.pending && !c.late && !c.unseen {
+		if !c.pending && !c.late {
 			return false
 		}
 		if c.late {
--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -294,6 +294,102 @@
 	r.expectState(batch, glade.BatchFailed)
 }
 
+// newLateCrasher returns a harness with a task that crashes its runners long after its start.
+func newLateCrasher(t *testing.T) *harness {
+	t.Helper()
+	r := newHarness(qt.New(t), 8, twoCores)
+	r.longPoll, r.answerEnds = time.Second, true
+	r.advance(time.Second)
+	r.submit("a", oneTask(60_000))
+	return r
+}
+
+// wait goes on for 4 s: crashes are noticed, and runners come back.
+func (r *harness) wait() {
+	for range 200 {
+		r.advance(20 * time.Millisecond)
+		r.recover()
+	}
+}
+
+// awaitCrash goes on until the leader notices a crash.
+func (r *harness) awaitCrash() {
+	for before := r.sched.Stats().Crashed; r.sched.Stats().Crashed == before; r.recover() {
+		r.advance(20 * time.Millisecond)
+	}
+}
+
+// Crashes are forgotten if each leader that sees one dies before it has written it.
+func TestCrashesOutliveTheLeadersThatSawThem(t *testing.T) {
+	const batch, maxCrashes = "a", 5
+	expectGivenUp := func(t *testing.T, restart bool) {
+		t.Helper()
+		r := newLateCrasher(t)
+		for i := range maxCrashes {
+			r.wait()
+			r.expectState(batch, glade.BatchRunning)
+			id := r.runnerOf(batch)
+			r.crash(id, glade.TaskID{Batch: batch})
+			if restart {
+				c := &r.crashes[len(r.crashes)-1]
+				c.reported, c.back = true, true
+				r.runners[id] = &fakeRunner{incarnation: r.now.UnixMilli(), startedAt: r.now}
+			}
+			if i >= 3 {
+				continue
+			}
+			r.storeDown = true
+			r.awaitCrash()
+			r.storeDown = false
+			r.reload(int64(i) + 2)
+		}
+		r.wait()
+		r.expectState(batch, glade.BatchFailed)
+	}
+	t.Run("when the runners are gone", func(t *testing.T) { expectGivenUp(t, false) })
+	t.Run("when they restart under their ids", func(t *testing.T) { expectGivenUp(t, true) })
+}
+
+// Crashes that a leader has written count a second time under the next one, as runners lost unseen.
+func TestWrittenCrashesCountOnce(t *testing.T) {
+	const batch = "a"
+	r := newLateCrasher(t)
+	for i := range 4 {
+		r.wait()
+		r.expectState(batch, glade.BatchRunning)
+		r.crash(r.runnerOf(batch), glade.TaskID{})
+		r.awaitCrash()
+		r.advance(100 * time.Millisecond)
+		r.reload(int64(i) + 2)
+	}
+	r.wait()
+	r.expectState(batch, glade.BatchRunning)
+}
+
+// The row of the runners drops one that has crashed before the crash is written, in a write of its
+// own: then nothing tells the next leader.
+func TestCrashedRunnerStaysRegisteredUntilItIsWritten(t *testing.T) {
+	r := newLateCrasher(t)
+	r.wait()
+	id := r.runnerOf("a")
+	r.storeDown = true
+	for i := range 200 {
+		r.submit(glade.BatchID(fmt.Sprintf("b%d", i)), oneTask(60_000))
+	}
+	r.crash(id, glade.TaskID{Batch: "a"})
+	r.awaitCrash()
+	for written := false; !written; {
+		w := r.sched.BeginWrite()
+		row, ok := w.Progress["a"]
+		written = ok && len(row.Occurrences) > 0 && len(row.Occurrences[0].Crashes) > 0
+		r.c.Assert(w.Registered == nil || slices.Contains(w.Registered.Runners, id), qt.IsTrue)
+		r.sched.FinishWrite(w, true, r.now)
+	}
+	w := r.sched.BeginWrite()
+	r.c.Assert(w.Registered, qt.IsNotNil)
+	r.c.Assert(slices.Contains(w.Registered.Runners, id), qt.IsFalse)
+}
+
 // A task that has crashed its runner starts a second time, as a copy of a slow one, before the
 // crash is noticed.
 func TestNoCopyOfARunThatMayHaveCrashedItsRunner(t *testing.T) {
--- a/sched/listed.go
+++ b/sched/listed.go
@@ -152,7 +152,7 @@
 		st.pending--
 	}
 	unwanted := t.done || len(t.runs) > 0 || st.occurrence.batch.state.IsFinal()
-	t.runs, t.mayHaveCrashed = append(t.runs, n), false
+	t.runs = append(t.runs, n)
 	t.lastNumber = max(t.lastNumber, active.Run-(s.config.Epoch-1)*runsPerEpoch)
 	s.attach(n)
 	st.occurrence.batch.runs[n] = true
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -39,7 +39,7 @@
 	epoch         int64
 	workRows      map[glade.BatchID]sched.WorkRow
 	progressRows  map[glade.BatchID]sched.ProgressRow
-	registered    []glade.RunnerID
+	registered    sched.RegistryRow
 	delayedOrders []delayedOrder
 	// ackedDone holds the tasks of which a done run was acknowledged.
 	ackedDone map[glade.TaskID]bool
@@ -412,7 +412,7 @@
 		delete(w.progressRows, id)
 	}
 	if rows.Registered != nil {
-		w.registered = rows.Registered
+		w.registered = *rows.Registered
 	}
 	l.sched.FinishWrite(rows, true, w.now)
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -53,11 +53,15 @@
 
 // deregister removes a runner from the registered ones.
 func (s *Scheduler) deregister(id glade.RunnerID) {
+	r, ok := s.runners[id]
 	if s.registered[id] {
+		if !ok || !r.contacted {
+			s.recordLoss(id, "gone")
+		}
 		delete(s.registered, id)
 		s.registryGen++
 	}
-	if r, ok := s.runners[id]; ok {
+	if ok {
 		r.registryGen = 0
 	}
 }
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -236,15 +236,6 @@
 	return r
 }
 
-// LoadRegistered restores the runners that earlier leaders may have used, from
-// their row.
-func (s *Scheduler) LoadRegistered(ids []glade.RunnerID) {
-	for _, id := range ids {
-		s.registered[id] = true
-		s.runner(id)
-	}
-}
-
 // mayHaveUnknownRuns reports whether runs of an earlier leader may be active on a
 // runner that has not answered this one yet.
 func (s *Scheduler) mayHaveUnknownRuns(id glade.RunnerID, now time.Time) bool {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -109,6 +109,7 @@
 	// which its row is written.
 	registryGen     int64
 	registryWritten int64
+	losses          losses
 	// suspects holds the batches with a crash that may be their doing, trials the runs of
 	// suspect tasks that have not survived yet, and silences the runners that went silent.
 	suspects       map[*batch]bool
@@ -196,6 +197,7 @@
 		suspects:        make(map[*batch]bool),
 		trials:          make(map[*run]bool),
 		registered:      make(map[glade.RunnerID]bool),
+		losses:          newLosses(),
 		loadAverages:    make(map[glade.Queue]*loadAverage),
 		refused:         make(map[glade.BatchID]bool),
 		tenants:         make(map[glade.Tenant]*tenant),
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -30,7 +30,7 @@
 	storeDown bool
 	// loseAcks makes runners miss the acknowledgements of their end reports.
 	loseAcks   bool
-	registered []glade.RunnerID
+	registered sched.RegistryRow
 	filled     int
 	// longPoll bounds how long runners delay the answer to a heartbeat.
 	longPoll time.Duration
@@ -246,7 +246,7 @@
 		}
 		r.mostRows = max(r.mostRows, w.Len()+w.Deletions.Len())
 		if w.Registered != nil {
-			r.registered = w.Registered
+			r.registered = *w.Registered
 		}
 		r.sched.FinishWrite(w, true, r.now)
 	}
@@ -796,11 +796,11 @@
 	t.Run("stays registered until then", func(t *testing.T) {
 		r, id := newEnded(t)
 		w := r.sched.BeginWrite()
-		r.c.Assert(w.Registered == nil || slices.Contains(w.Registered, id), qt.IsTrue)
+		r.c.Assert(w.Registered == nil || slices.Contains(w.Registered.Runners, id), qt.IsTrue)
 		r.sched.FinishWrite(w, true, r.now)
 		r.storeDown = false
 		r.advance(200 * time.Millisecond)
-		r.c.Assert(slices.Contains(r.registered, id), qt.IsFalse)
+		r.c.Assert(slices.Contains(r.registered.Runners, id), qt.IsFalse)
 	})
 }
 
--- a/sched/write.go
+++ b/sched/write.go
@@ -91,7 +91,7 @@
 	Alone bool `json:"alone,omitempty"`
 	// Started means that the task has certainly run there.
 	Started bool `json:"begun,omitempty"`
-	// Unseen means that an earlier leader may not have lived to record the crash.
+	// Unseen stands for no crash; only rows of earlier versions have it.
 	Unseen bool `json:"unseen,omitempty"`
 }
 
@@ -146,8 +146,8 @@
 type Write struct {
 	Work     map[glade.BatchID]WorkRow
 	Progress map[glade.BatchID]ProgressRow
-	// Registered lists the runners that may run tasks; it is written unless it is nil.
-	Registered []glade.RunnerID
+	// Registered is the row of the runners that may run tasks; it is written unless it is nil.
+	Registered *RegistryRow
 	Deletions  Deletions
 	gen        int64
 }
@@ -180,11 +180,7 @@
 func (s *Scheduler) BeginWrite() Write {
 	w := Write{Work: make(map[glade.BatchID]WorkRow), Progress: make(map[glade.BatchID]ProgressRow), gen: s.registryGen}
 	if s.registryGen > s.registryWritten {
-		w.Registered = make([]glade.RunnerID, 0, len(s.registered))
-		for id := range s.registered {
-			w.Registered = append(w.Registered, id)
-		}
-		slices.Sort(w.Registered)
+		w.Registered = s.registryRow()
 	}
 	s.writes.inFlight = make(map[*batch]int64)
 	bytes, n := 0, 0
@@ -246,6 +242,7 @@
 			b.writtenState, b.isStateComplete = progress.State, true
 		}
 	}
+	s.releaseLost()
 	for _, r := range s.runners {
 		r.advanceWritten()
 	}
@@ -326,7 +323,7 @@
 					row.Crashes = make(map[string][]CrashRow)
 				}
 				for _, c := range t.crashes {
-					row.Crashes[key] = append(row.Crashes[key], CrashRow{Run: c.run, Late: c.late, Alone: c.alone, Started: c.started, Unseen: c.unseen})
+					row.Crashes[key] = append(row.Crashes[key], CrashRow{Run: c.run, Late: c.late, Alone: c.alone, Started: c.started})
 				}
 			}
 			if t.checkpoint != "" && take(&room.checkpoints, keyBytes+len(key)+len(t.checkpoint)) {
@@ -373,7 +370,6 @@
 	s.hasGangs = s.hasGangs || hasGang(work.Work)
 	s.addLive(b)
 	if progress == nil {
-		b.expectCrashes()
 		s.startDue(b, now)
 		return nil
 	}
@@ -386,7 +382,6 @@
 			s.suspects[b] = true
 		}
 	}
-	b.expectCrashes()
 	s.startDue(b, now)
 	return nil
 }
@@ -432,7 +427,9 @@
 	for key, crashes := range row.Crashes {
 		if t := o.findTask(key); t != nil {
 			for _, c := range crashes {
-				t.crashes = append(t.crashes, crash{run: c.Run, late: c.Late, alone: c.Alone, started: c.Started, unseen: c.Unseen})
+				if !c.Unseen {
+					t.crashes = append(t.crashes, crash{run: c.Run, late: c.Late, alone: c.Alone, started: c.Started})
+				}
 			}
 		}
 	}
