--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -321,8 +321,8 @@
 
 // Crashes are forgotten if each leader that sees one dies before it has written it.
 func TestCrashesOutliveTheLeadersThatSawThem(t *testing.T) {
-	const batch, maxCrashes = "a", 5
-	expectGivenUp := func(t *testing.T, restart bool) {
+	const batch, maxCrashes, leaders = "a", 5, 3
+	expectGivenUp := func(t *testing.T, noticed, restart bool) {
 		t.Helper()
 		r := newLateCrasher(t)
 		for i := range maxCrashes {
@@ -335,19 +335,22 @@
 				c.reported, c.back = true, true
 				r.runners[id] = &fakeRunner{incarnation: r.now.UnixMilli(), startedAt: r.now}
 			}
-			if i >= 3 {
+			if i >= leaders {
 				continue
 			}
-			r.storeDown = true
-			r.awaitCrash()
-			r.storeDown = false
+			if noticed {
+				r.storeDown = true
+				r.awaitCrash()
+				r.storeDown = false
+			}
 			r.reload(int64(i) + 2)
 		}
 		r.wait()
 		r.expectState(batch, glade.BatchFailed)
 	}
-	t.Run("when the runners are gone", func(t *testing.T) { expectGivenUp(t, false) })
-	t.Run("when they restart under their ids", func(t *testing.T) { expectGivenUp(t, true) })
+	t.Run("when the runners are gone", func(t *testing.T) { expectGivenUp(t, true, false) })
+	t.Run("when they restart under their ids", func(t *testing.T) { expectGivenUp(t, true, true) })
+	t.Run("when nobody has noticed them", func(t *testing.T) { expectGivenUp(t, false, false) })
 }
 
 // Crashes that a leader has written count a second time under the next one, as runners lost unseen.
