Tests of unseen crashes: also two under one leader while the store takes no rows

The order of events of deadly-while-leaders-die: the first leader sees two crashes that it can't write, the second dies with one. The harness reports a runner as missing from the inventory to later leaders, too, as the inventory does: before, it stopped when the successor of the runner was listed.

--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -53,7 +53,7 @@
 			r.infos = slices.DeleteFunc(r.infos, func(info glade.RunnerInfo) bool { return info.ID == c.runner })
 			r.sched.SetRunners(r.infos, r.now)
 		}
-		if c.reported && !c.back {
+		if c.reported { // also to a later leader
 			r.sched.RunnersGone([]glade.RunnerID{c.runner}, r.now, r.now)
 		}
 		if !c.back && r.now.Sub(c.at) >= crashPause {
@@ -304,9 +304,11 @@
 	return r
 }
 
-// wait goes on for 4 s: crashes are noticed, and runners come back.
+// wait goes on for 4 s: crashes are noticed, and runners come back. The term is renewed also while no
+// other row is written.
 func (r *harness) wait() {
 	for range 200 {
+		r.sched.LeaderRenewed(r.now)
 		r.advance(20 * time.Millisecond)
 		r.recover()
 	}
@@ -321,36 +323,42 @@
 
 // Crashes are forgotten if each leader that sees one dies before it has written it.
 func TestCrashesOutliveTheLeadersThatSawThem(t *testing.T) {
-	const batch, maxCrashes, leaders = "a", 5, 3
-	expectGivenUp := func(t *testing.T, noticed, restart bool) {
+	const batch, maxCrashes = "a", 5
+	type series struct {
+		diesAfter []int // crashes after which a leader dies
+		unnoticed bool
+		restart   bool // runners restart under their ids
+	}
+	expectGivenUp := func(t *testing.T, s series) {
 		t.Helper()
 		r := newLateCrasher(t)
-		for i := range maxCrashes {
+		for i, epoch := 1, int64(1); i <= maxCrashes; i++ {
 			r.wait()
 			r.expectState(batch, glade.BatchRunning)
 			id := r.runnerOf(batch)
+			r.storeDown = int(epoch) <= len(s.diesAfter)
 			r.crash(id, glade.TaskID{Batch: batch})
-			if restart {
-				c := &r.crashes[len(r.crashes)-1]
-				c.reported, c.back = true, true
+			if s.restart {
+				r.crashes = r.crashes[:len(r.crashes)-1] // the inventory does not miss it
 				r.runners[id] = &fakeRunner{incarnation: r.now.UnixMilli(), startedAt: r.now}
 			}
-			if i >= leaders {
-				continue
-			}
-			if noticed {
-				r.storeDown = true
+			if !s.unnoticed {
 				r.awaitCrash()
+			}
+			if slices.Contains(s.diesAfter, i) {
+				epoch++
 				r.storeDown = false
+				r.reload(epoch)
 			}
-			r.reload(int64(i) + 2)
 		}
 		r.wait()
 		r.expectState(batch, glade.BatchFailed)
 	}
-	t.Run("when the runners are gone", func(t *testing.T) { expectGivenUp(t, true, false) })
-	t.Run("when they restart under their ids", func(t *testing.T) { expectGivenUp(t, true, true) })
-	t.Run("when nobody has noticed them", func(t *testing.T) { expectGivenUp(t, false, false) })
+	each := []int{1, 2, 3}
+	t.Run("when the runners are gone", func(t *testing.T) { expectGivenUp(t, series{diesAfter: each}) })
+	t.Run("when they restart under their ids", func(t *testing.T) { expectGivenUp(t, series{diesAfter: each, restart: true}) })
+	t.Run("when nobody has noticed them", func(t *testing.T) { expectGivenUp(t, series{diesAfter: each, unnoticed: true}) })
+	t.Run("when one of two saw two", func(t *testing.T) { expectGivenUp(t, series{diesAfter: []int{2, 3}}) })
 }
 
 // Crashes that a leader has written count a second time under the next one, as runners lost unseen.
