Drain of our own: requests that have arrived are answered at a stop

Cause: http.Server.Shutdown closes a connection whose request it has not read, drops a request that it reads after the shutdown has begun, and waits up to 5 s for a new connection without a request. The system resets connections that wait to be accepted when the listener closes.

Change: package drain. It announces the end of each connection with its next response, accepts what waits, answers what has arrived, and closes a connection after 300 ms of silence and only after a read of 50 ms that found nothing and ended in time. A read that ends late shows that the process did not run, and is repeated. daemon uses it.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -17,6 +17,8 @@
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 	"github.com/pkg/errors"
+
+	"indigoglade/drain"
 )
 
 // Task is a background task of a program. It returns when ctx ends.
@@ -85,8 +87,8 @@
 	})
 }
 
-// Serve adds an HTTP server. On a stop it calls onStop, closes the listener and
-// waits for running requests. All of that takes at most the group's grace.
+// Serve adds an HTTP server. On a stop it calls onStop and drains the server. All of
+// that takes at most the group's grace.
 func (g *Group) Serve(address string, handler http.Handler, onStop func(ctx context.Context)) error {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -105,25 +107,18 @@
 
 // ServeOn is like Serve with a listener that is already open.
 func (g *Group) ServeOn(listener net.Listener, handler http.Handler, onStop func(ctx context.Context)) {
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
-	g.group.Add(func() error {
-		err := server.Serve(listener)
-		if errors.Is(err, http.ErrServerClosed) {
-			return nil
-		}
-		return errors.Wrap(err, "serve")
-	}, func(error) {
+	server := drain.New(drain.Config{
+		Listener: listener, Handler: handler,
+		HeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+	})
+	g.group.Add(server.Serve, func(error) {
 		ctx, cancel := context.WithTimeout(context.Background(), g.config.StopTimeout)
 		defer cancel()
+		server.CloseConnections()
 		if onStop != nil {
 			onStop(ctx)
 		}
-		if err := server.Shutdown(ctx); err != nil {
+		if err := server.Drain(ctx); err != nil {
 			g.log.Error(err, "server did not stop gracefully; running requests are aborted", "address", listener.Addr().String())
 		}
 	})
--- /dev/null
+++ b/drain/conn.go
@@ -0,0 +1,197 @@
+package drain
+
+import (
+	"net"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"indigoglade/wire"
+)
+
+// Times of a drain. A request that was sent lossSlackMs (200 ms) before its connection is
+// closed must be answered, however little processor time the process gets.
+const (
+	// silentTime is how long a connection without a request is kept at least.
+	silentTime = 300 * time.Millisecond
+	// checkTime is the length of the read after which a connection is closed, and
+	// acceptTime that of the wait after which the listener is closed. Each begins with a look
+	// at what has arrived.
+	checkTime  = 50 * time.Millisecond
+	acceptTime = 10 * time.Millisecond
+	// lateTime is how late a wait may end and still show that nothing has arrived. One that
+	// ends later is repeated: the process did not run, and what arrived meanwhile is unread.
+	// checkTime and lateTime together stay under lossSlackMs.
+	lateTime = 50 * time.Millisecond
+	// acceptLimit bounds accepting during a drain, in case new connections keep arriving.
+	acceptLimit = 500 * time.Millisecond
+)
+
+// wait is one attempt to read or accept that ends after a time without a result.
+type wait struct {
+	start  time.Time
+	length time.Duration
+}
+
+// foundNothing reports whether a wait that ended without a result at a time shows that
+// nothing has arrived.
+func (w wait) foundNothing(now time.Time) bool {
+	took := now.Sub(w.start)
+	return took >= w.length && took <= w.length+lateTime
+}
+
+// end returns when the wait is due to end.
+func (w wait) end() time.Time { return w.start.Add(w.length) }
+
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// conn is a connection whose reads for the next request end early during a drain.
+type conn struct {
+	net.Conn
+	draining *atomic.Bool
+	mu       sync.Mutex
+	// deadline is the read deadline that the HTTP server has set.
+	deadline time.Time
+	// awaiting is whether no byte of the next request has been read.
+	awaiting    bool
+	silentSince time.Time
+	wait        wait
+}
+
+func newConn(inner net.Conn, draining *atomic.Bool) *conn {
+	return &conn{Conn: inner, draining: draining, awaiting: true, silentSince: time.Now()}
+}
+
+// SetReadDeadline sets the deadline of reads outside of a drain.
+func (c *conn) SetReadDeadline(deadline time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = deadline
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// Read reads. During a drain it times out on a connection that is silent.
+func (c *conn) Read(data []byte) (int, error) {
+	for {
+		c.startWait()
+		n, err := c.Conn.Read(data)
+		if n > 0 {
+			c.setReceived()
+			return n, err
+		}
+		if !isTimeout(err) || !c.mustRepeat(time.Now()) {
+			return n, err
+		}
+	}
+}
+
+// setAwaiting notes that a response has been sent.
+func (c *conn) setAwaiting() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.awaiting, c.silentSince = true, time.Now()
+}
+
+// setReceived notes that bytes of a request have been read.
+func (c *conn) setReceived() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaiting && c.draining.Load() {
+		_ = c.Conn.SetReadDeadline(c.deadline) // fails only on a closed connection
+	}
+	c.awaiting = false
+}
+
+// endRead ends a read for the next request that began before the drain.
+func (c *conn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.awaiting {
+		_ = c.Conn.SetReadDeadline(time.Now()) // fails only on a closed connection
+	}
+}
+
+// startWait limits the next read, if the connection is drained and has no request.
+func (c *conn) startWait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.awaiting || !c.draining.Load() {
+		return
+	}
+	c.wait = wait{start: time.Now(), length: checkTime}
+	_ = c.Conn.SetReadDeadline(c.wait.end()) // fails only on a closed connection
+}
+
+// mustRepeat reports whether the connection is kept after a read that timed out.
+func (c *conn) mustRepeat(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	isSilent := c.wait.foundNothing(now) && now.Sub(c.silentSince) >= silentTime
+	return c.awaiting && c.draining.Load() && !isSilent
+}
+
+// listener accepts the connections that wait in its queue before it closes for a drain: the
+// system resets those that are left.
+type listener struct {
+	net.Listener
+	traffic  *wire.Counter
+	draining *atomic.Bool
+	// acceptUntil is set when the drain begins.
+	mu          sync.Mutex
+	acceptUntil time.Time
+}
+
+// deadliner is implemented by listeners whose Accept can time out.
+type deadliner interface{ SetDeadline(time.Time) error }
+
+// stop makes Accept close the listener when no connection waits.
+func (l *listener) stop() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.acceptUntil = now.Add(acceptLimit)
+	if d, ok := l.Listener.(deadliner); !ok || d.SetDeadline(now) != nil {
+		_ = l.Listener.Close() // a second Close of the HTTP server returns the error
+	}
+}
+
+// Accept accepts a connection.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		w, ok := l.startWait()
+		if !ok {
+			return nil, net.ErrClosed
+		}
+		inner, err := l.Listener.Accept()
+		if err == nil {
+			if l.traffic != nil {
+				inner = l.traffic.Wrap(inner)
+			}
+			return newConn(inner, l.draining), nil
+		}
+		if !isTimeout(err) {
+			return nil, err
+		}
+		if w.foundNothing(time.Now()) {
+			return nil, net.ErrClosed
+		}
+	}
+}
+
+// startWait limits the next Accept if the drain has begun. It returns false if no more
+// connections may be accepted.
+func (l *listener) startWait() (wait, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.acceptUntil.IsZero() {
+		return wait{}, true
+	}
+	w := wait{start: time.Now(), length: acceptTime}
+	if d, ok := l.Listener.(deadliner); ok {
+		_ = d.SetDeadline(w.end()) // fails only on a closed listener, which Accept reports
+	}
+	return w, w.start.Before(l.acceptUntil)
+}
