Starts without an answer are sent again

Cause: a start without an answer is stopped and its task placed anew after 0.2 to 1 s, although a runner takes a repeated run for the one that is there already.

That one is refused says nothing about the first attempt. After a restart such a run counts as one without an answer, as the first attempt may still arrive.

--- a/lead/manager.go
+++ b/lead/manager.go
@@ -238,6 +238,9 @@
 	// runLease is how long runs go on after the last heartbeat that renewed
 	// their lease. A new leader must take over before that ends.
 	runLease = 4500 * time.Millisecond
+	// startRepeats is how many times a start without an answer is sent again: a runner may leave every
+	// second order unanswered.
+	startRepeats = 3
 	// renewalTTL bounds the end of leases, counted from the last confirmed renewal
 	// of the leadership: a store outage up to this length costs no run.
 	renewalTTL = 9 * time.Second
@@ -457,6 +460,6 @@
 	return sched.Config{
 		Service: service, Epoch: epoch, LeaseTime: runLease, RenewalTTL: renewalTTL, MaxLease: m.config.Limits.MaxLease, RestoreTime: m.config.Limits.RestoreTime,
 		Retention: m.config.Limits.Retention * 3 / 2, HeartbeatWait: heartbeatWait, StopTimeout: m.config.Limits.StopTimeout,
-		RemoteFactor: m.config.Limits.RemoteFactor,
+		RemoteFactor: m.config.Limits.RemoteFactor, StartRepeats: startRepeats,
 	}
 }
--- a/sched/answers.go
+++ b/sched/answers.go
@@ -19,10 +19,14 @@
 		n.orderInFlight = false
 		return false
 	}
-	if n.phase == starting && !n.task().done && !n.step.occurrence.batch.state.IsFinal() && now.Sub(n.startedAt) <= maxStartWait {
+	if n.phase == starting && !n.task().done && !n.step.occurrence.batch.state.IsFinal() && now.Sub(n.sendAt) <= maxStartWait {
 		return true
 	}
 	n.orderInFlight = false
+	if n.start.State() == effect.Unknown { // an earlier attempt may be carried out
+		s.markUnconfirmed(n)
+		return false
+	}
 	s.removeRun(n, now)
 	return false
 }
@@ -36,13 +40,13 @@
 	n.start.Record(resultOf(answer, err), now)
 	n.runner.checkRestart(n, answer, err)
 	if !wasNotCarriedOut(err) {
-		s.pace.observe(now.Sub(n.startedAt), now)
+		s.pace.observe(now.Sub(n.sendAt), now)
 	}
 	if !n.runner.runs[n] {
 		return err != nil || refused != glade.RefusedFence
 	}
 	switch {
-	case err != nil && wasNotCarriedOut(err):
+	case err != nil && wasNotCarriedOut(err) && n.start.State() != effect.Unknown:
 		s.addEvent("unstarted", "runner", n.runner.info.ID, "batch", n.step.occurrence.batch.id, "error", err.Error())
 		n.runner.backOff(now)
 		s.dropCrash(n.step, n.task(), n.number)
@@ -52,8 +56,8 @@
 			"task", n.index, "run", n.number, "born", n.runner.incarnation, "used", n.runner.used.CPU, "room", n.runner.info.Capacity.CPU,
 			"unknown", n.runner.unknownStarts(), "error", err.Error())
 		s.noteSilence(n.runner, now)
-		if n.start.State() == effect.Unknown { // a heartbeat may have listed the run
-			n.phase = unconfirmed
+		if n.start.State() == effect.Unknown && !s.repeatStart(n, now) { // a heartbeat may have listed the run
+			s.markUnconfirmed(n)
 		}
 		s.touched[n.runner] = true
 		if !n.runner.lastAnswerAt.After(n.startedAt) {
@@ -63,6 +67,10 @@
 		if n.phase == starting {
 			n.phase = running
 		}
+		if n.repeats > 0 {
+			s.stats.RepeatsAccepted++
+			n.startedAt = n.sendAt // a crash from now on may be due to it
+		}
 		n.started = true
 		n.runner.noteAlive(n.startedAt)
 		if n.step.occurrence.batch.state.IsFinal() || n.task().done {
@@ -73,6 +81,11 @@
 			t.stats.Started++
 		}
 		s.markStarted(n.step.occurrence.batch, now)
+	case n.start.State() == effect.Unknown: // that a repetition was refused says nothing about the first attempt
+		s.addEvent("unrepeated", "runner", n.runner.info.ID, "batch", n.step.occurrence.batch.id, "step", n.step.index, "task", n.index,
+			"run", n.number, "why", string(refused))
+		s.markUnconfirmed(n)
+		return refused != glade.RefusedFence
 	default:
 		s.addEvent("refused", "runner", n.runner.info.ID, "batch", n.step.occurrence.batch.id, "why", string(refused),
 			"used", n.runner.used.CPU, "room", n.runner.info.Capacity.CPU)
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -141,9 +141,14 @@
 	// start and stop tell whether the orders were carried out. They are two operations:
 	// an answer to a stop says nothing about a start without an answer, unless the stop
 	// was carried out, after which the runner accepts no late start.
-	start, stop   effect.Effect
-	leaseEnd      int64 // end of the lease given with the start, on the runner's clock
-	startedAt     time.Time
+	start, stop effect.Effect
+	leaseEnd    int64 // end of the lease given with the start, on the runner's clock
+	startedAt   time.Time
+	// sendAt is when the start was last decided to be sent, repeats how many times it was so again.
+	sendAt  time.Time
+	repeats int
+	// incarnation is that of the runner when the run was placed.
+	incarnation   int64
 	percent       int       // reported progress
 	progressedAt  time.Time // when percent last changed
 	metric        float64   // tail latency in ms for a task with a target, else CPU in millicores
@@ -384,7 +389,7 @@
 		}
 	}
 	s.detach(r)
-	if r.start.State() == effect.Unknown {
+	if r.start.State() == effect.Unknown || r.repeats > 0 {
 		r.runner.noteDoubtful(r, now)
 	}
 	delete(s.stopping, r)
--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -111,6 +111,10 @@
 	r.processed, r.written, r.acked, r.unwrittenEnds = 0, 0, 0, nil
 	r.isIncomplete, r.hidesEnds = false, false // the ends of before are lost
 	for n := range r.runs {
+		if n.repeats > 0 && n.start.State() == effect.Done { // the attempt without an answer may still arrive
+			n.start, n.phase = effect.Effect{}, unconfirmed
+			n.start.Record(effect.Lost, now)
+		}
 		if n.start.State() == effect.Unknown {
 			n.stop = effect.Effect{} // what the earlier incarnation has stopped, this one may still start
 		}
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -27,10 +27,12 @@
 // another kind, drop out of the platform's list and become unreachable.
 type simulation struct {
 	// waits lets tasks name racks, and leaders wait for them.
-	waits   bool
-	rng     *rand.Rand
-	now     time.Time
-	runners map[glade.RunnerID]*modelRunner
+	waits bool
+	rng   *rand.Rand
+	// startRepeats is how many times leaders send a start without an answer again.
+	startRepeats int
+	now          time.Time
+	runners      map[glade.RunnerID]*modelRunner
 	// infos is the platform's list, which follows the runners with a delay.
 	infos   []glade.RunnerInfo
 	leaders []*modelLeader
@@ -110,6 +112,7 @@
 		rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0),
 		runners: make(map[glade.RunnerID]*modelRunner), workRows: make(map[glade.BatchID]sched.WorkRow),
 		progressRows: make(map[glade.BatchID]sched.ProgressRow), ackedDone: make(map[glade.TaskID]bool), waits: waits,
+		startRepeats: 3 * int(seed%2),
 	}
 	for i := range 3 {
 		r := w.newRunner(glade.RunnerInfo{
@@ -159,6 +162,7 @@
 	if w.waits {
 		config.RemoteFactor, slack = 3, 6*time.Second
 	}
+	config.StartRepeats = w.startRepeats
 	l.sched = sched.New(config, w.now)
 	if w.waits {
 		l.sched.LearnTimes(queue)
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -117,13 +117,14 @@
 	for r := range s.evacuating {
 		s.markUnwanted(r, now)
 	}
+	orders.Starts = s.repeatedStarts(now)
 	orders.Stops = s.stops(now)
 	// Runners can also become usable without a recorded change, for example when a
 	// backoff ends.
 	if s.pace.isOpen() && (s.needsPlacement || now.Sub(s.placedAt) >= tickPeriod) {
 		s.needsPlacement, s.placedAt = false, now
 		orders.AdviceRequests = s.adviceRequests(now)
-		orders.Starts = s.place(now)
+		orders.Starts = append(orders.Starts, s.place(now)...)
 		for _, o := range orders.Starts {
 			o.run.orderInFlight = true
 		}
--- a/sched/place.go
+++ b/sched/place.go
@@ -311,7 +311,7 @@
 	t := &st.tasks[index]
 	n := &run{
 		step: st, index: index, number: s.runNumber(number), runner: r,
-		phase: starting, startedAt: now, progressedAt: now, speedPercent: fullSpeedPercent, leaseEnd: s.grantLease(r, now), checkpoint: t.checkpoint,
+		phase: starting, startedAt: now, sendAt: now, incarnation: r.incarnation, progressedAt: now, speedPercent: fullSpeedPercent, leaseEnd: s.grantLease(r, now), checkpoint: t.checkpoint,
 	}
 	t.lastNumber = number
 	if len(t.runs) == 0 {
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -50,6 +50,8 @@
 	// RemoteFactor is how many times as long a task takes away from the rack that its step
 	// names, or a gang that is slow when spread; 0 or 1 means that nothing waits for a rack.
 	RemoteFactor float64
+	// StartRepeats is how many times a start without an answer is sent again.
+	StartRepeats int
 }
 
 // runsPerEpoch keeps the run numbers of two leaders apart: no leader starts one
@@ -73,6 +75,8 @@
 	// touched holds the runners of which something has changed since the last step,
 	// evacuating those under evacuation, and idleBeat those without a heartbeat in flight.
 	touched, evacuating, idleBeat map[*runner]bool
+	// repeats holds the runs whose start is to be sent again.
+	repeats []*run
 	// overdue holds the runners that may need probes.
 	overdue map[*runner]bool
 	// stopping holds the runs that are to be stopped.
@@ -178,6 +182,8 @@
 	OnTime, Late                                                                                  int64
 	// Probed counts answered probes, Unread the runs that had ended as done when they were given up.
 	Probed, Unread int64
+	// Repeated counts starts that were sent again, RepeatsAccepted those that were then accepted.
+	Repeated, RepeatsAccepted int64
 	// Waited counts tasks and gangs that have waited for a rack, WaitsGained those that got a
 	// place there, and WaitsGivenUp those that did not. WaitsGainMs is the expected time that
 	// this has saved, less the time of the waits.
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -41,6 +41,7 @@
 	// scheduler hears so after orderTimeout, for a heartbeat after its wait as well.
 	lose         func() bool
 	orderTimeout time.Duration
+	startRepeats int
 	lostStarts   []lostStart
 	// loseStarts is the number of next starts that are neither carried out nor
 	// answered.
@@ -161,7 +162,9 @@
 
 // takeOver starts a new leader that knows only the list of runners.
 func (r *harness) takeOver(epoch int64) {
-	r.sched = sched.New(testConfig(epoch), r.now)
+	config := testConfig(epoch)
+	config.StartRepeats = r.startRepeats
+	r.sched = sched.New(config, r.now)
 	r.sched.SetRules(glade.Rules{Version: 1, Queues: []glade.QueueRule{{
 		Queue: queue, Service: service, MaxFailures: 3, Stretch: 2, Slack: 500 * time.Millisecond,
 	}}})
