A start that asks for a label waits for an answer of the runner's present incarnation

Seen: TestSilentRestart (known failure): a task that asks for a kind of runner starts on one of another kind (ROUTE).

Cause: a runner has restarted under its id without closing its connections. A start can't name the incarnation that it is meant for, and the heartbeat that the earlier one held fails after its wait and timeout, 2.5 s. The clock in an answer that went back (maybeRestarted) comes with the start itself, which is too late for it.

Change: before a step with a label starts, the runners that it can use have to have answered a heartbeat that was sent within the last 0.2 s. The others are asked by a short heartbeat beside the one that they hold (HeartbeatOrder.KindCheck); of its answer only the incarnation is used, as its lists may be older. The step waits up to 50 ms for them, then uses those that have answered. While steps wait, checks are renewed after 0.1 s: otherwise runners whose answers expire one after the other would let a step wait again and again (by reading). Steps without a label cost no call. What is left is a restart within these 0.2 s or while the start waits to be sent, 0.4 s at most.

Evidence: TestSilentRestart, now also for a gang, a long-running task, a copy and a trial, fails in all five cases before and passes after; without the change in speculate.go or trial.go the case of that file fails.

--- a/lead/service.go
+++ b/lead/service.go
@@ -45,8 +45,8 @@
 	failingSince time.Time
 }
 
-// Limits of the orders in flight. Heartbeats need none: each runner has one in flight,
-// and renews its leases with it, so that it must not wait for orders.
+// Limits of the orders in flight. Heartbeats need none: each runner has one in flight
+// that renews its leases, so that it must not wait for orders, and at most one check beside it.
 const (
 	maxStarts = 192
 	maxStops  = 64
--- a/runner.go
+++ b/runner.go
@@ -94,6 +94,8 @@
 	// Wait is how long the runner may delay its answer until a run ends (long
 	// polling).
 	Wait time.Duration
+	// KindCheck means that only the incarnation in the answer matters.
+	KindCheck bool
 }
 
 // EndReason is the reason why a run ended.
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -24,7 +24,11 @@
 		return nil
 	}
 	s.noteLimited(st, false, now)
-	candidates := s.gangCandidates(st, usable)
+	known, ok := s.ofKnownKind(st, usable, now)
+	if !ok {
+		return nil
+	}
+	candidates := s.gangCandidates(st, known)
 	for k, group := range candidates {
 		isSpread := k == len(candidates)-1
 		if isSpread && s.gangWaits(st, usable, now) {
--- a/sched/late_test.go
+++ b/sched/late_test.go
@@ -188,22 +188,87 @@
 	r.c.Assert(r.running("labelled"), qt.Equals, 1)
 }
 
-// TestSilentRestart guards against a task on a runner without the label that it asks for: the runner has restarted as
-// another kind, and the heartbeat that it held as the earlier one has not failed yet.
-func TestSilentRestart(t *testing.T) {
-	r := newHarness(qt.New(t), 1, twoCores)
-	runner, info := r.runners["r0"], &r.infos[0]
-	info.Labels, info.Born = []string{"gpu"}, runner.incarnation
+// newHeldHeartbeats returns a harness of runners with the label "gpu" that hold a heartbeat for 2 s.
+func newHeldHeartbeats(t *testing.T, runners int) *harness {
+	r := newHarness(qt.New(t), runners, twoCores)
+	for i := range r.infos {
+		r.infos[i].Labels, r.infos[i].Born = []string{"gpu"}, 1
+	}
 	r.sched.SetRunners(r.infos, r.now)
 	r.advance(time.Second)
 	r.longPoll = 2 * time.Second
 	r.advance(200 * time.Millisecond)
+	r.orderTimeout = 500 * time.Millisecond
+	return r
+}
+
+// restartSilently restarts a runner that leaves the heartbeat unanswered which it holds.
+func (r *harness) restartSilently(id glade.RunnerID) {
 	for i := range r.heartbeats {
-		r.heartbeats[i].lost = true
+		r.heartbeats[i].lost = r.heartbeats[i].lost || r.heartbeats[i].heartbeat.To.ID == id
 	}
-	r.orderTimeout = 500 * time.Millisecond
-	runner.incarnation++
-	r.submit("labelled", batchOf(glade.Step{Count: 1, Need: core, Estimate: 5000, Label: "gpu"}))
-	r.advance(time.Second)
-	r.c.Assert(r.running("labelled"), qt.Equals, 0)
+	r.runners[id].incarnation++
+}
+
+// TestSilentRestart guards against a task on a runner without the label that it asks for: the runner has restarted as
+// another kind, and the heartbeat that it held as the earlier one has not failed yet.
+func TestSilentRestart(t *testing.T) {
+	expectNotStarted := func(name string, step glade.Step) {
+		t.Run(name, func(t *testing.T) {
+			r := newHeldHeartbeats(t, 1)
+			r.restartSilently("r0")
+			r.submit("labelled", batchOf(step))
+			r.advance(time.Second)
+			r.c.Assert(r.running("labelled"), qt.Equals, 0)
+		})
+	}
+	expectNotStarted("a task", glade.Step{Count: 1, Need: core, Estimate: 5000, Label: "gpu"})
+	expectNotStarted("a gang", glade.Step{Count: 2, Need: core, Estimate: 5000, Label: "gpu", Gang: true})
+	expectNotStarted("a long-running task", glade.Step{Count: 1, Need: core, LongRunning: true, Label: "gpu"})
+	other := map[glade.RunnerID]glade.RunnerID{"r0": "r1", "r1": "r0"}
+	t.Run("a copy", func(t *testing.T) {
+		r := newHeldHeartbeats(t, 2)
+		r.submit("labelled", batchOf(glade.Step{Count: 1, Need: core, Estimate: 500, Label: "gpu", AllowsCopies: true}))
+		r.advance(100 * time.Millisecond)
+		r.restartSilently(other[r.runnerOf("labelled")])
+		r.advance(1200 * time.Millisecond)
+		r.c.Assert(r.running("labelled"), qt.Equals, 1)
+	})
+	t.Run("a trial", func(t *testing.T) {
+		r := newHeldHeartbeats(t, 2)
+		r.isCrashing = func(glade.TaskID) bool { return len(r.crashes) == 0 }
+		r.submit("labelled", batchOf(glade.Step{Count: 1, Need: core, Estimate: 5000, Label: "gpu"}))
+		r.advance(100 * time.Millisecond)
+		crashed := r.crashes[0].runner
+		r.infos = slices.DeleteFunc(r.infos, func(info glade.RunnerInfo) bool { return info.ID == crashed })
+		r.sched.SetRunners(r.infos, r.now)
+		r.advance(time.Second)
+		r.restartSilently(other[crashed])
+		r.sched.RunnersGone([]glade.RunnerID{crashed}, r.now, r.now)
+		r.advance(500 * time.Millisecond)
+		r.c.Assert(r.running("labelled"), qt.Equals, 0)
+	})
+}
+
+// TestKindCheck guards against a task that asks for a label and waits for the end of a heartbeat that a runner holds, or
+// for a runner that is silent, and against checks for tasks that ask for none.
+func TestKindCheck(t *testing.T) {
+	expectChecks := func(name string, label string, loseFirst bool, within time.Duration, checks int) {
+		t.Run(name, func(t *testing.T) {
+			r := newHeldHeartbeats(t, 2)
+			r.lose = func() bool {
+				lost := loseFirst
+				loseFirst = false
+				return lost
+			}
+			held := r.attempts + len(r.heartbeats)
+			r.submit("a", batchOf(glade.Step{Count: 1, Need: core, Estimate: 5000, Label: label}))
+			r.advance(within)
+			r.c.Assert(r.running("a"), qt.Equals, 1)
+			r.c.Assert(r.attempts+len(r.heartbeats)-held, qt.Equals, checks)
+		})
+	}
+	expectChecks("of two runners", "gpu", false, 60*time.Millisecond, 2)
+	expectChecks("beside a silent runner", "gpu", true, 160*time.Millisecond, 3) // one is renewed
+	expectChecks("without a label", "", false, 40*time.Millisecond, 0)
 }
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -128,7 +128,8 @@
 			o.run.orderInFlight = true
 		}
 	}
-	orders.Heartbeats = s.heartbeats(now)
+	orders.Heartbeats = append(s.heartbeats(now), s.kindChecks...)
+	s.kindChecks = nil
 	if wait := s.pace.opensIn(); wait > 0 && now.Add(wait).Before(orders.Next) {
 		orders.Next = now.Add(wait)
 		s.needsPlacement = true
--- a/sched/place.go
+++ b/sched/place.go
@@ -186,6 +186,13 @@
 		s.noteLimited(st, false, now)
 		return nil
 	}
+	known := usable
+	if st.rule.Label != "" && s.mayStart(st, 1) && st.duePending(now) > 0 {
+		var ok bool
+		if known, ok = s.ofKnownKind(st, usable, now); !ok {
+			return nil
+		}
+	}
 	var starts []Start
 	limited := false
 	for i := range st.tasks {
@@ -201,7 +208,7 @@
 			limited = true // there was room for an earlier step of the tenant
 			break
 		}
-		r := s.chooseRunner(st, t, usable, now)
+		r := s.chooseRunner(st, t, known, now)
 		if mayStart && s.waitsForRack(st, t, r, usable, now) {
 			continue // a task that its tenant's limit blocks waits for that alone
 		}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -61,7 +61,13 @@
 	restartedAt time.Time
 	// maybeRestarted means that the runner may have restarted since its last answer.
 	maybeRestarted bool
-	runs           map[*run]bool
+	// kindSeenAt is when the newest heartbeat was sent that the present incarnation has answered.
+	kindSeenAt time.Time
+	// kindCheckInFlight is true until the last check of the runner's kind, sent at kindCheckedAt, is answered or
+	// has failed. The next one is sent at nextKindCheck at the earliest.
+	kindCheckInFlight            bool
+	kindCheckedAt, nextKindCheck time.Time
+	runs                         map[*run]bool
 	// doubtful holds the runs that were given up without an answer to their start.
 	doubtful []*run
 	used     glade.Need
@@ -281,6 +287,9 @@
 	if !ok {
 		return true
 	}
+	if order.KindCheck {
+		return s.kindChecked(r, sent, answer, err, now)
+	}
 	r.heartbeatInFlight = false
 	s.idleBeat[r], s.touched[r] = true, true
 	// A refusal shows as well that this leader can learn nothing more from the runner.
@@ -329,6 +338,7 @@
 	}
 	r.lastAnswerAt, r.silentAt = now, time.Time{}
 	r.noteAlive(now)
+	r.noteKind(sent)
 	r.clock, r.clockAt = answer.Clock, now
 	if len(answer.Ended) > 0 {
 		r.nextHeartbeat = now.Add(s.heartbeatPause(now))
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -114,6 +114,7 @@
 	suspects       map[*batch]bool
 	trials         map[*run]bool
 	silences       []silence
+	kindChecks     []Heartbeat // of this tick
 	writes         writes
 	drops          rowDrops
 	needsPlacement bool // something that placement depends on has changed
--- a/sched/speculate.go
+++ b/sched/speculate.go
@@ -44,7 +44,8 @@
 				return starts
 			}
 			first := t.runs[0].runner
-			others := slices.DeleteFunc(slices.Clone(usable), func(r *runner) bool { return r == first })
+			known, _ := s.ofKnownKind(st, usable, now)
+			others := slices.DeleteFunc(slices.Clone(known), func(r *runner) bool { return r == first })
 			if r := s.chooseRunner(st, t, others, now); r != nil && s.copyPays(t.runs[0], r, now) {
 				spare -= st.rule.Need.CPU
 				s.addEvent("copy", "batch", st.occurrence.batch.id, "step", st.index, "task", i, "from", first.info.ID, "to", r.info.ID)
--- a/sched/trial.go
+++ b/sched/trial.go
@@ -149,6 +149,9 @@
 	if !s.isTrialStored(st, indexes, now) || !r.isQuiet(b, now) {
 		return nil
 	}
+	if known, _ := s.ofKnownKind(st, []*runner{r}, now); len(known) == 0 {
+		return nil
+	}
 	b.trialRunner = nil
 	var starts []Start
 	for _, i := range indexes {
