--- a/runner.go
+++ b/runner.go
@@ -97,6 +97,8 @@
 	// Probe marks a heartbeat that is sent while the answer to another one is overdue. It renews
 	// no lease, acknowledges nothing and is answered at once.
 	Probe bool
+	// KindCheck means that only the incarnation in the answer matters.
+	KindCheck bool
 }
 
 // EndReason is the reason why a run ended.
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"slices"
 	"time"
 
 	glade "indigoglade"
@@ -129,7 +130,8 @@
 			o.run.orderInFlight = true
 		}
 	}
-	orders.Heartbeats = append(s.heartbeats(now), s.probes(now)...)
+	orders.Heartbeats = slices.Concat(s.heartbeats(now), s.probes(now), s.kindChecks)
+	s.kindChecks = nil
 	if wait := s.pace.opensIn(); wait > 0 && now.Add(wait).Before(orders.Next) {
 		orders.Next = now.Add(wait)
 		s.needsPlacement = true
