Probes: no acknowledgement to a runner that may have restarted

A probe that is answered while a heartbeat is in flight hides the failure of that heartbeat, and one that is answered late clears the doubt that a later failure has raised. The next heartbeat then acknowledges the ends of the incarnation before; a restarted runner numbers its ends anew, so that it drops ends that nobody has read.

A failed heartbeat now raises the doubt whatever else was answered, and a probe clears it only if it was sent after the last failure. A runner with probes in flight is not forgotten.

--- a/sched/answers.go
+++ b/sched/answers.go
@@ -34,7 +34,7 @@
 	n, refused := o.run, answer.Refused
 	n.orderInFlight = false
 	n.start.Record(resultOf(answer, err), now)
-	n.runner.checkRestart(n, answer, err)
+	n.runner.checkRestart(n, answer, err, now)
 	if !wasNotCarriedOut(err) {
 		s.pace.observe(now.Sub(n.startedAt), now)
 	}
@@ -104,14 +104,16 @@
 // checkRestart notes that a runner may have restarted: a start got no answer, or
 // the answer carries a clock that has gone back. The next heartbeat must then
 // acknowledge no end reports, because a restarted runner numbers them anew.
-func (r *runner) checkRestart(n *run, answer glade.RunAnswer, err error) {
+func (r *runner) checkRestart(n *run, answer glade.RunAnswer, err error, now time.Time) {
 	if err != nil {
-		r.maybeRestarted = true
+		r.maybeRestarted, r.failedAt = true, now
 		return
 	}
 	if answer.Clock > 0 && !n.startedAt.Before(r.clockAt) {
 		least := float64(r.clock) + float64(n.startedAt.Sub(r.clockAt).Milliseconds())/clockDriftFactor - clockSlackMillis
-		r.maybeRestarted = r.maybeRestarted || float64(answer.Clock) < least
+		if float64(answer.Clock) < least {
+			r.maybeRestarted, r.failedAt = true, now
+		}
 	}
 }
 
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -62,8 +62,10 @@
 	// knows no fencing token, so that it accepts orders of a deposed leader that
 	// does not know of its successor.
 	restartedAt time.Time
-	// maybeRestarted means that the runner may have restarted since its last answer.
+	// maybeRestarted means that the runner may have restarted since its last answer, failedAt when that
+	// was last noted.
 	maybeRestarted bool
+	failedAt       time.Time
 	runs           map[*run]bool
 	// doubtful holds the runs that were given up without an answer to their start.
 	doubtful []*run
@@ -209,7 +211,7 @@
 	}
 	for id, r := range s.runners {
 		r.dropOldDoubtful(now)
-		if !r.listed && !r.heartbeatInFlight && len(r.runs) == 0 && len(r.doubtful) == 0 && r.leasesExpired(now) && !s.mayHaveUnknownRuns(id, now) {
+		if !r.listed && !r.heartbeatInFlight && r.probes == 0 && len(r.runs) == 0 && len(r.doubtful) == 0 && r.leasesExpired(now) && !s.mayHaveUnknownRuns(id, now) {
 			s.deregister(id)
 			s.forget(r)
 		}
@@ -312,6 +314,9 @@
 	if order.Probe {
 		return
 	}
+	if err != nil {
+		r.maybeRestarted, r.failedAt = true, now
+	}
 	if r.lastAnswerAt.After(sent) { // a probe was answered meanwhile
 		s.answerLostAt, r.nextHeartbeat = now, now
 		return
@@ -353,7 +358,10 @@
 		s.stats.Probed++
 		r.nextHeartbeat = now
 	}
-	r.missed, r.maybeRestarted, r.unheardAfterLease = 0, false, 0
+	r.missed, r.unheardAfterLease = 0, 0
+	if !order.Probe || sent.After(r.failedAt) {
+		r.maybeRestarted = false
+	}
 	r.answerDue = now.Add(s.config.HeartbeatWait + heartbeatSlack)
 	if r.incarnation != answer.Born {
 		s.startIncarnation(r, answer, now)
