A restarted runner whose time of birth has gone back is heard

Answers with an earlier birth are taken for overtaken ones since probes exist. After the time of day of a host was set back, this holds for every answer of the restarted runner: it is ignored for good, its work is given up, and its heartbeats go on.

An answer to a heartbeat that was sent after the last accepted one arrived can't have been overtaken by it, so its birth is that of a later incarnation.

--- a/sched/probe_restart_test.go
+++ b/sched/probe_restart_test.go
@@ -77,3 +77,18 @@
 		r.expectNoAck()
 	})
 }
+
+// TestBornEarlier guards against a runner that is ignored for good: its host's time of day was set back before it restarted.
+func TestBornEarlier(t *testing.T) {
+	r := newHarness(qt.New(t), 1, twoCores)
+	f := r.runners["r0"]
+	f.incarnation = 1000
+	r.advance(time.Second)
+	f.incarnation, f.startedAt = 900, r.now
+	r.advance(2 * time.Second)
+	r.submit("a", oneTask(500))
+	r.advance(time.Second)
+	r.endAll("a", 0, glade.EndDone)
+	r.advance(time.Second)
+	r.expectState("a", glade.BatchDone)
+}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -345,7 +345,8 @@
 
 // applyAnswer processes an accepted heartbeat.
 func (s *Scheduler) applyAnswer(r *runner, sent time.Time, order glade.HeartbeatOrder, answer glade.HeartbeatAnswer, now time.Time) {
-	if answer.Born < r.incarnation || answer.Born == r.incarnation && answer.Clock < r.clock {
+	// A time of day that was set back makes a later incarnation look older, but not to heartbeats that were sent since.
+	if answer.Born < r.incarnation && !sent.After(r.lastAnswerAt) || answer.Born == r.incarnation && answer.Clock < r.clock {
 		return // overtaken by a later answer on another connection
 	}
 	if r.missed > 0 {
