A start is not sent beside another run of its task

A runner that was silent and missing from the inventory counts as gone, and its tasks are placed anew. If it is heard again while such a start waits for a slot, its run is listed and taken over, and the start was sent all the same: two runs of one task at once on runners that are up (TWICE). The check before the first byte asked whether the task was done, not whether it has another run: an order on an old decision.

MaySend now asks for that, too; steps that allow copies are exempt, as a second run is on purpose there. The start is dropped, the run that was taken over is stopped as before, and the task is placed again.

--- a/sched/answers.go
+++ b/sched/answers.go
@@ -19,7 +19,9 @@
 		n.orderInFlight = false
 		return false
 	}
-	if n.phase == starting && !n.task().done && !n.step.occurrence.batch.state.IsFinal() && now.Sub(n.startedAt) <= maxStartWait {
+	// Its runner may have listed the run that was given up for this one.
+	isAlone := len(n.task().runs) == 1 || n.step.rule.AllowsCopies
+	if n.phase == starting && isAlone && !n.task().done && !n.step.occurrence.batch.state.IsFinal() && now.Sub(n.startedAt) <= maxStartWait {
 		return true
 	}
 	n.orderInFlight = false
