Hosts are ordered on a current load only

A host that waits for its turn in a wave counted as empty for as long as no newer load came.

A host is ordered only if the load that shows it empty is at most 1 s old.

TestOldLoad fails before (a1 is ordered without a newer load) and passes after; ./moves passes.

--- a/moves/plan.go
+++ b/moves/plan.go
@@ -246,7 +246,7 @@
 	p.planMoves(now)
 	var actions []Action
 	for host, a := range p.pending {
-		if !a.sentAt.IsZero() || !p.isDrained(host) {
+		if !a.sentAt.IsZero() || !p.isDrained(host, now) {
 			continue
 		}
 		if a.spec.Kind == KindMaintain {
@@ -286,9 +286,13 @@
 	}
 }
 
+// maxDrainedAge is how old the load of a service may be when a host is ordered. Its leader ends an evacuation
+// 1.5 s after it was last asked for.
+const maxDrainedAge = time.Second
+
 // isDrained reports whether nothing runs on a host, as the leader of its service
 // has learnt from the runner itself.
-func (p *Planner) isDrained(host glade.Host) bool {
+func (p *Planner) isDrained(host glade.Host, now time.Time) bool {
 	info := p.hosts[host]
 	if info.State != glade.HostUp {
 		return false
@@ -299,7 +303,7 @@
 	// A runner that the service's leader does not list may still run what an earlier
 	// leader started: the list may be old, or the runner cut off from the store.
 	runner, listed := p.runners[info.Pool][info.Runner]
-	return listed && runner.Responsive && runner.Evacuating && runner.Runs == 0
+	return listed && runner.Responsive && runner.Evacuating && runner.Runs == 0 && now.Sub(p.demands[info.Pool].updatedAt) <= maxDrainedAge
 }
 
 // HandleAnswer applies the answer to an action.
