An order for a host is repeated only while the host is empty

A move or maintenance without an answer was sent again every 1.5 s without asking whether its host is still empty.

It is repeated if the host is drained as for the first attempt, or has begun to move or be maintained.

TestOldRepetition fails before (ordered while two tasks run) and passes after; ./moves passes.

--- a/moves/old_load_test.go
+++ b/moves/old_load_test.go
@@ -1,6 +1,7 @@
 package moves_test
 
 import (
+	"errors"
 	"testing"
 	"time"
 
@@ -38,3 +39,26 @@
 	p.SetLoad("a", load, now)
 	c.Assert(p.Step(now), qt.HasLen, 1)
 }
+
+// TestOldRepetition guards against the same for an order without an answer: it was decided on when its host was empty.
+func TestOldRepetition(t *testing.T) {
+	c, now := qt.New(t), time.Unix(1_000_000, 0)
+	p := moves.New(moves.Config{MoveDowntime: 1500 * time.Millisecond, MaintenanceDowntime: 2 * time.Second})
+	runner := sched.RunnerLoad{ID: "a0", Responsive: true, Evacuating: true}
+	p.SetHosts([]glade.HostInfo{{Host: "a0", Pool: "a", State: glade.HostUp, Runner: "a0", Capacity: glade.Need{CPU: hostCPU, Memory: hostMemory}}})
+	p.AddWave(wave(1, "a0"), nil, nil, now, now)
+	set := func() { p.SetLoad("a", sched.Load{Capacity: hostCPU, Runners: []sched.RunnerLoad{runner}}, now) }
+	set()
+	first := p.Step(now)
+	c.Assert(first, qt.HasLen, 1)
+	p.HandleAnswer(first[0], "", errors.New("no answer"), now)
+	runner.Evacuating, runner.Runs = false, 2
+	for range 15 {
+		now = now.Add(200 * time.Millisecond)
+		set()
+		c.Assert(p.UnansweredActions(now), qt.HasLen, 0)
+	}
+	runner.Evacuating, runner.Runs = true, 0
+	set()
+	c.Assert(p.UnansweredActions(now), qt.HasLen, 1)
+}
--- a/moves/plan.go
+++ b/moves/plan.go
@@ -346,8 +346,8 @@
 // UnansweredActions returns the actions to send again because their answers were lost.
 func (p *Planner) UnansweredActions(now time.Time) []Action {
 	var actions []Action
-	for _, a := range p.pending {
-		if a.effect.State() != effect.Done && !a.sentAt.IsZero() && now.Sub(a.sentAt) > repeatDelay {
+	for host, a := range p.pending {
+		if a.effect.State() != effect.Done && !a.sentAt.IsZero() && now.Sub(a.sentAt) > repeatDelay && p.mayRepeat(host, a, now) {
 			a.sentAt = now
 			actions = append(actions, a.spec)
 		}
@@ -355,6 +355,13 @@
 	return actions
 }
 
+// mayRepeat reports whether an action without an answer has begun, or its host is still drained.
+func (p *Planner) mayRepeat(host glade.Host, a *hostAction, now time.Time) bool {
+	info := p.hosts[host]
+	hasMoved := a.spec.Kind == KindMove && info.Pool == a.spec.Pool
+	return info.State != glade.HostUp || hasMoved || p.isDrained(host, now)
+}
+
 // repeatDelay is the time after which an action without an answer is sent again.
 const repeatDelay = 1500 * time.Millisecond
 
