--- a/moves/plan.go
+++ b/moves/plan.go
@@ -246,7 +246,7 @@
 	p.planMoves(now)
 	var actions []Action
 	for host, a := range p.pending {
-		if !a.sentAt.IsZero() || !p.isDrained(host) {
+		if !a.sentAt.IsZero() || !p.isDrained(host, now) {
 			continue
 		}
 		if a.spec.Kind == KindMaintain {
@@ -286,9 +286,13 @@
 	}
 }
 
+// maxDrainedAge is how old the load of a service may be when a host is ordered. Its leader ends an evacuation
+// 1.5 s after it was last asked for.
+const maxDrainedAge = time.Second
+
 // isDrained reports whether nothing runs on a host, as the leader of its service
 // has learnt from the runner itself.
-func (p *Planner) isDrained(host glade.Host) bool {
+func (p *Planner) isDrained(host glade.Host, now time.Time) bool {
 	info := p.hosts[host]
 	if info.State != glade.HostUp {
 		return false
@@ -299,7 +303,7 @@
 	// A runner that the service's leader does not list may still run what an earlier
 	// leader started: the list may be old, or the runner cut off from the store.
 	runner, listed := p.runners[info.Pool][info.Runner]
-	return listed && runner.Responsive && runner.Evacuating && runner.Runs == 0
+	return listed && runner.Responsive && runner.Evacuating && runner.Runs == 0 && now.Sub(p.demands[info.Pool].updatedAt) <= maxDrainedAge
 }
 
 // HandleAnswer applies the answer to an action.
@@ -342,8 +346,8 @@
 // UnansweredActions returns the actions to send again because their answers were lost.
 func (p *Planner) UnansweredActions(now time.Time) []Action {
 	var actions []Action
-	for _, a := range p.pending {
-		if a.effect.State() != effect.Done && !a.sentAt.IsZero() && now.Sub(a.sentAt) > repeatDelay {
+	for host, a := range p.pending {
+		if a.effect.State() != effect.Done && !a.sentAt.IsZero() && now.Sub(a.sentAt) > repeatDelay && p.mayRepeat(host, a, now) {
 			a.sentAt = now
 			actions = append(actions, a.spec)
 		}
@@ -351,6 +355,13 @@
 	return actions
 }
 
+// mayRepeat reports whether an action without an answer has begun, or its host is still drained.
+func (p *Planner) mayRepeat(host glade.Host, a *hostAction, now time.Time) bool {
+	info := p.hosts[host]
+	hasMoved := a.spec.Kind == KindMove && info.Pool == a.spec.Pool
+	return info.State != glade.HostUp || hasMoved || p.isDrained(host, now)
+}
+
 // repeatDelay is the time after which an action without an answer is sent again.
 const repeatDelay = 1500 * time.Millisecond
 
--- a/sched/kind.go
+++ b/sched/kind.go
@@ -68,7 +68,7 @@
 		r.nextKindCheck = now.Add(kindRetry)
 	case answer.Born != r.incarnation:
 		r.nextKindCheck = now.Add(kindRetry)
-		r.maybeRestarted = true
+		r.maybeRestarted, r.failedAt = true, now
 		s.addEvent("kind", "runner", r.info.ID, "known", r.incarnation, "born", answer.Born)
 	default:
 		r.noteKind(sent)
--- a/sched/probe.go
+++ b/sched/probe.go
@@ -17,9 +17,9 @@
 	probeSpacing  = 300 * time.Millisecond
 	urgentSpacing = 100 * time.Millisecond
 	urgentTime    = 2500 * time.Millisecond
-	// maxProbes bounds the probes of a runner in flight, maxTickProbes those that one tick sends.
-	maxProbes     = 6
-	maxTickProbes = 32
+	// maxProbes bounds the probes of a runner in flight, maxAllProbes those of all runners.
+	maxProbes    = 6
+	maxAllProbes = 128
 )
 
 // Conditions under which a runner counts as silent after its leases: it was asked asksAfterLease times, or
@@ -54,10 +54,11 @@
 		if r.lapse().Sub(now) < urgentTime {
 			spacing = urgentSpacing
 		}
-		if r.probes >= maxProbes || now.Sub(r.probedAt) < spacing || len(probes) == maxTickProbes || s.pace.isCongested(now) {
+		if r.probes >= maxProbes || now.Sub(r.probedAt) < spacing || s.probesInFlight == maxAllProbes || s.pace.isCongested(now) {
 			continue
 		}
 		r.probes++
+		s.probesInFlight++
 		r.probedAt = now
 		probes = append(probes, Heartbeat{To: r.info, Order: glade.HeartbeatOrder{Fence: s.config.Epoch, Probe: true}})
 	}
--- a/sched/probe_test.go
+++ b/sched/probe_test.go
@@ -1,6 +1,7 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -62,3 +63,26 @@
 	r.advance(20 * time.Millisecond)
 	r.c.Assert(r.orderLog, qt.DeepEquals, []string{"start a.0.0 on " + string(id)})
 }
+
+// TestProbesOfManyRunners guards against a leader that is busy with probes, as many runners go silent at once.
+func TestProbesOfManyRunners(t *testing.T) {
+	const most = 128
+	r := newHarness(qt.New(t), 120, twoCores)
+	r.longPoll, r.orderTimeout = time.Second, 2*time.Second
+	for i := range 120 {
+		r.submit(glade.BatchID(fmt.Sprint(i)), oneTask(9000))
+	}
+	r.advance(time.Second)
+	r.lose = func() bool { return true }
+	inFlight := 0
+	for end := r.now.Add(4 * time.Second); r.now.Before(end); r.advance(20 * time.Millisecond) {
+		probes := 0
+		for _, h := range r.heartbeats {
+			if h.heartbeat.Order.Probe {
+				probes++
+			}
+		}
+		inFlight = max(inFlight, probes)
+	}
+	r.c.Assert(inFlight > most/2 && inFlight <= most, qt.IsTrue, qt.Commentf("%d in flight", inFlight))
+}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -62,8 +62,10 @@
 	// knows no fencing token, so that it accepts orders of a deposed leader that
 	// does not know of its successor.
 	restartedAt time.Time
-	// maybeRestarted means that the runner may have restarted since its last answer.
+	// maybeRestarted means that the runner may have restarted since its last answer, failedAt when that
+	// was last noted.
 	maybeRestarted bool
+	failedAt       time.Time
 	// kindSeenAt is when the newest heartbeat was sent that the present incarnation has answered.
 	kindSeenAt time.Time
 	// kindCheckInFlight is true until the last check of the runner's kind, sent at kindCheckedAt, is answered or
@@ -215,7 +217,7 @@
 	}
 	for id, r := range s.runners {
 		r.dropOldDoubtful(now)
-		if !r.listed && !r.heartbeatInFlight && len(r.runs) == 0 && len(r.doubtful) == 0 && r.leasesExpired(now) && !s.mayHaveUnknownRuns(id, now) {
+		if !r.listed && !r.heartbeatInFlight && r.probes == 0 && len(r.runs) == 0 && len(r.doubtful) == 0 && r.leasesExpired(now) && !s.mayHaveUnknownRuns(id, now) {
 			s.deregister(id)
 			s.forget(r)
 		}
@@ -277,6 +279,9 @@
 // HeartbeatAnswered processes the answer to a heartbeat that was sent at the
 // given time. It returns false if the runner has seen a newer leader.
 func (s *Scheduler) HeartbeatAnswered(id glade.RunnerID, sent time.Time, order glade.HeartbeatOrder, answer glade.HeartbeatAnswer, err error, now time.Time) bool {
+	if order.Probe {
+		s.probesInFlight--
+	}
 	r, ok := s.runners[id]
 	if !ok {
 		return true
@@ -312,6 +317,9 @@
 	if order.Probe {
 		return
 	}
+	if err != nil {
+		r.maybeRestarted, r.failedAt = true, now
+	}
 	if r.lastAnswerAt.After(sent) { // a probe was answered meanwhile
 		s.answerLostAt, r.nextHeartbeat = now, now
 		return
@@ -340,7 +348,8 @@
 
 // applyAnswer processes an accepted heartbeat.
 func (s *Scheduler) applyAnswer(r *runner, sent time.Time, order glade.HeartbeatOrder, answer glade.HeartbeatAnswer, now time.Time) {
-	if answer.Born < r.incarnation || answer.Born == r.incarnation && answer.Clock < r.clock {
+	// A time of day that was set back makes a later incarnation look older, but not to heartbeats that were sent since.
+	if answer.Born < r.incarnation && !sent.After(r.lastAnswerAt) || answer.Born == r.incarnation && answer.Clock < r.clock {
 		return // overtaken by a later answer on another connection
 	}
 	if r.missed > 0 {
@@ -353,7 +362,10 @@
 		s.stats.Probed++
 		r.nextHeartbeat = now
 	}
-	r.missed, r.maybeRestarted, r.unheardAfterLease = 0, false, 0
+	r.missed, r.unheardAfterLease = 0, 0
+	if !order.Probe || sent.After(r.failedAt) {
+		r.maybeRestarted = false
+	}
 	r.answerDue = now.Add(s.config.HeartbeatWait + heartbeatSlack)
 	if r.incarnation != answer.Born {
 		s.startIncarnation(r, answer, now)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -78,7 +78,8 @@
 	// repeats holds the runs whose start is to be sent again.
 	repeats []*run
 	// overdue holds the runners that may need probes.
-	overdue map[*runner]bool
+	overdue        map[*runner]bool
+	probesInFlight int
 	// stopping holds the runs that are to be stopped.
 	stopping map[*run]bool
 	// reviewedAt is when all runners were last reviewed.
