Limits: demand that can't start asks for no part of a limit

Cause: all pending tasks counted as demand of the service, also those that no runner of its pool has the label or the size for. An equal split leaves a service what it needs up to its half, so that one half stayed with work that could not use it.

Change: pending tasks, and the largest task or gang, count only if a runner of the pool has the label and the size, and if they fit into the limit beside the tenant's long-running tasks in this service. A pool without a runner counts as one that will get some: its list may not be complete. Draining runners don't count, nor do entries of the list that nobody has heard of. The leader of the limits is told when sizes or labels of the pool change. Long-running tasks that run are no longer part of the largest task; the demand names what they occupy.

--- a/sched/batch.go
+++ b/sched/batch.go
@@ -22,9 +22,12 @@
 	// ID. replaced is such a batch, whose ID this one took.
 	cancelledBy []glade.Tenant
 	replaced    *batch
-	// tenant is nil for a batch without one. largest is the largest task or whole gang.
-	tenant  *tenant
-	largest glade.Need
+	// tenant is nil for a batch without one. largest is the largest task or whole gang, largestTask
+	// what a task reserves on a runner at most, both without long-running tasks. asksLabel means that
+	// such a task asks for a label.
+	tenant               *tenant
+	largest, largestTask glade.Need
+	asksLabel            bool
 	// submittedAt is when the batch was first submitted, as far as is known: the time
 	// in its rows, or else when this leader accepted it.
 	submittedAt time.Time
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -211,6 +211,7 @@
 			s.forget(r)
 		}
 	}
+	s.updateSizes()
 	s.reviewedAt = time.Time{} // of the runners that are no longer listed
 }
 
@@ -337,6 +338,9 @@
 	r.contacted = true
 	if first {
 		s.needsPlacement = true
+		if r.listed && !r.info.Draining && s.sizes.add(r) {
+			s.noteSizes()
+		}
 		s.addEvent("held", "runner", id, "running", len(answer.Running), "ended", len(answer.Ended))
 	}
 	s.recordCompleteness(r, len(answer.Ended), first, answer.Incomplete)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -70,6 +70,8 @@
 	runners   map[glade.RunnerID]*runner
 	// ordered holds the runners by id.
 	ordered []*runner
+	// sizes are those of the runners that can be in use.
+	sizes poolSizes
 	// touched holds the runners of which something has changed since the last step,
 	// evacuating those under evacuation, and idleBeat those without a heartbeat in flight.
 	touched, evacuating, idleBeat map[*runner]bool
@@ -188,6 +190,7 @@
 		batches:         make(map[glade.BatchID]*batch),
 		live:            make(map[*batch]bool),
 		runners:         make(map[glade.RunnerID]*runner),
+		sizes:           make(poolSizes),
 		ready:           make(map[*step]bool),
 		touched:         make(map[*runner]bool),
 		evacuating:      make(map[*runner]bool),
--- a/sched/tenant.go
+++ b/sched/tenant.go
@@ -14,8 +14,10 @@
 	// Used is what runs that may be on a runner occupy, Wanted that and what could start
 	// now if there were no limit.
 	Used, Wanted glade.Need
+	// Lasting is the part of Used that long-running tasks occupy, which may never end.
+	Lasting glade.Need
 	// Largest is what the largest task or whole gang of the tenant's accepted batches
-	// occupies, in each resource.
+	// occupies, in each resource, without long-running tasks that run.
 	Largest glade.Need
 	// Waited is how long the tenant's oldest step has waited for its limit alone.
 	Waited time.Duration
@@ -46,11 +48,12 @@
 	used, unseen glade.Need
 	// lasting is the part of used that long-running tasks occupy.
 	lasting glade.Need
-	// pending is what pending tasks of ready steps need, and largest the largest task or whole
-	// gang of accepted live batches, both without what the limit can never take. waited is the
-	// longest wait for the limit alone. All are as of the last call of TenantDemands.
-	pending, largest glade.Need
-	waited           time.Duration
+	// pending is what pending tasks of ready steps need, pendingLasting the largest of them that is
+	// long-running, and largest the largest other task or whole gang of accepted live batches, all
+	// without what isn't attainable. waited is the longest wait for the limit alone. All are as of
+	// the last call of TenantDemands.
+	pending, pendingLasting, largest glade.Need
+	waited                           time.Duration
 	// heldFor is the step that the room within the limit is kept for, or nil.
 	heldFor *step
 	// holdBegan is when room was first kept, of the turns that have not ended; zero if none is.
@@ -115,7 +118,13 @@
 
 // setTenant sets the tenant of a batch that is known from now on.
 func (s *Scheduler) setTenant(b *batch) {
-	b.tenant, b.largest = s.tenant(b.work.Tenant), largestUnit(&b.work)
+	b.tenant = s.tenant(b.work.Tenant)
+	for i := range b.work.Steps {
+		if rule := &b.work.Steps[i]; !rule.LongRunning {
+			b.largest, b.largestTask = most(b.largest, unit(rule)), most(b.largestTask, allocation(rule))
+			b.asksLabel = b.asksLabel || rule.Label != ""
+		}
+	}
 }
 
 // setRule takes the limit and weight from the contract. A tenant that has left the
@@ -258,16 +267,16 @@
 // under a higher limit may not.
 func (t *tenant) isPossible(need glade.Need) bool { return t.room(need, glade.Need{}, t.limit, 1) == 1 }
 
-// largestPossible returns the largest task or whole gang of a batch that fits into the limit of
-// its tenant, in each resource.
-func (b *batch) largestPossible() glade.Need {
-	if b.tenant.isPossible(b.largest) {
+// largestAttainable returns the largest attainable task or whole gang of a batch, in each resource,
+// without long-running tasks.
+func (s *Scheduler) largestAttainable(b *batch) glade.Need {
+	if !b.asksLabel && s.isAttainable(b.tenant, &glade.Step{Need: b.largestTask}) && b.tenant.room(b.largest, b.tenant.lasting, b.tenant.limit, 1) == 1 {
 		return b.largest
 	}
 	var largest glade.Need
 	for i := range b.work.Steps {
-		if need := unit(&b.work.Steps[i]); b.tenant.isPossible(need) {
-			largest = most(largest, need)
+		if rule := &b.work.Steps[i]; !rule.LongRunning && s.isAttainable(b.tenant, rule) {
+			largest = most(largest, unit(rule))
 		}
 	}
 	return largest
@@ -279,7 +288,7 @@
 	if t := n.step.occurrence.batch.tenant; t != nil {
 		t.used = t.used.Plus(whole(n.step.rule))
 		if n.step.rule.LongRunning {
-			t.lasting = t.lasting.Plus(whole(n.step.rule))
+			t.lasting, s.largestStale = t.lasting.Plus(whole(n.step.rule)), true
 		}
 		s.demandGen++
 	}
@@ -290,7 +299,7 @@
 	if t := n.step.occurrence.batch.tenant; t != nil && n.runner.runs[n] {
 		t.used = t.used.Minus(whole(n.step.rule))
 		if n.step.rule.LongRunning {
-			t.lasting = t.lasting.Minus(whole(n.step.rule))
+			t.lasting, s.largestStale = t.lasting.Minus(whole(n.step.rule)), true
 		}
 		s.demandGen++
 	}
@@ -317,14 +326,17 @@
 	}
 	s.updateLargest()
 	for _, t := range s.tenantsByName {
-		t.pending, t.waited = glade.Need{}, 0
+		t.pending, t.pendingLasting, t.waited = glade.Need{}, glade.Need{}, 0
 	}
 	for st := range s.ready {
 		t := st.occurrence.batch.tenant
-		if t == nil || st.pending == 0 || !t.isPossible(unit(st.rule)) {
+		if t == nil || st.pending == 0 || !s.isAttainable(t, st.rule) {
 			continue
 		}
 		t.pending = t.pending.Plus(multiply(whole(st.rule), st.pending))
+		if st.rule.LongRunning {
+			t.pendingLasting = most(t.pendingLasting, unit(st.rule))
+		}
 		if !st.limitedSince.IsZero() {
 			t.waited = max(t.waited, now.Sub(st.limitedSince))
 		}
@@ -332,7 +344,10 @@
 	var list []TenantDemand
 	for _, t := range s.tenantsByName {
 		// Pending tasks that may run unseen count once.
-		d := TenantDemand{Tenant: t.name, Used: t.inUse(), Wanted: t.used.Plus(most(t.pending, t.unseen)), Largest: t.largest, Waited: t.waited}
+		d := TenantDemand{
+			Tenant: t.name, Used: t.inUse(), Wanted: t.used.Plus(most(t.pending, t.unseen)), Lasting: t.lasting,
+			Largest: most(t.largest, t.pendingLasting), Waited: t.waited,
+		}
 		if d.Wanted != (glade.Need{}) || d.Largest != (glade.Need{}) {
 			list = append(list, d)
 		}
@@ -365,7 +380,7 @@
 	}
 	for b := range s.live {
 		if b.tenant != nil && b.accepted {
-			b.tenant.largest = most(b.tenant.largest, b.largestPossible())
+			b.tenant.largest = most(b.tenant.largest, s.largestAttainable(b))
 		}
 	}
 }
