Limits: work without a runner keeps no room within a limit

Cause: after one step of a tenant was found to wait for its limit alone, all later ones of the pass that the limit blocks counted as waiting for it, also those that ask for a label which no runner has; a gang counted whatever its label. After 1 s the room within the limit was kept for the oldest of them. It was found not to fit and lost its turn, but only for one placement pass each, so that many of them kept the room for the whole turn of 2.5 s.

Change: a step counts as waiting for its limit only if a runner of the pool can take its tasks.

Measured: the two new cases of TestUnattainableDemand fail on, and one each with the change in place.go or gang.go taken out; they pass now.

--- a/sched/gang.go
+++ b/sched/gang.go
@@ -18,7 +18,7 @@
 		number = max(number, t.lastNumber+1)
 	}
 	if !s.mayStart(st, len(st.tasks)) {
-		hasRoom := countRoom(allocation(st.rule), usable) >= len(st.tasks)
+		hasRoom := s.hasRunnerFor(st.rule) && countRoom(allocation(st.rule), usable) >= len(st.tasks)
 		s.noteLimited(st, hasRoom, now)
 		s.blocked[st.occurrence.batch.tenant] = s.blocked[st.occurrence.batch.tenant] || hasRoom
 		return nil
--- a/sched/kinds_test.go
+++ b/sched/kinds_test.go
@@ -1,16 +1,18 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/sched"
 )
 
-// TestUnattainableDemand guards against work that can't start keeping a part of its tenant's limit
-// from work that can.
+// TestUnattainableDemand guards against work that can't start keeping a part of its tenant's limit,
+// or the room in it, from work that can.
 func TestUnattainableDemand(t *testing.T) {
 	const small, large = "small", "large"
 	newKinds := func(t *testing.T, share int) *harness {
@@ -67,4 +69,27 @@
 		r.limit(cores(13), cores(0))
 		expectDemand(r, 8+5+1, 5)
 	})
+	// They counted as waiting for the limit, and each of them kept the room for one placement pass.
+	for name, step := range map[string]glade.Step{
+		"tasks without a runner keep no room": {Count: 1, Need: core, Estimate: 30_000, Label: large},
+		"gangs without a runner keep no room": {Count: 2, Need: core, Estimate: 30_000, Label: large, Gang: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newKinds(t, 2)
+			r.sched.SetAllowance(acme, sched.Allowance{Share: cores(2), Reachable: cores(100)})
+			for i := range 3 {
+				r.submit(glade.BatchID(fmt.Sprint(i)), asks(2, small, core))
+				r.advance(100 * time.Millisecond)
+				for j := range 50 {
+					r.submit(glade.BatchID(fmt.Sprint("large", i, j)), of(acme, batchOf(step)))
+				}
+			}
+			for i := range 3 {
+				r.expectRunning(glade.BatchID(fmt.Sprint(i)), 2)
+				r.advance(600 * time.Millisecond)
+				r.endAll(glade.BatchID(fmt.Sprint(i)), 0, glade.EndDone)
+				r.advance(300 * time.Millisecond)
+			}
+		})
+	}
 }
--- a/sched/place.go
+++ b/sched/place.go
@@ -198,7 +198,7 @@
 		}
 		mayStart := s.mayStart(st, 1)
 		if !mayStart && s.blocked[st.occurrence.batch.tenant] {
-			limited = true // there was room for an earlier step of the tenant
+			limited = s.hasRunnerFor(st.rule) // there was room for an earlier step of the tenant
 			break
 		}
 		r := s.chooseRunner(st, t, usable, now)
