Limits: a service asks for its largest task beside its long-running ones

The minimum of a request for more, and what a holder keeps for itself, was the largest task alone, which the share had room for by its size, so that nothing was asked for. A holder with 40 of a share of 50 in use by long-running tasks and a task of 20 asked for nothing.

Change: the minimum is what the long-running tasks occupy and the largest task or gang beside it. Whether a wait is urgent is still decided by the task or gang itself.

--- a/lead/quota.go
+++ b/lead/quota.go
@@ -210,7 +210,7 @@
 			continue
 		}
 		with[d.Tenant] = true
-		l.tenant(d.Tenant, now).setDemand(quota.Demand{Used: d.Used, Wanted: d.Wanted, Largest: d.Largest, Waited: d.Waited}, now)
+		l.tenant(d.Tenant, now).setDemand(quota.Demand{Used: d.Used, Wanted: d.Wanted, Lasting: d.Lasting, Largest: d.Largest, Waited: d.Waited}, now)
 	}
 	for tenant, t := range l.tenants {
 		if !with[tenant] {
@@ -221,7 +221,7 @@
 
 // setDemand sets the demand and notes whether there is something to decide.
 func (t *tenantLimit) setDemand(d quota.Demand, now time.Time) {
-	if d.Used != t.demand.Used || d.Wanted != t.demand.Wanted || d.Largest != t.demand.Largest {
+	if d.Used != t.demand.Used || d.Wanted != t.demand.Wanted || d.Lasting != t.demand.Lasting || d.Largest != t.demand.Largest {
 		t.isWoken = true
 	}
 	t.demand = d
--- a/quota/holder.go
+++ b/quota/holder.go
@@ -29,7 +29,9 @@
 type Demand struct {
 	// Used is what may run, Wanted that and what could start now if there were no limit.
 	Used, Wanted glade.Need
-	// Largest is what the largest task or gang of the accepted work needs.
+	// Lasting is the part of Used that may never end.
+	Lasting glade.Need
+	// Largest is what the largest task or gang of the accepted work needs beside that.
 	Largest glade.Need
 	// Waited is how long the oldest step has waited for the limit alone.
 	Waited time.Duration
--- a/quota/model_test.go
+++ b/quota/model_test.go
@@ -18,6 +18,7 @@
 	// knownTo is the newest epoch whose leader accepted the task: later ones inherit it.
 	accepted int64
 	runs     bool
+	lasting  bool
 	// open is set if the task started while memory was not limited.
 	open   bool
 	began  time.Time
@@ -130,6 +131,10 @@
 			d.Wanted = d.Wanted.Plus(task.need)
 			d.Waited = max(d.Waited, m.now.Sub(task.began))
 		}
+		if task.lasting && task.runs {
+			d.Lasting = d.Lasting.Plus(task.need)
+			continue
+		}
 		d.Largest.CPU, d.Largest.Memory = max(d.Largest.CPU, task.need.CPU), max(d.Largest.Memory, task.need.Memory)
 	}
 	d.Wanted = d.Wanted.Plus(d.Used)
@@ -322,6 +327,7 @@
 		size := rapid.SampledFrom([]int{1, 5, 20, 50, 100}).Draw(m.t, "size")
 		m.tasks[service] = append(m.tasks[service], &modelTask{
 			need: glade.Need{CPU: size, Memory: rapid.IntRange(1, 60).Draw(m.t, "memory")}, accepted: m.current(service).epoch, began: m.now,
+			lasting: rapid.Bool().Draw(m.t, "lasting"),
 		})
 	case kind < 18 && l.op != nil:
 		m.finishOp(l)
--- a/quota/next.go
+++ b/quota/next.go
@@ -175,12 +175,19 @@
 // its largest task or gang, so that work continues while the store is down.
 func (h *Holder) need() glade.Need {
 	_, limit := h.limit()
-	need := atLeast(atLeast(h.demand.Wanted, h.demand.Largest), h.demand.Used)
+	need := atLeast(atLeast(h.demand.Wanted, h.minimum()), h.demand.Used)
 	return limitedOnly(atLeast(atMost(need, limit), h.demand.Used), limit)
 }
 
-// minimum returns what the largest task or gang needs, as far as the limit allows.
+// minimum returns what the largest task or gang needs beside the tasks that may never end, as far
+// as the limit allows: it would wait for ever in a share that has only room for it alone.
 func (h *Holder) minimum() glade.Need {
+	_, limit := h.limit()
+	return limitedOnly(atMost(h.demand.Lasting.Plus(h.demand.Largest), limit), limit)
+}
+
+// largest returns what the largest task or gang needs, as far as the limit allows.
+func (h *Holder) largest() glade.Need {
 	_, limit := h.limit()
 	return limitedOnly(atMost(h.demand.Largest, limit), limit)
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -110,6 +110,16 @@
 		qt.Assert(t, h.Share().CPU, qt.Equals, action.Write.To.CPU)
 		qt.Assert(t, action.Write.To.CPU > 0, qt.IsTrue)
 	})
+	// The rest of the share has no room for it, and long-running tasks may never end.
+	t.Run("a task is asked for beside the long-running ones, of equal parts as well", func(t *testing.T) {
+		h := newHolder(`{"version":1,"limit":{"cpu":100},"shares":{"a":{"epoch":1,"cpu":50},"b":{"epoch":1,"cpu":50}}}`)
+		cpu := func(n int) glade.Need { return glade.Need{CPU: n} }
+		h.SetDemand(quota.Demand{Used: cpu(40), Lasting: cpu(40), Wanted: cpu(100), Largest: cpu(20), Waited: time.Second}, now)
+		h.Next(now)
+		h.AskEnded()
+		request := h.Next(now.Add(time.Second)).Requests["b"]
+		qt.Assert(t, []glade.Need{request.Least, request.Largest}, qt.DeepEquals, []glade.Need{cpu(10), cpu(20)})
+	})
 	// The holder is faster than the one that asked: it would take it back each time.
 	t.Run("what was given is not taken back at once", func(t *testing.T) {
 		h := newHolder(`{"version":1,"limit":{"cpu":100},"shares":{"a":{"epoch":1,"cpu":100}}}`)
--- a/quota/yield.go
+++ b/quota/yield.go
@@ -39,9 +39,10 @@
 	Missing glade.Need `json:"missing"`
 	// Split is the holder's part of what the sender lacks of an equal split.
 	Split glade.Need `json:"split"`
-	// Least is the holder's part of what the sender lacks for its largest task or gang.
+	// Least is the holder's part of what the sender lacks for its largest task or gang beside
+	// its tasks that may never end.
 	Least glade.Need `json:"least"`
-	// Largest is what that needs, and Lacks all that the sender lacks for it.
+	// Largest is what that task or gang needs, and Lacks all that the sender lacks for it.
 	Largest glade.Need `json:"largest"`
 	Lacks   glade.Need `json:"lacks"`
 	// WaitBegan is when the sender's wait began, in Unix milliseconds of its own clock, and
@@ -152,7 +153,7 @@
 	}
 	requests := make(map[glade.Service]Request, len(holders))
 	for service, held := range holders {
-		r := Request{From: h.service, Missing: part(missing.Plus(missing), held, all), Largest: h.minimum(), Lacks: h.lacks(), Row: h.row, RowVersion: h.version}
+		r := Request{From: h.service, Missing: part(missing.Plus(missing), held, all), Largest: h.largest(), Lacks: h.lacks(), Row: h.row, RowVersion: h.version}
 		if h.asks.rounds > 0 {
 			r.Split, r.Least = part(split, lack(held, fair), above), part(least, held, all)
 		}
@@ -184,7 +185,7 @@
 	return all
 }
 
-// lacks returns what the share lacks for the largest task or gang.
+// lacks returns what the share lacks of the minimum.
 func (h *Holder) lacks() glade.Need { return lack(h.minimum(), h.held()) }
 
 // part returns the part of n that falls to a holder, in proportion and rounded up.
@@ -261,7 +262,7 @@
 		return true
 	}
 	theirs := h.isUrgent(r.Largest, time.Duration(r.Waited)*time.Millisecond)
-	ours := h.isUrgent(h.minimum(), now.Sub(h.waitBegan))
+	ours := h.isUrgent(h.largest(), now.Sub(h.waitBegan))
 	if theirs != ours {
 		return theirs
 	}
