--- a/sched/runner.go
+++ b/sched/runner.go
@@ -222,6 +222,7 @@
 			s.forget(r)
 		}
 	}
+	s.updateSizes()
 	s.reviewedAt = time.Time{} // of the runners that are no longer listed
 }
 
@@ -381,6 +382,9 @@
 	r.contacted = true
 	if first {
 		s.needsPlacement = true
+		if r.listed && !r.info.Draining && s.sizes.add(r) {
+			s.noteSizes()
+		}
 		s.addEvent("held", "runner", r.info.ID, "running", len(answer.Running), "ended", len(answer.Ended))
 	}
 	s.recordCompleteness(r, len(answer.Ended), first, answer.Incomplete)
