Losses that one leader finds at once count as one

All five hosts are killed while runners restart; the next leader finds four incarnations lost, three count as crashes under each old task, and two crashes that were seen make five.

Cause: runners that are lost at once have a cause that they share.

Change: three or more that one leader finds lost count as one.

Measured: TestLossesAtOnce fails without it; TestCrashesOutliveTheLeadersThatSawThem and the rest of sched (but for TestIncomingCongestionTenfold) and lead pass.

--- a/sched/crash_test.go
+++ b/sched/crash_test.go
@@ -361,6 +361,31 @@
 	t.Run("when one of two saw two", func(t *testing.T) { expectGivenUp(t, series{diesAfter: []int{2, 3}}) })
 }
 
+// TestLossesAtOnce guards against a task that is given up although it crashes nothing: when all hosts die, several
+// runners restart unseen, and each would count as a crash under it.
+func TestLossesAtOnce(t *testing.T) {
+	const batch = "a"
+	r := newLateCrasher(t)
+	r.wait()
+	used := r.runnerOf(batch)
+	lost := 0
+	for _, info := range r.infos {
+		if info.ID != used && lost < 3 {
+			r.crash(info.ID, glade.TaskID{})
+			lost++
+		}
+	}
+	r.c.Assert(lost, qt.Equals, 3)
+	r.reload(2)
+	for range 2 {
+		r.wait()
+		r.crash(r.runnerOf(batch), glade.TaskID{Batch: batch})
+		r.awaitCrash()
+	}
+	r.wait()
+	r.expectState(batch, glade.BatchRunning)
+}
+
 // Crashes that a leader has written count a second time under the next one, as runners lost unseen.
 func TestWrittenCrashesCountOnce(t *testing.T) {
 	const batch = "a"
--- a/sched/losses.go
+++ b/sched/losses.go
@@ -151,7 +151,8 @@
 
 // unseenCrashes returns how many runners may have crashed under a task without a row that tells of
 // it: as many as were lost so since its batch was submitted. For a task that lasts, most of what is
-// lost in its life has another cause.
+// lost in its life has another cause. So have several that one leader has found lost: it took over
+// because hosts died, too, and runners went with them.
 func (s *Scheduler) unseenCrashes(st *step) int {
 	count, submitted := 0, st.occurrence.batch.submittedAt.UnixMilli()
 	for _, at := range s.losses.at {
@@ -159,7 +160,7 @@
 			count++
 		}
 	}
-	if st.rule.LongRunning {
+	if st.rule.LongRunning || count == maxUnseen && s.losses.at[0] == s.losses.at[maxUnseen-1] {
 		return min(count, 1)
 	}
 	return count
