Show that processes end when they have no free descriptor

The listener for other hosts ends with any error of Accept, and the process with it, also with one that passes.

--- a/review/plant/main.go
+++ b/review/plant/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -16,6 +17,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -30,16 +32,18 @@
 
 // Sizes and bounds of the deployment, as in the settings of a small one.
 const (
-	nodeCount    = 5
 	portsPerNode = 4
 	runnerCPU    = 16000
 	maxRowBytes  = 64 << 10 // rowBytes
 	maxCallBytes = 1 << 20  // of a transaction
 	maxEntries   = 100      // of a transaction
 	startTime    = 10 * time.Second
+	restartTime  = 500 * time.Millisecond
+	maxFiles     = 4100 // maxFds
 	deadline     = 3 * time.Second
 	finishTime   = 14 * time.Second
 	idleTime     = 3 * time.Second
+	lookTime     = 5 * time.Second
 	visibleTime  = 3 * time.Second // visible_ms
 	staleTime    = 2 * time.Second // age of the number of jobs that wait
 	hostName     = "a.example"
@@ -47,13 +51,16 @@
 	prefix       = "/bayi/"
 )
 
+// nodeCount is the number of processes of the product.
+var nodeCount = 5
+
 // pool is a service with its runners.
 type pool struct {
 	service string
 	runners int
 }
 
-// pools are the services of a scene. Only the first one has a route at first.
+// pools are the services of a scene. Jobs are for the first one.
 var pools = []pool{{service, 9}}
 
 // step is a step of a job in the callers' JSON.
@@ -127,10 +134,77 @@
 	broken   []string
 }
 
-// node is a process of the product.
+// node is a process of the product. The platform starts it again when it has ended by itself.
 type node struct {
 	name, front, ready string
+	log                string // file
+	start              func() (*exec.Cmd, error)
+	channels           atomic.Int64
+	mu                 sync.Mutex
 	command            *exec.Cmd
+	stopped            bool // for good, by this program
+	hit                bool // by a kill, and not started again yet
+	exits              int  // by itself
+}
+
+// stop ends the process for good.
+func (n *node) stop() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.stopped = true
+	_ = n.command.Process.Kill()
+}
+
+// kill kills the process, which the platform starts again.
+func (n *node) kill() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hit = true
+	_ = n.command.Process.Kill()
+}
+
+// isStopped records that the process has ended, and reports whether it is not to start again.
+func (n *node) isStopped(p *plant, err error) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if !n.stopped && !n.hit {
+		n.exits++
+		p.logf("%s has ended by itself, %d times so far: %v, %s", n.name, n.exits, err, n.lastLine())
+	}
+	return n.stopped
+}
+
+// restart starts the process again.
+func (n *node) restart() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hit = false
+	command, err := n.start()
+	if n.stopped || err != nil {
+		return false
+	}
+	n.command = command
+	return true
+}
+
+// lastLine returns the last line of the process's log.
+func (n *node) lastLine() string {
+	data, err := os.ReadFile(n.log)
+	if err != nil {
+		return err.Error()
+	}
+	lines := strings.Split(strings.TrimSpace(string(data)), "\n")
+	return lines[len(lines)-1]
+}
+
+// watch starts the process again each time it has ended.
+func (n *node) watch(p *plant) {
+	for !n.isStopped(p, n.command.Wait()) {
+		time.Sleep(restartTime)
+		if !n.restart() {
+			return
+		}
+	}
 }
 
 func (p *plant) logf(format string, args ...any) {
@@ -276,7 +350,7 @@
 			}
 		}
 	}
-	p.setContract(3, service)
+	p.setContract(3, service, service)
 	rows := fake.NewStore(fake.StoreConfig{PartitionedTable: p.table, Clock: clock.System{}})
 	var stores []string
 	for i := range nodeCount {
@@ -319,24 +393,29 @@
 	return nil
 }
 
-// setContract writes a version of the manifest, in which the route goes to a service.
-func (p *plant) setContract(version int, to string) {
-	var services []map[string]any
+// setContract writes a version of the manifest, in which a service's own route goes to another one; each
+// service has one.
+func (p *plant) setContract(version int, from, to string) {
+	var services, routes []map[string]any
 	for _, pool := range pools {
 		services = append(services, map[string]any{"name": pool.service})
+		target := pool.service
+		if target == from {
+			target = to
+		}
+		routes = append(routes, map[string]any{
+			"name": "queue-" + pool.service, "host": hostName, "pathPrefix": "/" + pool.service + "/", "service": target, "timeoutMs": 3000,
+			"targetLatencyMs": 600, "priority": 0, "maxAttempts": 4, "stretch": 1.6,
+		})
 	}
 	contract, err := json.Marshal(map[string]any{
-		"version": version, "limits": map[string]int{"maxBodyBytes": 262144}, "services": services,
-		"routes": []map[string]any{{
-			"name": "anlik", "host": hostName, "pathPrefix": prefix, "service": to, "timeoutMs": 3000,
-			"targetLatencyMs": 600, "priority": 0, "maxAttempts": 4, "stretch": 1.6,
-		}},
+		"version": version, "limits": map[string]int{"maxBodyBytes": 262144}, "services": services, "routes": routes,
 	})
 	if err != nil {
 		panic(err) // it holds only plain values
 	}
 	p.table.Put(glade.PartitionRow{Table: "op", Key: "config", Value: contract})
-	p.logf("manifest %d: the route goes to %s", version, to)
+	p.logf("manifest %d: the route of %s goes to %s", version, from, to)
 }
 
 func (p *plant) addRunner(inventory *fake.Inventory, service string) error {
@@ -380,26 +459,30 @@
 	if err := os.WriteFile(path, settings, 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(filepath.Join(dir, name+".log"))
-	if err != nil {
-		return err
-	}
-	defer log.Close()
-	n.command = exec.Command(program)
-	n.command.Env = []string{"INDIGOGLADE_SETTINGS=" + path, "GOMAXPROCS=1"}
-	n.command.Stdout, n.command.Stderr = log, log
-	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := n.command.Start(); err != nil {
+	n.log = filepath.Join(dir, name+".log")
+	n.start = func() (*exec.Cmd, error) {
+		log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+		if err != nil {
+			return nil, err
+		}
+		defer log.Close()
+		command := exec.Command("sh", "-c", fmt.Sprintf("ulimit -n %d && exec %s", maxFiles, program))
+		command.Env = []string{"INDIGOGLADE_SETTINGS=" + path, "GOMAXPROCS=1"}
+		command.Stdout, command.Stderr = log, log
+		command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+		return command, command.Start()
+	}
+	if n.command, err = n.start(); err != nil {
 		return err
 	}
 	p.nodes = append(p.nodes, n)
+	go n.watch(p)
 	return nil
 }
 
 func (p *plant) stop() {
 	for _, n := range p.nodes {
-		_ = n.command.Process.Kill()
-		_ = n.command.Wait()
+		n.stop()
 	}
 }
 
@@ -419,7 +502,9 @@
 	p.running[e.Task]--
 	p.done[e.Task] = p.done[e.Task] || how == glade.EndDone
 	p.listed[runName(e)] = true
-	p.write("%s %s %s", how, e.Runner, runName(e))
+	if how != glade.EndDone {
+		p.write("%s %s %s", how, e.Runner, runName(e))
+	}
 }
 
 func (p *plant) acknowledged(e fake.RunEvent, _ glade.EndReason) {
@@ -540,19 +625,29 @@
 	return float64(used) / float64(max(capacity, 1))
 }
 
+// waitingLong returns the number of jobs that have waited for idleTime.
+func (p *plant) waitingLong() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, j := range p.jobs {
+		if !j.idleSince.IsZero() && time.Since(j.idleSince) >= idleTime {
+			n++
+		}
+	}
+	return n
+}
+
 // expectEnd checks what holds after the end of the traffic: each accepted job is known and its state is
 // answered, none waits while there is room, and the ends that runners list are taken note of.
 func (p *plant) expectEnd() {
 	time.Sleep(finishTime)
-	used := p.used()
-	p.mu.Lock()
-	jobs, waiting := p.jobs, 0
-	for _, j := range jobs {
-		if !j.idleSince.IsZero() && time.Since(j.idleSince) >= idleTime {
-			waiting++
-			p.write("job %s has waited for %s with nothing running", j.ID, time.Since(j.idleSince).Round(100*time.Millisecond))
-		}
+	used, waiting := p.used(), 0
+	for began := time.Now(); waiting == 0 && time.Since(began) < lookTime; time.Sleep(200 * time.Millisecond) {
+		used, waiting = p.used(), p.waitingLong()
 	}
+	p.mu.Lock()
+	jobs := p.jobs
 	unnoted := len(p.listed)
 	p.mu.Unlock()
 	var group sync.WaitGroup
@@ -683,7 +778,7 @@
 		p.jobs = nil
 		return
 	}
-	p.setContract(8, to)
+	p.setContract(8, service, to)
 	time.Sleep(visibleTime + staleTime + time.Second)
 	p.logf("%d accepted jobs have not begun", p.waitingJobs())
 	victim := p.writer(service)
@@ -691,7 +786,7 @@
 		for _, n := range p.nodes {
 			if n.name == victim {
 				p.logf("%s is killed, which last wrote for %s", n.name, service)
-				_ = n.command.Process.Kill()
+				n.stop()
 			}
 		}
 	}
@@ -706,6 +801,96 @@
 	time.Sleep(deadline)
 }
 
+// consumer holds one channel, and opens another one when it has broken.
+type consumer struct{ plant *plant }
+
+func (c consumer) run() {
+	for {
+		c.hold(c.plant.anyNode())
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (c consumer) hold(n *node) {
+	conn, err := net.DialTimeout("tcp", n.front, deadline)
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	if _, err := fmt.Fprintf(conn, "GET %s HTTP/1.1\r\nHost: %s\r\n\r\n", prefix, hostName); err != nil {
+		return
+	}
+	n.channels.Add(1)
+	defer n.channels.Add(-1)
+	_, _ = io.Copy(io.Discard, conn) // until it breaks
+}
+
+// channels lets consumers hold two thirds of the channels that the processes have descriptors for. Then the
+// process with the most channels is killed, some times, and its consumers come to the others.
+func (p *plant) channels(trouble bool) {
+	const (
+		consumers = 8200
+		kills     = 4
+		pause     = 12 * time.Second
+	)
+	for range consumers {
+		go consumer{p}.run()
+		time.Sleep(300 * time.Microsecond)
+	}
+	go p.visitors()
+	time.Sleep(5 * time.Second)
+	p.logChannels()
+	for range kills {
+		if trouble {
+			most := slices.MaxFunc(p.nodes, func(x, y *node) int { return cmp.Compare(x.channels.Load(), y.channels.Load()) })
+			p.logf("%s is killed", most.name)
+			most.kill()
+		}
+		for began := time.Now(); time.Since(began) < pause; time.Sleep(time.Second) {
+			p.logChannels()
+		}
+	}
+	often := 0
+	for _, n := range p.nodes {
+		n.mu.Lock()
+		p.logf("%s has ended by itself %d times", n.name, n.exits)
+		if n.exits >= 3 {
+			often++
+		}
+		n.mu.Unlock()
+	}
+	if often >= 2 {
+		p.violate("FAULT: on %d of %d machines processes have ended by themselves three times", often, len(p.nodes))
+	}
+}
+
+// visitors are consumers that come for one request each.
+func (p *plant) visitors() {
+	client := &http.Client{Timeout: deadline, Transport: &http.Transport{DisableKeepAlives: true}}
+	for {
+		go func() {
+			service := pools[rand.IntN(len(pools))].service
+			request, err := http.NewRequest(http.MethodGet, "http://"+p.anyNode().front+"/"+service+"/", nil)
+			if err != nil {
+				return
+			}
+			request.Host = hostName
+			if response, err := client.Do(request); err == nil {
+				response.Body.Close()
+			}
+		}()
+		time.Sleep(25 * time.Millisecond)
+	}
+}
+
+func (p *plant) logChannels() {
+	line := ""
+	for _, n := range p.nodes {
+		line += fmt.Sprintf(" %d at %s", n.channels.Load(), n.name)
+	}
+	p.logf("channels:%s", line)
+}
+
 func run() int {
 	scene := flag.String("scene", "", "what to play")
 	dir := flag.String("dir", "", "folder of the record")
@@ -728,9 +913,12 @@
 		done: make(map[string]bool), begun: make(map[string]bool), writers: make(map[string]string), listed: make(map[string]bool), answers: make(map[string]int),
 		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
 	}
-	scenes := map[string]func(trouble bool){"occurrences": p.occurrences, "gang": p.gang, "outage": p.outage, "moved": p.moved}
+	scenes := map[string]func(trouble bool){"occurrences": p.occurrences, "gang": p.gang, "outage": p.outage, "moved": p.moved, "channels": p.channels}
 	play, ok := scenes[*scene]
-	if *scene == "moved" {
+	switch *scene {
+	case "channels":
+		nodeCount, pools = 3, []pool{{service, 2}, {"oneri", 2}, {"saha", 2}, {"ticari", 2}, {"destek", 2}}
+	case "moved":
 		pools = append(pools, pool{"oneri", 2}, pool{"saha", 2})
 	}
 	defer p.stop()
@@ -748,7 +936,7 @@
 	go p.watch(ctx)
 	play(os.Getenv("TROUBLE") != "0")
 	p.logf("the traffic has ended")
-	if *scene != "moved" {
+	if *scene != "moved" && *scene != "channels" {
 		p.expectEnd()
 	}
 	p.logf("answers: %v; transactions beyond a limit of the store: %d", p.answers, p.tooLarge)
@@ -758,7 +946,7 @@
 	switch {
 	case len(p.broken) > 0:
 		return 1
-	case len(p.jobs) == 0:
+	case len(p.jobs) == 0 && *scene != "channels":
 		return 2
 	}
 	return 0
