The number of waiting batches is given whole or not at all

Cause: Router.State added what the former services answered and left out those that didn't, also a host that no longer leads, which answers 0 without an error. The guards of stateLocal against a leader that may be replaced, and against one with an older contract, which names no former services, held for IDs only.

Change: a number has the part of every service that may have batches of the path; otherwise the last whole number is given while it is 2 s old at most, and 503 after that. The guards hold for numbers. A former service that has left the contract and doesn't answer is left out, as no host will claim it.

--- a/lead/load_test.go
+++ b/lead/load_test.go
@@ -103,3 +103,19 @@
 	expectLeads("is reported by a leader that was confirmed a moment ago", time.Second, true)
 	expectLeads("is not reported by one that another host may have replaced", heartbeatTimeout+time.Second, false)
 }
+
+// TestUnconfirmedNumber guards against the number of waiting batches of a leader that was paused or
+// has lost the store, although its successor has accepted others.
+func TestUnconfirmedNumber(t *testing.T) {
+	expectLeads := func(name string, renewedAgo time.Duration, want bool) {
+		t.Run(name, func(t *testing.T) {
+			m := newLoadedManager()
+			leader := m.leaders[testService]
+			leader.sched = sched.New(sched.Config{Service: testService, Epoch: 1}, time.Now().Add(-renewedAgo))
+			reply := m.stateLocal(BatchArgs{Service: testService, Queue: "fast"})
+			qt.Assert(t, reply.IsLeader, qt.Equals, want)
+		})
+	}
+	expectLeads("is given by a leader that was confirmed a moment ago", time.Second, true)
+	expectLeads("is not given by one that another host may have replaced", heartbeatTimeout+time.Second, false)
+}
--- a/lead/query.go
+++ b/lead/query.go
@@ -92,7 +92,7 @@
 	}) {
 		return BatchReply{}
 	}
-	if in.ID != "" && !reply.Known && leader.mayBeReplaced() {
+	if (in.ID == "" || !reply.Known) && leader.mayBeReplaced() {
 		reply.IsLeader = false
 	}
 	if in.FormerOnly || reply.Known && in.ID != "" {
@@ -100,7 +100,7 @@
 	}
 	var hasPath bool
 	reply.Former, reply.Version, hasPath = leader.paths.formers(in.Path)
-	if !hasPath && in.ID != "" {
+	if !hasPath {
 		reply.IsLeader = false // the contract of this host or of the sender is older
 	}
 	return reply
@@ -127,8 +127,11 @@
 	return reply.Known, err
 }
 
-// State returns the state of a batch, or of a queue if the ID is empty.
+// State returns the state of a batch, or the number of waiting batches of a queue if the ID is empty.
 func (r *Router) State(ctx context.Context, in BatchArgs, timeout time.Duration) (BatchReply, error) {
+	if in.ID == "" {
+		return r.waiting(ctx, in, timeout)
+	}
 	state := func(in BatchArgs) (BatchReply, error) {
 		return callIdempotent(ctx, r, in.Service, methodState, in, timeout, func() (BatchReply, error) { return r.manager.stateLocal(in), nil })
 	}
@@ -136,18 +139,7 @@
 	if err != nil || len(reply.Former) == 0 {
 		return reply, err
 	}
-	if in.ID != "" {
-		return r.askEach(in, reply.Former, state)
-	}
-	in.FormerOnly = true
-	for _, service := range reply.Former { // a number that is too low for a time is better than none
-		in.Service = service
-		former, _, err := route(ctx, r, service, methodState, in, func() (BatchReply, error) { return r.manager.stateLocal(in), nil })
-		if err == nil {
-			reply.Waiting += former.Waiting
-		}
-	}
-	return reply, nil
+	return r.askEach(in, reply.Former, state)
 }
 
 // askEach asks the former services of a path for a batch, until one knows it.
--- a/lead/router.go
+++ b/lead/router.go
@@ -170,6 +170,7 @@
 	pending   map[*pendingCall]bool
 	overloads overloads
 	doubts    doubts
+	numbers   waitingNumbers
 }
 
 func newRouter(manager *Manager) *Router {
