Runners are reserved for a gang that lasts as a whole or not at all

Cause: reserve asked for each pending task of a long-running step whether it would fit once short tasks have ended, never whether the gang would. All tasks of a gang are pending until it starts, so that one without hope took a runner for each member that has room. No loss is needed: ruled out as the cause by gangs that never started. The mayStart check was that of one task.

A gang reserves runners for all of its tasks beside what lasts, within its label, spread, tickets and its tenant's limit, and from what the steps before it leave, or none. Back-offs reserve nothing, nor do runs that have waited for the store for 2 s. The headroom of a tenant is counted once a pass. Explain calls the same function and tells both waits apart; event hopeless.

--- a/sched/explain.go
+++ b/sched/explain.go
@@ -201,9 +201,10 @@
 	}
 	all = without(all, s.trialRunners(now))
 	unreserved = all
+	rooms, unknownRuns := newHeadrooms(false), s.anyUnknownRuns(now) || s.hidesAnyEnds()
 	for _, next := range ready {
-		if next.class == classLongRunning && s.mayStart(next.step, 1) {
-			unreserved = s.reserve(next.step, newHeadrooms(false).take(next.step, next.step.pending), unreserved, now)
+		if b := next.step.occurrence.batch; next.class == classLongRunning && !s.suspects[b] && !(b.inherited && unknownRuns) {
+			unreserved = s.reserve(next.step, rooms, unreserved, now)
 		}
 	}
 	return all, unreserved
@@ -247,7 +248,7 @@
 	e.Places = min(s.freePlaces(st, usable, now), len(st.tasks))
 	best := s.chooseRunner(st, t, usable, now)
 	e.Wait = s.explainWait(st, best, e.Places, usable, now)
-	e.Blocked = s.blockedBy(st, e, best, now)
+	e.Blocked = s.blockedBy(st, e, best, usable, now)
 	e.Behind = own.startable == 0 && e.Blocked == ""
 	if best != nil && !st.rule.Gang && e.Blocked == "" {
 		e.Runner = best.info.ID
@@ -296,11 +297,12 @@
 	blockedLimit     = "the tenant's limit"
 	blockedPart      = "the service's part of the tenant's limit, of which it can get more"
 	blockedRoom      = "no room on the runners"
+	blockedLasting   = "no room on the runners, nor once short tasks have ended"
 	blockedRack      = "waits for a place near the data"
 )
 
 // blockedBy returns why no task of a step starts now, in the order of place and placeStep.
-func (s *Scheduler) blockedBy(st *step, e StepExplanation, best *runner, now time.Time) string {
+func (s *Scheduler) blockedBy(st *step, e StepExplanation, best *runner, usable []*runner, now time.Time) string {
 	count := 1
 	if st.rule.Gang {
 		count = len(st.tasks)
@@ -312,6 +314,8 @@
 		return blockedRunners
 	case !s.pace.isOpen():
 		return blockedLink
+	case (best == nil || e.Places < count) && st.rule.LongRunning && !s.willHaveRoom(st, usable, now):
+		return blockedLasting
 	case best == nil || e.Places < count:
 		return blockedRoom
 	case !mayStart && !t.hasShare:
--- a/sched/explain_test.go
+++ b/sched/explain_test.go
@@ -337,6 +337,19 @@
 		h.s.Submit("a", "fast", ofTenant("calm", work), h.now)
 		c.Assert(h.step(5), qt.HasLen, 4)
 	})
+	t.Run("a lasting gang waits for short tasks, or for more", func(t *testing.T) {
+		c, h := qt.New(t), newExplainHarness()
+		h.s.Submit("short", "fast", oneStep(4, ""), h.now)
+		c.Assert(h.step(5), qt.HasLen, 4)
+		expectBlocked := func(count int, want string) {
+			work := oneStep(count, "")
+			work.Steps[0].Gang, work.Steps[0].LongRunning = true, true
+			c.Assert(h.explain(c, "a", work).Steps[0].Blocked, qt.Equals, want)
+		}
+		expectBlocked(4, "")
+		expectBlocked(8, blockedRoom)
+		expectBlocked(9, blockedLasting)
+	})
 	t.Run("no state changes while batches of all kinds come and wait", func(t *testing.T) {
 		c, h := qt.New(t), newExplainHarness()
 		h.setTenants(2000)
--- a/sched/place.go
+++ b/sched/place.go
@@ -89,6 +89,7 @@
 	s.largestFree = math.MaxInt
 	s.holdRoom(now)
 	clear(s.blocked)
+	rooms := newHeadrooms(false)
 	var starts []Start
 	for _, next := range s.ranked(now) {
 		if next.step.occurrence.batch.inherited && unknownRuns {
@@ -111,8 +112,9 @@
 			}
 		} else {
 			starts = append(starts, s.placeStep(next.step, all, now)...)
-			if due := next.step.duePending(now); due > 0 && s.mayStart(next.step, 1) {
-				unreserved = s.reserve(next.step, newHeadrooms(false).take(next.step, due), unreserved, now)
+			unreserved = s.reserve(next.step, rooms, unreserved, now)
+			if next.step.pending > 0 {
+				s.logHopeless(next.step, all, now)
 			}
 		}
 		if len(starts) >= maxStarts || !s.pace.isOpen() {
@@ -138,28 +140,6 @@
 	return free >= unit(st.rule).CPU
 }
 
-// reserve returns the usable runners without those that count pending tasks of a
-// long-running step wait for. Otherwise short tasks take every gap in a full
-// pool, and long-running tasks are never restarted. A runner on which too much lasts
-// is not waited for: nothing there may end for minutes.
-func (s *Scheduler) reserve(st *step, count int, usable []*runner, now time.Time) []*runner {
-	left := slices.Clone(usable)
-	for range count {
-		best := -1
-		for i, r := range left {
-			if s.allows(r, st, now) && allocation(st.rule).Fits(r.info.Capacity.Minus(r.lasting())) &&
-				(best < 0 || r.utilization() < left[best].utilization()) {
-				best = i
-			}
-		}
-		if best < 0 {
-			break
-		}
-		left = slices.Delete(left, best, best+1)
-	}
-	return left
-}
-
 // utilization returns the allocated share of a runner's CPU or memory, whichever
 // is higher.
 func (r *runner) utilization() float64 {
@@ -265,12 +245,14 @@
 // allows reports whether the step's label, spread and tickets permit a further
 // run on the runner.
 func (s *Scheduler) allows(r *runner, st *step, now time.Time) bool {
+	return s.mayUse(r, st, now) && (st.rule.MaxPerRunner == 0 || r.runsOf(st) < st.rule.MaxPerRunner)
+}
+
+// mayUse reports whether the step's label and tickets permit runs on the runner.
+func (s *Scheduler) mayUse(r *runner, st *step, now time.Time) bool {
 	if st.rule.Label != "" && !r.hasLabel(st.rule.Label) {
 		return false
 	}
-	if st.rule.MaxPerRunner > 0 && r.runsOf(st) >= st.rule.MaxPerRunner {
-		return false
-	}
 	if st.occurrence.batch.rule.NeedsAdvice {
 		return st.hasTicket(r.info.ID, now)
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -131,9 +131,10 @@
 	writes         writes
 	drops          rowDrops
 	needsPlacement bool // something that placement depends on has changed
-	// placedAt is when tasks were last placed.
-	placedAt  time.Time
-	estimates estimates
+	// placedAt is when tasks were last placed, hopelessLoggedAt when a step without hope of room was
+	// last reported.
+	placedAt, hopelessLoggedAt time.Time
+	estimates                  estimates
 	// times holds the run times as distributions, waits the tasks that wait for a rack.
 	times        *times.Times
 	waits        waits
