No room within a tenant's limit is kept for a gang without room on the runners

Cause: placeGang took a gang for limited if the free CPU held all of its members, without a look at its label, spread and tickets. holdRoom then kept the room within the limit for it, 2.5 s in turn, although its limit was not what it waited for.

Change: gangs and trials ask freePlaces, as the rest does; countRoom goes.

--- a/sched/attainable_test.go
+++ b/sched/attainable_test.go
@@ -93,3 +93,29 @@
 		})
 	}
 }
+
+// TestHeldForHopelessGang guards against room within a tenant's limit that is kept from its other tasks for a gang
+// that has no room on the runners.
+func TestHeldForHopelessGang(t *testing.T) {
+	expectFree := func(name string, change func(r *harness, step *glade.Step)) {
+		t.Run(name, func(t *testing.T) {
+			r := newLimitedHarness(t, 2, 4)
+			r.submit("long", of(acme, batchOf(glade.Step{Count: 2, Need: core, Estimate: 60_000})))
+			r.advance(200 * time.Millisecond)
+			r.expectRunning("long", 2)
+			step := glade.Step{Count: 3, Need: core, Estimate: 500, Gang: true}
+			change(r, &step)
+			r.submit("gang", of(acme, batchOf(step)))
+			r.advance(1500 * time.Millisecond)
+			r.submit("small", of(acme, tasks(2)))
+			r.advance(200 * time.Millisecond)
+			r.expectRunning("gang", 0)
+			r.expectRunning("small", 2)
+		})
+	}
+	expectFree("wider than its runners", func(_ *harness, step *glade.Step) { step.MaxPerRunner = 1 })
+	expectFree("with too few runners of its kind", func(r *harness, step *glade.Step) {
+		r.infos[0].Labels, step.Label, step.MaxPerRunner = []string{"big"}, "big", 2
+		r.sched.SetRunners(r.infos, r.now)
+	})
+}
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -18,7 +18,7 @@
 		number = max(number, t.lastNumber+1)
 	}
 	if !s.mayStart(st, len(st.tasks)) {
-		hasRoom := s.hasRunnerFor(st.rule) && countRoom(allocation(st.rule), usable) >= len(st.tasks)
+		hasRoom := s.freePlaces(st, usable, now) >= len(st.tasks)
 		s.noteLimited(st, hasRoom, now)
 		s.blocked[st.occurrence.batch.tenant] = s.blocked[st.occurrence.batch.tenant] || hasRoom
 		return nil
@@ -61,17 +61,6 @@
 	return nil
 }
 
-// countRoom returns for how many tasks with a need runners have room.
-func countRoom(need glade.Need, runners []*runner) int {
-	count := 0
-	for _, r := range runners {
-		for free := r.info.Capacity.Minus(r.used); need.Fits(free) && need != (glade.Need{}); free = free.Minus(need) {
-			count++
-		}
-	}
-	return count
-}
-
 func hasGang(work glade.Batch) bool {
 	return slices.ContainsFunc(work.Steps, func(st glade.Step) bool { return st.Gang })
 }
--- a/sched/trial.go
+++ b/sched/trial.go
@@ -135,7 +135,7 @@
 	}
 	if !s.mayStart(st, 1) {
 		b.trialRunner, b.trialBlock = nil, tenantLimit // a blocked trial keeps no runner free
-		s.noteLimited(st, countRoom(allocation(st.rule), usable) > 0, now)
+		s.noteLimited(st, s.freePlaces(st, usable, now) > 0, now)
 		return nil
 	}
 	s.noteLimited(st, false, now)
