The last whole number of a path outlives the move of the path

Cause: the last number was kept by service, queue and path, so that a host forgot it in the moment in which the contract sends the path elsewhere, and refused with 503 until the next leader has the contract. And when it was 1.8 to 2 s old, the leader of another host got no time to answer at all.

Change: numbers are kept by path, whichever service has it. A number that is about to be too old no longer bounds the question.

--- a/lead/waiting.go
+++ b/lead/waiting.go
@@ -19,11 +19,18 @@
 // waitingLogPeriod is the least time between two log lines about numbers without a part.
 const waitingLogPeriod = time.Second
 
-// waitingKey names the number of a queue.
+// waitingKey names the number of a path, whichever service has it, or of a queue without a path.
 type waitingKey struct {
+	path    string
 	service glade.Service
 	queue   glade.Queue
-	path    string
+}
+
+func waitingKeyOf(in BatchArgs) waitingKey {
+	if in.Path != "" {
+		return waitingKey{path: in.Path}
+	}
+	return waitingKey{service: in.Service, queue: in.Queue}
 }
 
 // waitingNumber is a whole number: all services that may have batches of the queue have given
@@ -34,7 +41,7 @@
 	askedAt time.Time
 }
 
-// waitingNumbers holds the last whole number of each queue while it may be given.
+// waitingNumbers holds the last whole numbers while they may be given.
 type waitingNumbers struct {
 	mu       sync.Mutex
 	byQueue  map[waitingKey]waitingNumber
@@ -58,7 +65,7 @@
 	}
 }
 
-// recent returns the last whole number of a queue, and for how long it may still be given. It
+// recent returns the last whole number of a path or queue, and for how long it may still be given. It
 // returns false if there is none.
 func (w *waitingNumbers) recent(key waitingKey, now time.Time) (number waitingNumber, left time.Duration, ok bool) {
 	w.mu.Lock()
@@ -83,12 +90,12 @@
 // services that may have some. A number without the part of one of them is never given: in its
 // place the last whole number is, while it is recent enough, and ErrNoLeader after that.
 func (r *Router) waiting(ctx context.Context, in BatchArgs, timeout time.Duration) (BatchReply, error) {
-	key := waitingKey{in.Service, in.Queue, in.Path}
+	key := waitingKeyOf(in)
 	deadline := r.clock.Now().Add(timeout)
 	for {
 		asked := r.clock.Now()
 		wait := deadline.Sub(asked)
-		if _, left, ok := r.numbers.recent(key, asked); ok {
+		if _, left, ok := r.numbers.recent(key, asked); ok && left > waitingMargin {
 			wait = min(wait, left-waitingMargin) // a leader that is paused doesn't answer
 		}
 		bounded, cancel := context.WithTimeout(ctx, max(wait, 0))
--- a/lead/waiting_test.go
+++ b/lead/waiting_test.go
@@ -127,6 +127,19 @@
 		s.sleep(2 * time.Second)
 		s.expectWaiting("h1", 3)
 	})
+	runPath(t, "the path has just moved, and its leader does not know yet", func(c *qt.C, s *pathCluster) {
+		s.fill("h1", s.rules, "x", 5)
+		second := s.termOf(secondService).Node
+		at := glade.Node("h1")
+		if second == at {
+			at = "h2"
+		}
+		s.expectWaiting(at, 3)
+		s.rules = pathRules(2, "q", secondService)
+		s.managers[at].SetRules(s.rules)
+		given, refused := s.expectNoLess(at, 3, 3*time.Second)
+		c.Assert(given > 0 && refused > 0, qt.IsTrue, qt.Commentf("%d numbers, %d refusals", given, refused))
+	})
 	runPath(t, "the path moves back", func(_ *qt.C, s *pathCluster) {
 		former, other := s.moveWithWaiting()
 		s.apply(pathRules(3, "q", firstService), "h1", "h2", "h3")
