--- a/sched/reserve_test.go
+++ b/sched/reserve_test.go
@@ -33,7 +33,7 @@
 	done     int
 }
 
-func newCrowd(t testing.TB, runners, cpu int, lifetime time.Duration) *crowd {
+func newCrowd(t *testing.T, runners, cpu int, lifetime time.Duration) *crowd {
 	t.Helper()
 	w := &crowd{harness: newHarness(qt.New(t), runners, runnerSize), cpu: cpu, lifetime: lifetime, started: make(map[glade.ActiveRun]time.Time)}
 	w.answerEnds = true
