Runners are reserved in turns while most of the pool is idle

Cause: a reservation for a long-running step with hope of room ended only with the short tasks on the reserved runners. If one of these runs for minutes on each of them, all other batches wait for as long, in a pool that is idle but for them.

Change: while less than half of the usable CPU is in use, runners are reserved for 2.5 s and not for 2.5 s in turn, as the room within a tenant's limit is (holdRoom); a batch counts as starved after 3 s. The turns begin with the first step that waits. Explain shows what the last pass did.

Measured, Go 1.26 on x86-64: TestReservationBesideLongTasks fails in 3 of 3 cases on (a short batch has waited 14.9 s of 15) and passes after, with the start of the long-running step within 6 s of the end of the long tasks. TestHopelessGang, TestHopelessSteps and TestLastingGangInFullPool pass before and after.

--- a/sched/explain.go
+++ b/sched/explain.go
@@ -204,7 +204,7 @@
 	rooms, unknownRuns := newHeadrooms(false), s.anyUnknownRuns(now) || s.hidesAnyEnds()
 	for _, next := range ready {
 		if b := next.step.occurrence.batch; next.class == classLongRunning && !s.suspects[b] && !(b.inherited && unknownRuns) {
-			unreserved = s.reserve(next.step, rooms, unreserved, now)
+			unreserved = s.reserve(unreserved, s.awaitedRunners(next.step, rooms, unreserved, now))
 		}
 	}
 	return all, unreserved
--- a/sched/place.go
+++ b/sched/place.go
@@ -88,6 +88,7 @@
 	unknownRuns := s.anyUnknownRuns(now) || s.hidesAnyEnds()
 	s.largestFree = math.MaxInt
 	s.holdRoom(now)
+	s.updateReserving(all, now)
 	clear(s.blocked)
 	rooms := newHeadrooms(false)
 	var starts []Start
@@ -112,7 +113,10 @@
 			}
 		} else {
 			starts = append(starts, s.placeStep(next.step, all, now)...)
-			unreserved = s.reserve(next.step, rooms, unreserved, now)
+			if waited := s.awaitedRunners(next.step, rooms, unreserved, now); len(waited) > 0 {
+				s.awaited = true
+				unreserved = s.reserve(unreserved, waited)
+			}
 			if next.step.pending > 0 {
 				s.logHopeless(next.step, all, now)
 			}
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -15,21 +15,53 @@
 // leader row. Without one for so long, the store is down, and nobody knows when the task may start.
 const maxLostWait = 2 * time.Second
 
-// reserve returns the usable runners without those that pending tasks of a long-running step wait for.
-// Steps are to be passed in the order of placement, each with the runners that those before leave: two
-// gangs that have room only one after the other don't hold each other up.
-func (s *Scheduler) reserve(st *step, rooms *headrooms, usable []*runner, now time.Time) []*runner {
+// reservationTurn is how long runners are reserved, and then not, in turn, while less than half of
+// the pool is in use: a short task on a reserved runner may run for minutes, and other steps would
+// starve meanwhile. A step counts as starved after 3 s.
+const reservationTurn = 2500 * time.Millisecond
+
+// updateReserving finds whether runners are reserved in this placement pass. The turns are those of
+// the pool: with turns of their own, several steps would reserve runners all the time.
+func (s *Scheduler) updateReserving(usable []*runner, now time.Time) {
+	used, capacity := 0, 0
+	for _, r := range usable {
+		used += r.used.CPU
+		capacity += r.info.Capacity.CPU
+	}
+	switch {
+	case 2*used >= capacity || !s.awaited:
+		s.idleSince = time.Time{}
+	case s.idleSince.IsZero():
+		s.idleSince = now
+	}
+	s.reserving = s.idleSince.IsZero() || now.Sub(s.idleSince)/reservationTurn%2 == 0
+	s.awaited = false
+}
+
+// reserve returns the usable runners without those that are awaited, if it is the turn in which they
+// are reserved.
+func (s *Scheduler) reserve(usable, awaited []*runner) []*runner {
+	if !s.reserving || len(awaited) == 0 {
+		return usable
+	}
+	return slices.DeleteFunc(slices.Clone(usable), func(r *runner) bool { return slices.Contains(awaited, r) })
+}
+
+// awaitedRunners returns the usable runners that pending tasks of a long-running step wait for. Steps
+// are to be passed in the order of placement, each with the runners that those before leave: two gangs
+// that have room only one after the other don't hold each other up.
+func (s *Scheduler) awaitedRunners(st *step, rooms *headrooms, usable []*runner, now time.Time) []*runner {
 	count := s.awaitingRoom(st, now)
 	if st.rule.Gang {
 		if count == 0 || !s.mayStart(st, len(st.tasks)) || rooms.take(st, len(st.tasks)) < len(st.tasks) {
-			return usable
+			return nil
 		}
-		return subtract(usable, s.gangRunners(st, usable, now))
+		return s.gangRunners(st, usable, s.placesBesideLasting, now)
 	}
 	if count == 0 || !s.mayStart(st, 1) {
-		return usable
+		return nil
 	}
-	return subtract(usable, s.taskRunners(st, rooms.take(st, count), usable, now))
+	return s.taskRunners(st, rooms.take(st, count), usable, now)
 }
 
 // awaitingRoom returns the number of pending tasks of a long-running step that wait for room alone. A
@@ -64,13 +96,13 @@
 	return fitting[:min(count, len(fitting))]
 }
 
-// gangRunners returns runners that will have room for a whole gang once short tasks have ended: those
-// with the least on them, of one rack if the gang is slow across racks and one has room. It returns
-// nil if all usable runners together have too little room.
-func (s *Scheduler) gangRunners(st *step, usable []*runner, now time.Time) []*runner {
+// gangRunners returns runners with places for a whole gang: those with the least on them, of one rack
+// if the gang is slow across racks and one has room. It returns nil if all usable runners together
+// have too few.
+func (s *Scheduler) gangRunners(st *step, usable []*runner, placesOn func(*runner, *step, time.Time) int, now time.Time) []*runner {
 	places := make(map[*runner]int)
 	for _, r := range usable {
-		if n := s.placesBesideLasting(r, st, now); n > 0 {
+		if n := placesOn(r, st, now); n > 0 {
 			places[r] = n
 		}
 	}
@@ -125,7 +157,7 @@
 // tasks have ended.
 func (s *Scheduler) willHaveRoom(st *step, usable []*runner, now time.Time) bool {
 	if st.rule.Gang {
-		return s.gangRunners(st, usable, now) != nil
+		return s.gangRunners(st, usable, s.placesBesideLasting, now) != nil
 	}
 	return len(s.taskRunners(st, 1, usable, now)) > 0
 }
@@ -153,11 +185,3 @@
 func sortByUtilization(runners []*runner) {
 	slices.SortStableFunc(runners, func(a, b *runner) int { return cmp.Compare(a.utilization(), b.utilization()) })
 }
-
-// subtract returns those runners that are not among others.
-func subtract(runners, others []*runner) []*runner {
-	if len(others) == 0 {
-		return runners
-	}
-	return slices.DeleteFunc(slices.Clone(runners), func(r *runner) bool { return slices.Contains(others, r) })
-}
--- a/sched/reserve_test.go
+++ b/sched/reserve_test.go
@@ -31,11 +31,15 @@
 	batches  int
 	started  map[glade.ActiveRun]time.Time
 	done     int
+	// waiting holds when the short batches were submitted that have not started, longest is the
+	// longest wait of one that has.
+	waiting map[glade.BatchID]time.Time
+	longest time.Duration
 }
 
 func newCrowd(t *testing.T, runners, cpu int, lifetime time.Duration) *crowd {
 	t.Helper()
-	w := &crowd{harness: newHarness(qt.New(t), runners, runnerSize), cpu: cpu, lifetime: lifetime, started: make(map[glade.ActiveRun]time.Time)}
+	w := &crowd{harness: newHarness(qt.New(t), runners, runnerSize), cpu: cpu, lifetime: lifetime, started: make(map[glade.ActiveRun]time.Time), waiting: make(map[glade.BatchID]time.Time)}
 	w.answerEnds = true
 	w.advance(time.Second)
 	return w
@@ -47,7 +51,9 @@
 	due := 0
 	for end := w.now.Add(length); w.now.Before(end); w.advance(20 * time.Millisecond) {
 		for due += perSecond; due >= ticksPerSecond; due -= ticksPerSecond {
-			w.submit(glade.BatchID(fmt.Sprintf("short%d", w.batches)), batchOf(glade.Step{Count: 1, Need: glade.Need{CPU: w.cpu}, Estimate: w.lifetime.Milliseconds()}))
+			id := glade.BatchID(fmt.Sprintf("short%d", w.batches))
+			w.submit(id, batchOf(glade.Step{Count: 1, Need: glade.Need{CPU: w.cpu}, Estimate: w.lifetime.Milliseconds()}))
+			w.waiting[id] = w.now
 			w.batches++
 		}
 		for _, f := range w.runners {
@@ -57,6 +63,8 @@
 				}
 				if at, ok := w.started[active]; !ok {
 					w.started[active] = w.now
+					w.longest = max(w.longest, w.now.Sub(w.waiting[active.Task.Batch]))
+					delete(w.waiting, active.Task.Batch)
 				} else if w.now.Sub(at) >= w.lifetime {
 					f.end(active.Task, active.Run, glade.EndDone)
 					w.done++
@@ -74,10 +82,19 @@
 	w.c.Assert(w.done-before >= 20, qt.IsTrue, qt.Commentf("%d of 30 batches are done", w.done-before))
 }
 
-// loseRunner takes a runner away for good.
-func (w *crowd) loseRunner(id glade.RunnerID) {
+// expectWaits checks that no short batch has waited for longer than a time.
+func (w *crowd) expectWaits(most time.Duration) {
+	w.c.Helper()
+	for _, at := range w.waiting {
+		w.longest = max(w.longest, w.now.Sub(at))
+	}
+	w.c.Assert(w.longest <= most, qt.IsTrue, qt.Commentf("a short batch has waited for %s", w.longest))
+}
+
+// loseRunner takes a runner away for good, while perSecond short batches come a second.
+func (w *crowd) loseRunner(id glade.RunnerID, perSecond int) {
 	w.runners[id].unresponsive, w.runners[id].running = true, nil
-	w.advance(2 * time.Second)
+	w.play(2*time.Second, perSecond)
 	w.sched.RunnersGone([]glade.RunnerID{id}, w.now, w.now)
 }
 
@@ -115,7 +132,7 @@
 		w.submit("gang", batchOf(lastingGang(9, 10_000)))
 		w.advance(500 * time.Millisecond)
 		w.expectRunning("gang", 9)
-		w.loseRunner("r0")
+		w.loseRunner("r0", 10)
 		w.play(3*time.Second, 10)
 		w.expectRunning("gang", 0)
 		w.expectFlow()
@@ -207,7 +224,7 @@
 		}
 		w.play(3*time.Second, 10) // no run is young: a gang under suspicion is TestGangTrialBesideStream
 		if lost := rapid.IntRange(0, len(w.infos)).Draw(rt, "lost"); lost < len(w.infos) {
-			w.loseRunner(w.infos[lost].ID)
+			w.loseRunner(w.infos[lost].ID, 10)
 		}
 		w.play(8*time.Second, 10) // starts, and restarts of gangs that lost a member, are over
 		events := w.sched.Events()
@@ -280,9 +297,43 @@
 	w.submit("gang", batchOf(step))
 	w.play(40*time.Millisecond, 10)
 	w.expectRunning("gang", 2)
-	w.loseRunner("r0")
+	w.loseRunner("r0", 10)
 	w.play(time.Second, 10)
 	w.runners["r0"].unresponsive, w.runners["r0"].incarnation = false, 2
 	w.play(10*time.Second, 10)
 	w.expectRunning("gang", 2)
 }
+
+// TestReservationBesideLongTasks guards against runners that are reserved for as long as a task runs on each of
+// them, perhaps for minutes, while most of the pool is idle and other batches wait.
+func TestReservationBesideLongTasks(t *testing.T) {
+	const runners = 8
+	expectBoth := func(name string, lasting glade.Step) {
+		t.Run(name, func(t *testing.T) {
+			w := newCrowd(t, runners, 400, 200*time.Millisecond)
+			w.submit("long", batchOf(glade.Step{Count: runners, Need: core, MaxPerRunner: 1, Estimate: 60_000}))
+			w.play(time.Second, 10)
+			w.expectRunning("long", runners)
+			w.submit("lasting", batchOf(lasting))
+			w.play(15*time.Second, 10)
+			w.expectRunning("lasting", 0)
+			w.expectWaits(3 * time.Second)
+			for _, f := range w.runners {
+				for _, active := range slices.Clone(f.running) {
+					if active.Task.Batch == "long" {
+						f.end(active.Task, active.Run, glade.EndDone)
+					}
+				}
+			}
+			w.play(6*time.Second, 10)
+			w.expectRunning("lasting", lasting.Count)
+			w.expectFlow()
+		})
+	}
+	const whole = 15_500
+	expectBoth("for a gang", lastingGang(runners, whole))
+	expectBoth("for single tasks", glade.Step{Count: runners, Need: glade.Need{CPU: whole}, LongRunning: true})
+	spread := lastingGang(2*runners, whole/2)
+	spread.MaxPerRunner = 2
+	expectBoth("for a gang that is spread", spread)
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -134,7 +134,11 @@
 	// placedAt is when tasks were last placed, hopelessLoggedAt when a step without hope of room was
 	// last reported.
 	placedAt, hopelessLoggedAt time.Time
-	estimates                  estimates
+	// reserving means that runners are reserved for long-running steps in this placement pass, awaited
+	// that one waits for runners. idleSince is since when less than half of the pool is in use.
+	reserving, awaited bool
+	idleSince          time.Time
+	estimates          estimates
 	// times holds the run times as distributions, waits the tasks that wait for a rack.
 	times        *times.Times
 	waits        waits
