The trial of a gang or a long-running task keeps runners free until it starts

Cause: placeGangOnTrial waited until no run on any of its runners was young and kept none free, so that beside a stream of short tasks it waited for good: a lasting gang that lost a runner just after its start never started again. chooseTrialRunner took only a runner with room by then; in a full pool short tasks fill each gap before a large long-running task fits.

Change: a gang keeps those runners free that have places for all its members, now or, if it lasts, once short tasks have ended, as long as it could start but for them. A long-running task may keep one that will have room, within the bounds of trials. Both in the turns of reservations.

--- a/sched/batch.go
+++ b/sched/batch.go
@@ -54,8 +54,9 @@
 	// lastChance batches are late and go before others, so that they end before
 	// lateFactor times their objective, when their callers no longer want them.
 	lastChance bool
-	// trialRunner is kept free for the next trial of the batch, unless it is nil.
-	trialRunner *runner
+	// trialRunners are kept free for the next trial of the batch: one for a task, those of all
+	// members for a gang.
+	trialRunners []*runner
 	// trialGen is the change with the entries of the next trial, trialAskedAt is when it
 	// was made.
 	trialGen     int64
--- a/sched/gang.go
+++ b/sched/gang.go
@@ -9,13 +9,9 @@
 
 // placeGang starts all tasks of a gang, or none if there is no room for all.
 func (s *Scheduler) placeGang(st *step, usable []*runner, now time.Time) []Start {
-	number := int64(0)
-	for i := range st.tasks {
-		t := &st.tasks[i]
-		if t.done || len(t.runs) > 0 || now.Before(t.restartAt) || (!t.lostAt.IsZero() && !s.confirmedSince(t.lostAt)) {
-			return nil
-		}
-		number = max(number, t.lastNumber+1)
+	number, ok := s.nextGangRun(st, now)
+	if !ok {
+		return nil
 	}
 	if !s.mayStart(st, len(st.tasks)) {
 		hasRoom := s.freePlaces(st, usable, now) >= len(st.tasks)
@@ -61,6 +57,19 @@
 	return nil
 }
 
+// nextGangRun returns the number of the next run of all tasks of a gang. It returns false if one of
+// them must not start now.
+func (s *Scheduler) nextGangRun(st *step, now time.Time) (number int64, ok bool) {
+	for i := range st.tasks {
+		t := &st.tasks[i]
+		if t.done || len(t.runs) > 0 || now.Before(t.restartAt) || (!t.lostAt.IsZero() && !s.confirmedSince(t.lostAt)) {
+			return 0, false
+		}
+		number = max(number, t.lastNumber+1)
+	}
+	return number, true
+}
+
 func hasGang(work glade.Batch) bool {
 	return slices.ContainsFunc(work.Steps, func(st glade.Step) bool { return st.Gang })
 }
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -181,6 +181,21 @@
 		"cpu", need.CPU, "memory", need.Memory, "label", st.rule.Label, "spread", st.rule.MaxPerRunner, "places", places, "runners", len(usable))
 }
 
+// hasRoom reports whether a task of a step fits on a runner now.
+func hasRoom(r *runner, st *step) bool {
+	return allocation(st.rule).Fits(r.info.Capacity.Minus(r.used))
+}
+
+// willHaveRoomOn reports whether a runner is reserved for a task of a long-running step, which fits
+// there once short tasks have ended.
+func (s *Scheduler) willHaveRoomOn(r *runner, st *step) bool {
+	if !st.rule.LongRunning || !allocation(st.rule).Fits(r.info.Capacity.Minus(r.lasting())) {
+		return false
+	}
+	s.awaited = true
+	return s.reserving
+}
+
 // sortByUtilization orders runners by what is on them, the least first.
 func sortByUtilization(runners []*runner) {
 	slices.SortStableFunc(runners, func(a, b *runner) int { return cmp.Compare(a.utilization(), b.utilization()) })
--- a/sched/reserve_test.go
+++ b/sched/reserve_test.go
@@ -222,7 +222,7 @@
 			w.submit(glade.BatchID(fmt.Sprintf("lasting%d", i)), batchOf(step))
 			w.play(time.Duration(rapid.IntRange(0, 1000).Draw(rt, "ms"))*time.Millisecond, 10)
 		}
-		w.play(3*time.Second, 10) // no run is young: a gang under suspicion is TestGangTrialBesideStream
+		w.play(time.Duration(rapid.IntRange(0, 3000).Draw(rt, "before ms"))*time.Millisecond, 10)
 		if lost := rapid.IntRange(0, len(w.infos)).Draw(rt, "lost"); lost < len(w.infos) {
 			w.loseRunner(w.infos[lost].ID, 10)
 		}
@@ -337,3 +337,27 @@
 	spread.MaxPerRunner = 2
 	expectBoth("for a gang that is spread", spread)
 }
+
+// TestLastingTrialInFullPool guards against a lasting task that never starts again in a full pool: after a crash it
+// starts alone, and short tasks take every gap before it is wide enough.
+func TestLastingTrialInFullPool(t *testing.T) {
+	expectStart := func(name string, step glade.Step) {
+		t.Run(name, func(t *testing.T) {
+			w := newCrowd(t, 4, 1500, 400*time.Millisecond)
+			w.submit("lasting", batchOf(step))
+			w.play(40*time.Millisecond, 120)
+			w.expectRunning("lasting", step.Count)
+			var on glade.RunnerID
+			for id, f := range w.runners {
+				if slices.ContainsFunc(f.running, func(a glade.ActiveRun) bool { return a.Task.Batch == "lasting" }) {
+					on = id
+				}
+			}
+			w.loseRunner(on, 120)
+			w.play(8*time.Second, 120)
+			w.expectRunning("lasting", step.Count)
+		})
+	}
+	expectStart("a task", glade.Step{Count: 1, Need: glade.Need{CPU: 14_000}, LongRunning: true})
+	expectStart("a gang", lastingGang(3, 14_000))
+}
--- a/sched/trial.go
+++ b/sched/trial.go
@@ -73,8 +73,13 @@
 		}
 	}
 	for b := range s.suspects {
-		if r := b.trialRunner; r != nil && occupied[r] == nil && b.hasPendingSuspect() {
-			occupied[r] = b
+		if len(b.trialRunners) == 0 || !b.hasPendingSuspect() {
+			continue
+		}
+		for _, r := range b.trialRunners {
+			if occupied[r] == nil {
+				occupied[r] = b
+			}
 		}
 	}
 	return occupied
@@ -134,7 +139,7 @@
 		return s.placeGangOnTrial(st, usable, occupied, now)
 	}
 	if !s.mayStart(st, 1) {
-		b.trialRunner, b.trialBlock = nil, tenantLimit // a blocked trial keeps no runner free
+		b.trialRunners, b.trialBlock = nil, tenantLimit // a blocked trial keeps no runner free
 		s.noteLimited(st, s.freePlaces(st, usable, now) > 0, now)
 		return nil
 	}
@@ -143,7 +148,7 @@
 	if r == nil {
 		return nil
 	}
-	b.trialRunner, occupied[r] = r, b
+	b.trialRunners, occupied[r] = []*runner{r}, b
 	if !st.survived {
 		indexes = st.mostSuspect(indexes)
 	}
@@ -155,11 +160,15 @@
 		b.trialBlock = runnerNotQuiet
 		return nil
 	}
+	if !hasRoom(r, st) {
+		b.trialBlock = noRoom
+		return nil
+	}
 	if known, _ := s.ofKnownKind(st, []*runner{r}, now); len(known) == 0 {
 		b.trialBlock = kindNotKnown
 		return nil
 	}
-	b.trialRunner, b.trialBlock = nil, leaderNotRenewed
+	b.trialRunners, b.trialBlock = nil, leaderNotRenewed
 	var starts []Start
 	for _, i := range indexes {
 		if t := &st.tasks[i]; t.lostAt.IsZero() || s.confirmedSince(t.lostAt) {
@@ -172,24 +181,65 @@
 	return starts
 }
 
-// placeGangOnTrial starts all tasks of a gang on quiet runners, or none.
+// placeGangOnTrial starts all tasks of a gang on quiet runners, or none. Runners with room for the
+// gang are kept free until they are quiet: beside a stream of short tasks they never all are.
 func (s *Scheduler) placeGangOnTrial(st *step, usable []*runner, occupied map[*runner]*batch, now time.Time) []Start {
 	b := st.occurrence.batch
-	b.trialBlock = noRoom
+	others := slices.DeleteFunc(slices.Clone(usable), func(r *runner) bool { return occupied[r] != nil && occupied[r] != b })
+	if !s.mayStart(st, len(st.tasks)) {
+		b.trialRunners, b.trialBlock = nil, tenantLimit
+		return s.placeGang(st, others, now)
+	}
 	var all []int
 	for i := range st.tasks {
 		all = append(all, i)
 	}
-	if s.mayStart(st, len(st.tasks)) && !s.isTrialStored(st, all, now) {
-		return nil
+	var starts []Start
+	if s.isTrialStored(st, all, now) {
+		b.trialBlock = noRoom
+		starts = s.placeGang(st, slices.DeleteFunc(slices.Clone(others), func(r *runner) bool { return !r.isQuiet(b, now) }), now)
+	} else {
+		b.trialBlock = entryNotStored
 	}
-	quiet := slices.DeleteFunc(without(slices.Clone(usable), occupied), func(r *runner) bool { return !r.isQuiet(b, now) })
-	starts := s.placeGang(st, quiet, now)
 	for _, o := range starts {
 		s.startTrial(o)
 		occupied[o.run.runner] = b
 	}
-	return starts
+	if len(starts) > 0 {
+		b.trialRunners = nil
+		return starts
+	}
+	b.trialRunners = s.gangTrialRunners(st, others, now)
+	for _, r := range b.trialRunners {
+		occupied[r] = b
+	}
+	if len(b.trialRunners) > 0 && b.trialBlock == noRoom {
+		b.trialBlock = runnerNotQuiet
+	}
+	return nil
+}
+
+// gangTrialRunners returns the runners to keep free for the trial of a gang: those that are kept
+// already, if they have room for it, or others. It returns nil if all of them have too little.
+func (s *Scheduler) gangTrialRunners(st *step, usable []*runner, now time.Time) []*runner {
+	if _, ok := s.nextGangRun(st, now); !ok {
+		return nil
+	}
+	kept := slices.DeleteFunc(slices.Clone(usable), func(r *runner) bool { return !slices.Contains(st.occurrence.batch.trialRunners, r) })
+	for _, runners := range [][]*runner{kept, usable} {
+		if chosen := s.gangRunners(st, runners, s.freePlacesOn, now); chosen != nil {
+			return chosen
+		}
+		if st.rule.LongRunning {
+			if chosen := s.gangRunners(st, runners, s.placesBesideLasting, now); chosen != nil {
+				s.awaited = true
+				if s.reserving {
+					return chosen
+				}
+			}
+		}
+	}
+	return nil
 }
 
 // startTrial marks a run as a trial.
@@ -262,17 +312,18 @@
 }
 
 // chooseTrialRunner returns the runner for a trial: the one that was kept free for the
-// batch, or the one with room that has the least on it, which the crash would take along.
+// batch, or the one with room that has the least on it, which the crash would take along. For a
+// long-running task it may be one that will have room once short tasks have ended.
 func (s *Scheduler) chooseTrialRunner(st *step, usable []*runner, occupied map[*runner]*batch, now time.Time) *runner {
 	b := st.occurrence.batch
 	fits := func(r *runner) bool {
-		return (occupied[r] == nil || occupied[r] == b) && allocation(st.rule).Fits(r.info.Capacity.Minus(r.used)) && s.allows(r, st, now)
+		return (occupied[r] == nil || occupied[r] == b) && s.allows(r, st, now) && (hasRoom(r, st) || s.willHaveRoomOn(r, st))
 	}
-	if r := b.trialRunner; r != nil {
-		if slices.Contains(usable, r) && fits(r) {
+	if len(b.trialRunners) > 0 {
+		if r := b.trialRunners[0]; slices.Contains(usable, r) && fits(r) {
 			return r
 		}
-		b.trialRunner, b.trialBlock = nil, runnerLost // the next placement chooses another one
+		b.trialRunners, b.trialBlock = nil, runnerLost // the next placement chooses another one
 		return nil
 	}
 	if !s.mayTry(b, &st.tasks[st.mostSuspect(st.pendingSuspects())[0]], usable, occupied, now) {
@@ -282,7 +333,9 @@
 	b.trialBlock = noRoom
 	var best *runner
 	for _, r := range usable {
-		if fits(r) && (best == nil || r.utilization() < best.utilization()) {
+		switch {
+		case !fits(r):
+		case best == nil, hasRoom(r, st) && !hasRoom(best, st), hasRoom(r, st) == hasRoom(best, st) && r.utilization() < best.utilization():
 			best = r
 		}
 	}
--- a/sched/triallog.go
+++ b/sched/triallog.go
@@ -63,7 +63,7 @@
 		if !r.silentAt.IsZero() {
 			silent++
 		}
-		if b.trialRunner == r {
+		if slices.Contains(b.trialRunners, r) {
 			kept++
 		}
 		holders = append(holders, string(r.info.ID)+" "+string(b.id))
--- a/sched/wait.go
+++ b/sched/wait.go
@@ -301,13 +301,19 @@
 func (s *Scheduler) freePlaces(st *step, usable []*runner, now time.Time) int {
 	sum := 0
 	for _, r := range usable {
-		if s.allows(r, st, now) {
-			sum += len(newFreeing(nil, r.info.Capacity.Minus(r.used), allocation(st.rule), s.mostOn(r, st), 0).ends)
-		}
+		sum += s.freePlacesOn(r, st, now)
 	}
 	return sum
 }
 
+// freePlacesOn returns how many tasks of a step fit on a runner now.
+func (s *Scheduler) freePlacesOn(r *runner, st *step, now time.Time) int {
+	if !s.allows(r, st, now) {
+		return 0
+	}
+	return len(newFreeing(nil, r.info.Capacity.Minus(r.used), allocation(st.rule), s.mostOn(r, st), 0).ends)
+}
+
 // mostOn returns how many further tasks of a step a runner may have.
 func (s *Scheduler) mostOn(r *runner, st *step) int {
 	if st.rule.MaxPerRunner == 0 {
