Numbers of waiting batches: a path that moves twice, or without a leader

Cause: TestWaiting had no path that moves on to a third service, nor one that moves while its former service has no leader.

Change: both are cases of TestWaiting. No code changes.

--- a/lead/waiting_test.go
+++ b/lead/waiting_test.go
@@ -149,6 +149,51 @@
 		s.expectNoLess(other, 3, 6*time.Second)
 		s.expectWaiting(other, 3)
 	})
+	runPath(t, "the path moves on to a third service", func(c *qt.C, s *pathCluster) {
+		former, _ := s.moveWithWaiting()
+		s.apply(rulesToThird(3), "h1", "h2", "h3")
+		s.sleep(4 * time.Second)
+		third := s.termOf(thirdService).Node
+		for node := range s.managers {
+			s.expectWaiting(node, 3)
+		}
+		s.crash(former)
+		for node := range s.managers {
+			if node != former {
+				s.expectNoLess(node, 3, time.Second)
+			}
+		}
+		s.sleep(6 * time.Second)
+		c.Assert(third, qt.Not(qt.Equals), glade.Node(""))
+		for node := range s.managers {
+			if node != former {
+				s.expectWaiting(node, 3)
+			}
+		}
+	})
+	runPath(t, "the path moves while its former service has no leader", func(c *qt.C, s *pathCluster) {
+		s.fill("h1", s.rules, "x", 5)
+		s.expectWaiting("h1", 3)
+		former := s.termOf(firstService).Node
+		s.crash(former)
+		var others []glade.Node
+		for _, node := range []glade.Node{"h1", "h2", "h3"} {
+			if node != former {
+				others = append(others, node)
+			}
+		}
+		s.apply(pathRules(2, "q", secondService), others...)
+		for range 10 {
+			for _, node := range others {
+				s.expectNoLess(node, 3, 300*time.Millisecond)
+			}
+		}
+		s.sleep(4 * time.Second)
+		for _, node := range others {
+			s.expectWaiting(node, 3)
+		}
+		c.Assert(s.termOf(firstService).Node, qt.Not(qt.Equals), former)
+	})
 	runPath(t, "a former service has left the contract and has no leader", func(_ *qt.C, s *pathCluster) {
 		former, other := s.moveWithWaiting()
 		if s.termOf(secondService).Node == former {
@@ -165,3 +210,13 @@
 		s.expectWaiting(other, 2)
 	})
 }
+
+// thirdService gets the path after the second one.
+const thirdService glade.Service = "third"
+
+// rulesToThird returns a version of the contract that sends the path to the third service.
+func rulesToThird(version int64) glade.Rules {
+	rules := pathRules(version, "q", thirdService)
+	rules.Services = append(rules.Services, glade.ServiceRule{Service: thirdService})
+	return rules
+}
