The progress row of a batch fits into the store whatever its shape

Cause: the row had a bitmap for each step of each occurrence that has begun, and rowRoom bounded failures, crashes and checkpoints only. Ruled out: the row of the work, which has the batch once.

Change: beyond 16 KB of bitmaps the row has one bitmap for all tasks of the batch (2.7 KB for 16,384), in an occurrence that no batch has, so that earlier versions refuse to load the batch rather than run tasks again.

--- a/sched/size_test.go
+++ b/sched/size_test.go
@@ -12,10 +12,12 @@
 	"indigoglade/sched"
 )
 
+// rowBytes is the largest value of a row that the store takes.
+const rowBytes = 64 << 10
+
 // TestProgressRowSize guards against a progress row that the store rejects, and with it all other
 // writes of the service: the tasks of a large batch save checkpoints, and fail.
 func TestProgressRowSize(t *testing.T) {
-	const rowBytes = 64 << 10
 	r := newHarness(qt.New(t), 40, glade.Need{CPU: 100000, Memory: 100000})
 	r.advance(time.Second)
 	r.submit("a", batchOf(glade.Step{Count: 4000, Need: core, Estimate: 60000, SavesCheckpoints: true}))
@@ -40,6 +42,65 @@
 	r.expectState("a", glade.BatchRunning)
 }
 
+// expectRowFits plays a batch until all of its tasks run, ends them all but the last step's, and checks
+// the size of its progress row and that no task that is done starts again under the next leader.
+func expectRowFits(t *testing.T, name string, work glade.Batch) {
+	t.Helper()
+	t.Run(name, func(t *testing.T) {
+		r := newHarness(qt.New(t), 4, glade.Need{CPU: 100_000_000, Memory: 100_000_000})
+		r.advance(time.Second)
+		work.FirstDue, work.Interval = r.now.Add(-time.Hour).UnixMilli(), 1
+		r.submit("a", work)
+		r.advance(2 * time.Second)
+		r.c.Assert(r.running("a"), qt.Equals, sched.Summarize(work).Tasks)
+		done := make(map[glade.TaskID]bool)
+		for _, f := range r.runners {
+			for _, active := range f.running {
+				how := glade.EndFailed
+				if active.Task.Step < len(work.Steps)-1 {
+					how, done[active.Task] = glade.EndDone, true
+				}
+				f.endCount++
+				f.unackedEnds = append(f.unackedEnds, glade.EndedRun{Seq: f.endCount, Task: active.Task, Run: active.Run, Reason: how})
+			}
+			f.running = nil
+		}
+		r.advance(2 * time.Second)
+		for _, f := range r.runners {
+			for i := range f.running {
+				f.running[i].Checkpoint = "00000bb87a21d94b" + strings.Repeat("x", 48)
+			}
+		}
+		r.advance(2 * time.Second)
+		row := sched.Encode(r.progressRows["a"])
+		r.c.Assert(len(row) <= rowBytes, qt.IsTrue, qt.Commentf("%d bytes", len(row)))
+		r.startOrders = nil
+		r.reload(2)
+		r.advance(2 * time.Second)
+		r.expectState("a", glade.BatchRunning)
+		for _, order := range r.startOrders {
+			r.c.Assert(done[order.Task], qt.IsFalse, qt.Commentf("%v starts again", order.Task))
+		}
+	})
+}
+
+// TestProgressRowSizeOfOccurrences guards against a progress row that the store rejects: it grows with
+// the steps of all occurrences that are under way.
+func TestProgressRowSizeOfOccurrences(t *testing.T) {
+	steps := func(times, steps, count int) glade.Batch {
+		work := glade.Batch{Spec: "x", Times: times}
+		for range steps {
+			work.Steps = append(work.Steps, glade.Step{Count: count, Need: core, Estimate: 60_000, SavesCheckpoints: true})
+		}
+		return work
+	}
+	expectRowFits(t, "many steps", steps(250, 64, 1))
+	expectRowFits(t, "many occurrences", steps(1024, 16, 1))
+	expectRowFits(t, "steps of several tasks", steps(1024, 2, 8))
+	expectRowFits(t, "few occurrences", steps(2, 3, 4))
+	expectRowFits(t, "many tasks", steps(4, 2, 2048))
+}
+
 // TestLiveTasks guards against batches that no leader's memory holds: each process that takes the
 // service over is killed in turn.
 func TestLiveTasks(t *testing.T) {
--- a/sched/write.go
+++ b/sched/write.go
@@ -1,6 +1,7 @@
 package sched
 
 import (
+	"encoding/base64"
 	"encoding/json"
 	"slices"
 	"strconv"
@@ -108,9 +109,8 @@
 const maxCrashRows = 256
 
 // rowRoom is what is left of a progress row, in bytes of its JSON. The store takes 64 KB. Beside these
-// parts the row has what can't be left out: up to 1,024 occurrences and the bitmaps of 16,384 tasks.
-// Without a checkpoint a task starts from its beginning, without its failures it may fail more often,
-// if the leader changes.
+// parts the row has what can't be left out: which tasks are done. Without a checkpoint a task starts
+// from its beginning, without its failures it may fail more often, if the leader changes.
 type rowRoom struct{ failures, crashes, checkpoints int }
 
 func newRowRoom() *rowRoom {
@@ -131,6 +131,19 @@
 	keyBytes     = 6
 	failureBytes = 16
 	crashBytes   = 64
+	// occurrenceBytes is the rest of an occurrence, stepBytes that of the bitmap of a step.
+	occurrenceBytes = 40
+	stepBytes       = 3
+)
+
+// A progress row has a bitmap for each step of each occurrence that has begun, as long as these take
+// maxBitmapBytes of its JSON at most. Beyond that it has one bitmap for all tasks of the batch: 250
+// occurrences of 64 steps of one task take 2.7 KB in place of 120. It stands in a row of an occurrence
+// that no batch has, with a single step; versions that don't know it refuse to load the batch, rather
+// than run tasks again that are done.
+const (
+	maxBitmapBytes = 16 << 10
+	allOccurrences = -1
 )
 
 // Limits of one write, below those of a transaction of the platform, which has room for two rows more:
@@ -282,24 +295,64 @@
 		progress.State, progress.Accepted, progress.Owner, progress.EndedAt = b.state, len(b.cancelledBy) == 0, b.owner, b.endedAt.UnixMilli()
 		return progress
 	}
-	room := newRowRoom()
+	room, compact := newRowRoom(), b.bitmapBytes() > maxBitmapBytes
+	if compact {
+		progress.Occurrences = append(progress.Occurrences, OccurrenceRow{Occurrence: allOccurrences, Done: [][]byte{b.doneTasks()}})
+	}
 	for _, o := range b.occurrences {
-		if record, ok := o.record(room); ok {
+		if record, ok := o.record(room, compact); ok {
 			progress.Occurrences = append(progress.Occurrences, record)
 		}
 	}
 	return progress
 }
 
+// bitmapBytes returns the size of the bitmaps of all occurrences that have begun, in bytes of JSON.
+func (b *batch) bitmapBytes() int {
+	sum := 0
+	for _, o := range b.occurrences {
+		if o.left > 0 && !o.started {
+			continue
+		}
+		sum += occurrenceBytes
+		for _, st := range o.steps {
+			if o.left > 0 {
+				sum += stepBytes + base64.StdEncoding.EncodedLen((len(st.tasks)+7)/8)
+			}
+		}
+	}
+	return sum
+}
+
+// doneTasks returns a bitmap of all tasks of a batch, by occurrence and step.
+func (b *batch) doneTasks() []byte {
+	bits := make([]byte, (taskRuns(&b.work)+7)/8)
+	n := 0
+	for _, o := range b.occurrences {
+		for _, st := range o.steps {
+			for i := range st.tasks {
+				if st.tasks[i].done {
+					bits[n/8] |= 1 << (n % 8)
+				}
+				n++
+			}
+		}
+	}
+	return bits
+}
+
 // record returns the stored form of the occurrence's progress, and false if there
-// is none yet.
-func (o *occurrence) record(room *rowRoom) (OccurrenceRow, bool) {
+// is none yet. In a compact row the tasks that are done stand elsewhere.
+func (o *occurrence) record(room *rowRoom, compact bool) (OccurrenceRow, bool) {
 	row := OccurrenceRow{Occurrence: o.number}
 	if o.left == 0 {
 		row.All = true
-		return row, true
+		return row, !compact
+	}
+	progressed, keyBytes := false, keyBytes
+	if compact {
+		keyBytes += occurrenceBytes
 	}
-	progressed := false
 	for _, st := range o.steps {
 		bits := make([]byte, (len(st.tasks)+7)/8)
 		for i := range st.tasks {
@@ -307,7 +360,7 @@
 			key := strconv.Itoa(st.index) + "." + strconv.Itoa(i)
 			if t.done {
 				bits[i/8] |= 1 << (i % 8)
-				progressed = true
+				progressed = progressed || !compact
 				continue
 			}
 			if len(t.failed) > 0 && take(&room.failures, keyBytes+len(key)+failureBytes*len(t.failed)) {
@@ -334,7 +387,9 @@
 				row.Checkpoints[key] = t.checkpoint
 			}
 		}
-		row.Done = append(row.Done, bits)
+		if !compact {
+			row.Done = append(row.Done, bits)
+		}
 	}
 	return row, progressed
 }
@@ -402,23 +457,17 @@
 }
 
 func (b *batch) loadOccurrence(row OccurrenceRow) error {
+	if row.Occurrence == allOccurrences && len(row.Done) == 1 {
+		b.loadDone(row.Done[0])
+		return nil
+	}
 	if row.Occurrence < 0 || row.Occurrence >= len(b.occurrences) {
 		return errors.Errorf("occurrence %d is out of range: the batch has %d", row.Occurrence, len(b.occurrences))
 	}
 	o := b.occurrences[row.Occurrence]
-	for si, st := range o.steps {
-		for i := range st.tasks {
-			t := &st.tasks[i]
-			if row.All || (si < len(row.Done) && i/8 < len(row.Done[si]) && row.Done[si][i/8]&(1<<(i%8)) != 0) {
-				t.done = true
-				st.left--
-				st.pending--
-			}
-		}
-		if st.left == 0 {
-			o.left--
-		}
-	}
+	o.loadDone(func(step, task int) bool {
+		return row.All || step < len(row.Done) && hasBit(row.Done[step], task)
+	})
 	for key, numbers := range row.FailedRuns {
 		if t := o.findTask(key); t != nil {
 			t.failed = numbers
@@ -441,6 +490,36 @@
 	return nil
 }
 
+// loadDone restores which tasks of all occurrences are done.
+func (b *batch) loadDone(bits []byte) {
+	n := 0
+	for _, o := range b.occurrences {
+		o.loadDone(func(int, int) bool {
+			n++
+			return hasBit(bits, n-1)
+		})
+	}
+}
+
+// loadDone restores which tasks of an occurrence are done. isDone is asked once for each task, in order.
+func (o *occurrence) loadDone(isDone func(step, task int) bool) {
+	for si, st := range o.steps {
+		for i := range st.tasks {
+			if isDone(si, i) && !st.tasks[i].done {
+				st.tasks[i].done = true
+				st.left--
+				st.pending--
+				if st.left == 0 {
+					o.left--
+				}
+			}
+		}
+	}
+}
+
+// hasBit reports whether a bit of a bitmap is set.
+func hasBit(bits []byte, i int) bool { return i/8 < len(bits) && bits[i/8]&(1<<(i%8)) != 0 }
+
 // findTask returns the task with the key "step.index", or nil.
 func (o *occurrence) findTask(key string) *task {
 	a, c, _ := strings.Cut(key, ".")
