A write that the store rejects is divided, and no longer takes the term along

Cause: BeginWrite estimated the size of a batch's rows from its text and left out the progress row, so that the first write after an outage was more than 1 MB. The store answers 400, which platform/store took for an outage, and the same transaction, with the renewal of the term in it, was repeated without end.

CommitResult Rejected: what the store refuses as it is.

--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -274,6 +274,9 @@
 	failLists, failShares, slowCommits atomic.Bool
 	// batchWrites disturbs writes of new batches, unless it is nil.
 	batchWrites atomic.Pointer[batchWrites]
+	// rejected is the row with which every transaction is rejected, and rejections counts them.
+	rejected   atomic.Pointer[glade.PartitionRow]
+	rejections atomic.Int64
 	// slow is the way of rows to the host, unless it is nil.
 	slow    *slowLink
 	refusal refusal
@@ -332,6 +335,10 @@
 			return 0, nil, glade.Unavailable
 		}
 	}
+	if row := l.rejected.Load(); row != nil && slices.ContainsFunc(txn.Puts, func(r glade.PartitionRow) bool { return r.Table == row.Table && r.Key == row.Key }) {
+		l.rejections.Add(1)
+		return 0, nil, glade.Rejected
+	}
 	if ctx.Err() != nil {
 		return 0, nil, glade.Uncertain // the call is not sent
 	}
--- a/lead/leadership.go
+++ b/lead/leadership.go
@@ -61,8 +61,8 @@
 
 // commit writes rows on the condition that the term row is unchanged, and rewrites
 // the term row as a heartbeat if renew is set. The result is Committed, Unavailable
-// (nothing was written) or Uncertain; if another host leads, the error is
-// errNotLeader.
+// (nothing was written), Rejected (nor will it be) or Uncertain; if another host leads,
+// the error is errNotLeader.
 func (l *leadership) commit(ctx context.Context, puts, deletes []glade.PartitionRow, renew bool) (glade.CommitResult, error) {
 	txn := glade.PartitionTxn{Checks: []glade.PartitionRow{l.termRow()}, Puts: puts, Deletes: deletes}
 	sent := l.clock.Now()
@@ -76,7 +76,8 @@
 		txn.Puts = append(slices.Clip(txn.Puts), l.termRow())
 	}
 	version, rows, result := l.manager.config.PartitionedTable.Commit(bounded, txn)
-	l.health.end(result == glade.Committed, renew)
+	// A service that rejects a transaction works.
+	l.health.end(result == glade.Committed || result == glade.Rejected, renew && result == glade.Committed)
 	switch result {
 	case glade.Committed:
 		if renew {
@@ -92,6 +93,15 @@
 	return result, nil
 }
 
+// renewAlone renews the term without other rows, after the store has rejected some.
+func (l *leadership) renewAlone(ctx context.Context) (renewed bool, err error) {
+	result, err := l.commit(ctx, nil, nil, true)
+	if err == nil && result == glade.Uncertain {
+		err = l.fencePendingWrite(ctx)
+	}
+	return err == nil && result == glade.Committed, err
+}
+
 // releaseTimeout bounds the release of a service. A host that is asked to stop must still
 // serve callers within its grace period, also while the store does not answer.
 const releaseTimeout = 1500 * time.Millisecond
--- a/lead/paths.go
+++ b/lead/paths.go
@@ -43,6 +43,8 @@
 	wakeUp chan struct{} // the set of paths has changed
 	// isOversize is set while the row exceeds what the platform stores.
 	isOversize bool
+	// heldUntil is until when the row is not written, because the store has rejected it.
+	heldUntil time.Time
 }
 
 func newServicePaths(leader *ServiceLeader) *servicePaths {
@@ -128,7 +130,7 @@
 func (p *servicePaths) beginWrite() *pathsWrite {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if !p.table.HasWrite() {
+	if !p.table.HasWrite() || p.leader.clock.Now().Before(p.heldUntil) {
 		return nil
 	}
 	row, gen := p.table.BeginWrite()
@@ -153,6 +155,21 @@
 	p.table.FinishWrite(w.gen, ok)
 }
 
+// rejectedPathsPause is how long the row is not written after the store has rejected a transaction with it.
+const rejectedPathsPause = time.Second
+
+// reject records that the store has rejected a transaction with the row. Others may have been the cause.
+func (p *servicePaths) reject(w *pathsWrite) {
+	if w == nil {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.table.FinishWrite(w.gen, false)
+	p.heldUntil = p.leader.clock.Now().Add(rejectedPathsPause)
+	p.leader.manager.config.Log.Info("paths", "service", p.leader.service, "bytes", len(w.row.Value), "rejected", true)
+}
+
 // Pauses between two rounds of questions to former services.
 const (
 	firstHeldPause = 200 * time.Millisecond
--- a/lead/quota.go
+++ b/lead/quota.go
@@ -379,7 +379,7 @@
 				holder.Observe(current, rows[i].Version, now)
 			}
 		}
-	case glade.Unavailable:
+	case glade.Unavailable, glade.Rejected:
 		c.state.counts.Failed++
 		holder.Failed(w, now)
 	default:
--- a/lead/router.go
+++ b/lead/router.go
@@ -40,6 +40,10 @@
 // caller can't retry.
 const ReasonOwner = sched.ReasonOwner
 
+// ReasonRow is the reason of a refusal because the store rejects the row of the batch. The caller
+// can't retry.
+const ReasonRow = "row"
+
 // SubmitArgs is the request that sends a batch to the leader of its service.
 type SubmitArgs struct {
 	Service glade.Service `json:"service"`
--- a/lead/submit.go
+++ b/lead/submit.go
@@ -106,7 +106,7 @@
 		s.mu.Lock()
 		written := s.sched.IsWritten(id, gen)
 		attempted := s.writeAttempted
-		withdrawn := false
+		withdrawn, unstorable := false, s.sched.IsUnstorable(id)
 		if !written && s.isStoreFailing(s.clock.Now()) {
 			withdrawn = s.sched.Withdraw(id)
 		}
@@ -114,6 +114,8 @@
 		switch {
 		case written:
 			return SubmitReply{Code: SubmitAccepted, Epoch: s.term.Epoch}
+		case unstorable:
+			return SubmitReply{Code: SubmitRefused, Reason: ReasonRow, Epoch: s.term.Epoch}
 		case withdrawn:
 			return s.refusedByStore()
 		}
--- a/lead/wave.go
+++ b/lead/wave.go
@@ -116,7 +116,17 @@
 				return err
 			}
 			w.renew = false
-		} else if err := f.clock.Sleep(ctx, storeRetryPause); err != nil {
+			continue
+		}
+		pause := storeRetryPause
+		if result == glade.Rejected && len(w.puts) > 0 {
+			f.manager.config.Log.Info("the store rejects the rows of waves", "rows", len(w.puts), "bytes", glade.PartitionTxn{Puts: w.puts}.EncodedSize())
+			if _, err := f.renewAlone(ctx); err != nil {
+				return err
+			}
+			pause = heartbeatPeriod
+		}
+		if err := f.clock.Sleep(ctx, pause); err != nil {
 			return err
 		}
 	}
--- a/lead/writer.go
+++ b/lead/writer.go
@@ -89,6 +89,10 @@
 	if pathsRow != nil {
 		puts = append(puts, pathsRow.row)
 	}
+	if len(puts)+len(deletes) == 0 && !renew { // all rows were too large for the store
+		s.finishWrite(w, hasChanges, false)
+		return nil
+	}
 	var txn effect.Effect
 	for {
 		result, err := s.commit(ctx, puts, deletes, renew)
@@ -101,6 +105,9 @@
 			s.finishWrite(w, hasChanges, true)
 			return nil
 		}
+		if result == glade.Rejected && len(puts)+len(deletes) > 0 {
+			return s.reject(ctx, w, pathsRow, hasChanges, renew)
+		}
 		s.markStoreFailing()
 		if result == glade.Uncertain {
 			// Now it can't take effect later, but it may have done so before.
@@ -113,7 +120,7 @@
 			s.finishWrite(w, hasChanges, false)
 			wake(s.writeWake)
 		}
-		if result == glade.Unavailable {
+		if result != glade.Uncertain {
 			if err := s.clock.Sleep(ctx, storeRetryPause); err != nil {
 				return err
 			}
@@ -125,12 +132,33 @@
 	}
 }
 
+// reject handles a write that the store rejects as it is: its rows are written otherwise, and the term
+// is renewed without them. Earlier attempts with the same rows were not written either.
+func (s *ServiceLeader) reject(ctx context.Context, w sched.Write, pathsRow *pathsWrite, hasChanges, renew bool) error {
+	s.mu.Lock()
+	if hasChanges {
+		s.sched.RejectWrite(w, s.clock.Now())
+	}
+	s.wakeWaitingLocked()
+	s.mu.Unlock()
+	s.paths.reject(pathsRow)
+	wake(s.writeWake)
+	if !renew {
+		return nil
+	}
+	renewed, err := s.renewAlone(ctx)
+	if renewed {
+		s.finishWrite(w, false, true)
+	}
+	return err
+}
+
 // resultOf returns the result of a transaction.
 func resultOf(result glade.CommitResult) effect.Result {
 	switch result {
 	case glade.Committed:
 		return effect.Applied
-	case glade.Unavailable:
+	case glade.Unavailable, glade.Rejected:
 		return effect.Rejected
 	}
 	return effect.Lost
@@ -184,14 +212,17 @@
 
 func (s *ServiceLeader) encodeWrite(w sched.Write) (puts, deletes []glade.PartitionRow) {
 	part := string(s.service)
-	for id, row := range w.Work {
-		puts = append(puts, glade.PartitionRow{Table: tableBatch, Part: part, Key: string(id), Value: encodeRow(row)})
-	}
-	for id, row := range w.Progress {
-		puts = append(puts, glade.PartitionRow{Table: tableProgress, Part: part, Key: string(id), Value: encodeRow(row)})
-	}
-	if w.Registered != nil {
-		puts = append(puts, glade.PartitionRow{Table: tableRunners, Part: part, Key: singletonKey, Value: encodeRow(w.Registered)})
+	for _, r := range w.Rows {
+		row := glade.PartitionRow{Part: part, Key: string(r.Batch), Value: r.Value}
+		switch r.Kind {
+		case sched.KindWork:
+			row.Table = tableBatch
+		case sched.KindProgress:
+			row.Table = tableProgress
+		case sched.KindRegistry:
+			row.Table, row.Key = tableRunners, singletonKey
+		}
+		puts = append(puts, row)
 	}
 	for _, id := range w.Deletions.Work {
 		deletes = append(deletes, glade.PartitionRow{Table: tableBatch, Part: part, Key: string(id)})
--- a/memory/ledger.go
+++ b/memory/ledger.go
@@ -153,8 +153,8 @@
 		t.delayed = append(t.delayed, txn)
 		return 0, nil, glade.Uncertain
 	}
-	if !isSinglePartition(txn) {
-		return 0, nil, glade.Unavailable
+	if !isSinglePartition(txn) || !txn.IsWithinLimits() {
+		return 0, nil, glade.Rejected
 	}
 	if rows := t.conflicts(txn); len(rows) > 0 {
 		return t.version, rows, glade.Conflicted
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -107,6 +107,9 @@
 		s.reviewAll(now)
 		orders.Throttles = s.throttles(now)
 	}
+	if len(s.writes.rejects.aside) > 0 {
+		s.reviewRejects(now)
+	}
 	if s.hasGangs {
 		s.stopPartialGangs(now)
 	}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -123,12 +123,14 @@
 	losses          losses
 	// suspects holds the batches with a crash that may be their doing, trials the runs of
 	// suspect tasks that have not survived yet, and silences the runners that went silent.
-	suspects       map[*batch]bool
-	trials         map[*run]bool
-	trialLoggedAt  time.Time
-	silences       []silence
-	kindChecks     []Heartbeat // of this tick
-	writes         writes
+	suspects      map[*batch]bool
+	trials        map[*run]bool
+	trialLoggedAt time.Time
+	silences      []silence
+	kindChecks    []Heartbeat // of this tick
+	writes        writes
+	// unstorable holds submitted batches that were withdrawn because the store rejects their rows.
+	unstorable     map[glade.BatchID]bool
 	drops          rowDrops
 	needsPlacement bool // something that placement depends on has changed
 	// placedAt is when tasks were last placed, hopelessLoggedAt when a step without hope of room was
@@ -231,6 +233,8 @@
 		renewedAt:       now,
 		leaderSince:     now,
 		needsPlacement:  true,
+		unstorable:      make(map[glade.BatchID]bool),
+		writes:          writes{rejects: rejects{aside: make(map[*batch]time.Time)}},
 		times:           times.New(),
 		registryGen:     loadedRegistryGen,
 		registryWritten: loadedRegistryGen,
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -85,8 +85,12 @@
 	progressRows map[glade.BatchID]sched.ProgressRow
 	// listedEnds bounds the end reports in one answer, unless it is 0.
 	listedEnds int
-	// mostRows is the largest number of rows in one write.
-	mostRows int
+	// mostRows is the largest number of rows in one write, mostBytes the most bytes.
+	mostRows, mostBytes int
+	// isRejected tells which rows the store rejects, unless it is nil; rejected counts the writes with
+	// such a row.
+	isRejected func(sched.EncodedRow) bool
+	rejected   int
 }
 
 // fakeRunner is a simulated runner that carries out every order unless it is
@@ -243,6 +247,12 @@
 	r.answerHeartbeats()
 	if !r.storeDown && (r.sched.HasWrites() || r.sched.HasDeletions()) {
 		w := r.sched.BeginWrite()
+		r.checkWrite(w)
+		if r.isRejected != nil && slices.ContainsFunc(w.Rows, r.isRejected) {
+			r.rejected++
+			r.sched.RejectWrite(w, r.now)
+			return
+		}
 		maps.Copy(r.workRows, w.Work)
 		maps.Copy(r.progressRows, w.Progress)
 		for _, id := range w.Deletions.Work {
@@ -259,6 +269,24 @@
 	}
 }
 
+// checkWrite checks that the store takes a write, beside the row of the term and that of the paths.
+func (r *harness) checkWrite(w sched.Write) {
+	var txn glade.PartitionTxn
+	for _, row := range w.Rows {
+		txn.Puts = append(txn.Puts, glade.PartitionRow{Table: "progress", Part: string(service), Key: string(row.Batch), Value: row.Value})
+		r.c.Assert(len(row.Value) <= glade.MaxRowBytes, qt.IsTrue, qt.Commentf("%s: %d bytes", row.Batch, len(row.Value)))
+	}
+	for _, id := range slices.Concat(w.Deletions.Work, w.Deletions.Progress) {
+		txn.Deletes = append(txn.Deletes, glade.PartitionRow{Table: "progress", Part: string(service), Key: string(id)})
+	}
+	r.c.Assert(len(txn.Puts), qt.Equals, w.Len())
+	paths := glade.PartitionRow{Table: "paths", Part: string(service), Key: "1", Value: make([]byte, 60<<10)}
+	size := txn.EncodedSize() + paths.EncodedSize()
+	r.mostBytes = max(r.mostBytes, size)
+	r.c.Assert(size < glade.MaxTxnBytes-4096, qt.IsTrue, qt.Commentf("%d rows, %d deletions: %d bytes", len(txn.Puts), len(txn.Deletes), size))
+	r.c.Assert(len(txn.Puts)+len(txn.Deletes)+3 <= glade.MaxTxnRows, qt.IsTrue)
+}
+
 func (r *harness) start(o sched.Start) {
 	order := o.Order(r.sched)
 	f := r.runners[o.To().ID]
--- a/sched/write.go
+++ b/sched/write.go
@@ -102,6 +102,7 @@
 	// inFlight maps the batches of the write in flight to the change that it
 	// covers; it is nil when there is none.
 	inFlight map[*batch]int64
+	rejects  rejects
 }
 
 // maxCrashRows bounds the tasks of an occurrence whose crashes are stored, within the size
@@ -146,11 +147,11 @@
 	allOccurrences = -1
 )
 
-// Limits of one write, below those of a transaction of the platform, which has room for two rows more:
-// the term is checked and renewed.
+// Limits of one write, below those of a transaction, which has room for more: the term is checked and
+// renewed, and the row of the paths is written.
 const (
 	maxWriteRows  = 96
-	maxWriteBytes = 700 << 10
+	maxWriteBytes = glade.MaxTxnBytes - 130_000
 	// minDeletions is the room that is kept for deletions while some wait.
 	minDeletions = 24
 )
@@ -162,9 +163,43 @@
 	// Registered is the row of the runners that may run tasks; it is written unless it is nil.
 	Registered *RegistryRow
 	Deletions  Deletions
-	gen        int64
+	// Rows are the rows to write as they are stored.
+	Rows []EncodedRow
+	// oversize are batches that are set aside because the store would reject a row of them.
+	oversize []oversizeRow
+	gen      int64
 }
 
+type oversizeRow struct {
+	batch *batch
+	bytes int
+}
+
+// RowKind tells which row of a service an EncodedRow is.
+type RowKind int
+
+// Kinds of rows.
+const (
+	KindWork RowKind = iota
+	KindProgress
+	KindRegistry
+)
+
+// EncodedRow is a row as it is stored. Batch is empty for the row of the runners.
+type EncodedRow struct {
+	Kind  RowKind
+	Batch glade.BatchID
+	Value []byte
+}
+
+// encodedSize returns what a row takes in a transaction at most, in bytes.
+func (s *Scheduler) encodedSize(r EncodedRow) int {
+	return glade.PartitionRow{Part: string(s.config.Service), Key: string(r.Batch), Value: r.Value}.EncodedSize() + maxTableName
+}
+
+// maxTableName is the length of the longest name of a table with rows of a service.
+const maxTableName = 16
+
 // Len returns the number of rows that are written.
 func (w Write) Len() int {
 	n := len(w.Work) + len(w.Progress)
@@ -185,39 +220,87 @@
 
 // HasWrites reports whether rows wait to be written and no write is in flight.
 func (s *Scheduler) HasWrites() bool {
-	return s.writes.inFlight == nil && (len(s.writes.list) > 0 || s.registryGen > s.registryWritten)
+	return s.writes.inFlight == nil && (len(s.writes.list) > 0 || len(s.writes.rejects.groups) > 0 || s.writesRegistry())
+}
+
+// writesRegistry reports whether the row of the runners is to be written now.
+func (s *Scheduler) writesRegistry() bool {
+	return s.registryGen > s.registryWritten && !s.writes.rejects.holdsRegistry(s.steppedAt)
 }
 
 // BeginWrite returns the next rows to write. The outcome must be reported before
 // the next call.
 func (s *Scheduler) BeginWrite() Write {
 	w := Write{Work: make(map[glade.BatchID]WorkRow), Progress: make(map[glade.BatchID]ProgressRow), gen: s.registryGen}
-	if s.registryGen > s.registryWritten {
+	s.writes.inFlight = make(map[*batch]int64)
+	defer s.setOversizeAside(&w)
+	if group := s.writes.rejects.next(); group != nil {
+		s.writes.rejects.requeue(s.addRows(&w, group, maxWriteRows, 0))
+		return w
+	}
+	bytes := 0
+	if s.writesRegistry() {
 		w.Registered = s.registryRow()
+		w.Rows = append(w.Rows, EncodedRow{Kind: KindRegistry, Value: Encode(w.Registered)})
+		bytes = s.encodedSize(w.Rows[0])
+		if s.writes.rejects.registryAlone {
+			return w
+		}
 	}
-	s.writes.inFlight = make(map[*batch]int64)
-	bytes, n := 0, 0
-	most := maxWriteRows - min(s.drops.len(), minDeletions)
-	for n < len(s.writes.list) {
-		b := s.writes.list[n]
-		size := len(b.work.Spec)*3/2 + 1024
-		if w.Len()+2 > most || (n > 0 && bytes+size > maxWriteBytes) {
+	s.writes.list = s.addRows(&w, s.writes.list, maxWriteRows-min(s.drops.len(), minDeletions), bytes)
+	w.Deletions = s.takeDeletions(maxWriteRows - w.Len())
+	return w
+}
+
+// addRows adds the rows of batches to a write that has some bytes already, as far as they fit, and
+// returns the other batches.
+func (s *Scheduler) addRows(w *Write, list []*batch, most, bytes int) []*batch {
+	n := 0
+	for ; n < len(list) && w.Len()+2 <= most; n++ {
+		b := list[n]
+		rows := s.encodeRows(w, b)
+		size, largest := 0, 0
+		for _, r := range rows {
+			size += s.encodedSize(r)
+			largest = max(largest, len(r.Value))
+		}
+		if largest > glade.MaxRowBytes {
+			s.dropRows(w, b)
+			w.oversize = append(w.oversize, oversizeRow{batch: b, bytes: largest})
+			continue
+		}
+		if len(w.Rows) > 0 && bytes+size > maxWriteBytes {
+			s.dropRows(w, b)
 			break
 		}
 		bytes += size
-		n++
 		b.writeQueued = false
 		s.writes.inFlight[b] = b.gen
-		if b.workUnwritten {
-			w.Work[b.id] = WorkRow{Queue: b.queue, SubmittedAt: b.submittedAt.UnixMilli(), Work: b.work, Path: b.path, Rule: encodeRule(b.rule)}
-		}
-		if !b.workUnwritten || b.state != "" || b.replaced != nil {
-			w.Progress[b.id] = b.progress()
-		}
+		w.Rows = append(w.Rows, rows...)
 	}
-	s.writes.list = slices.Delete(s.writes.list, 0, n)
-	w.Deletions = s.takeDeletions(maxWriteRows - w.Len())
-	return w
+	return slices.Delete(list, 0, n)
+}
+
+// encodeRows adds the rows of a batch to a write, and returns them as they are stored.
+func (s *Scheduler) encodeRows(w *Write, b *batch) []EncodedRow {
+	var rows []EncodedRow
+	if b.workUnwritten {
+		row := WorkRow{Queue: b.queue, SubmittedAt: b.submittedAt.UnixMilli(), Work: b.work, Path: b.path, Rule: encodeRule(b.rule)}
+		w.Work[b.id] = row
+		rows = append(rows, EncodedRow{Kind: KindWork, Batch: b.id, Value: Encode(row)})
+	}
+	if !b.workUnwritten || b.state != "" || b.replaced != nil {
+		row := b.progress()
+		w.Progress[b.id] = row
+		rows = append(rows, EncodedRow{Kind: KindProgress, Batch: b.id, Value: Encode(row)})
+	}
+	return rows
+}
+
+// dropRows takes the rows of a batch out of a write.
+func (s *Scheduler) dropRows(w *Write, b *batch) {
+	delete(w.Work, b.id)
+	delete(w.Progress, b.id)
 }
 
 // FinishWrite records the outcome of a write: its rows were written, or
@@ -236,7 +319,7 @@
 		return
 	}
 	if w.Registered != nil {
-		s.registryWritten = w.gen
+		s.registryWritten, s.writes.rejects.registryAlone = w.gen, false
 		s.needsPlacement = true
 	}
 	for b, gen := range inFlight {
@@ -272,6 +355,7 @@
 		return false
 	}
 	s.writes.list = slices.DeleteFunc(s.writes.list, func(other *batch) bool { return other == b })
+	s.writes.rejects.remove(b)
 	delete(s.batches, id)
 	if b.replaced != nil {
 		s.batches[id] = b.replaced
--- a/table.go
+++ b/table.go
@@ -44,6 +44,9 @@
 	// Uncertain means that the answer was lost and the writes may or may not
 	// have taken effect. The caller has to read the rows back.
 	Uncertain
+	// Rejected means that the service refuses the transaction as it is, for instance
+	// because it is too large: it was never written, and a repetition is rejected too.
+	Rejected
 )
 
 // String returns the lower-case name for logs and counters.
@@ -57,6 +60,8 @@
 		return "unavailable"
 	case Uncertain:
 		return "uncertain"
+	case Rejected:
+		return "rejected"
 	}
 	return "invalid"
 }
