A rejected write whose earlier attempt had no answer ends the leadership

Cause: a row may have been written by an attempt without an answer although the store rejects its repetition. Withdrawing its batch would refuse one that runs. Found by reading.

Change: the leadership ends; the next leader reads what is stored.

Measured: TestRejectedWrite and the tests of store faults pass; no test brings such a store about.

--- a/lead/writer.go
+++ b/lead/writer.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/pkg/errors"
+
 	glade "indigoglade"
 	"indigoglade/effect"
 	"indigoglade/sched"
@@ -106,6 +108,9 @@
 			return nil
 		}
 		if result == glade.Rejected && len(puts)+len(deletes) > 0 {
+			if txn.State() == effect.Unknown {
+				return errUndecidedWrite
+			}
 			return s.reject(ctx, w, pathsRow, hasChanges, renew)
 		}
 		s.markStoreFailing()
@@ -132,8 +137,11 @@
 	}
 }
 
+// errUndecidedWrite ends a leadership: the next leader reads what is stored.
+var errUndecidedWrite = errors.New("the store rejects rows of which an earlier write had no answer")
+
 // reject handles a write that the store rejects as it is: its rows are written otherwise, and the term
-// is renewed without them. Earlier attempts with the same rows were not written either.
+// is renewed without them.
 func (s *ServiceLeader) reject(ctx context.Context, w sched.Write, pathsRow *pathsWrite, hasChanges, renew bool) error {
 	s.mu.Lock()
 	if hasChanges {
