A process without free descriptors goes on, and callers leave it some

Cause: any error of Accept on the listener for other hosts ended jrpc.Server.Run, and with it the group of platform/host. Callers' connections had no bound, so that files, the store and other hosts got no descriptor either. Ruled out: the callers' listener, whose EMFILE net/http retries.

--- a/drain/conn.go
+++ b/drain/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"indigoglade/accept"
 	"indigoglade/wire"
 )
 
@@ -136,7 +137,7 @@
 // listener accepts the connections that wait in its queue before it closes for a drain: the
 // system resets those that are left.
 type listener struct {
-	net.Listener
+	*accept.Listener
 	traffic  *wire.Counter
 	draining *atomic.Bool
 	// acceptUntil is set when the drain begins.
@@ -144,16 +145,13 @@
 	acceptUntil time.Time
 }
 
-// deadliner is implemented by listeners whose Accept can time out.
-type deadliner interface{ SetDeadline(time.Time) error }
-
 // stop makes Accept close the listener when no connection waits.
 func (l *listener) stop() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.acceptUntil = now.Add(acceptLimit)
-	if d, ok := l.Listener.(deadliner); !ok || d.SetDeadline(now) != nil {
+	if l.SetDeadline(now) != nil {
 		_ = l.Listener.Close() // a second Close of the HTTP server returns the error
 	}
 }
@@ -190,8 +188,6 @@
 		return wait{}, true
 	}
 	w := wait{start: time.Now(), length: acceptTime}
-	if d, ok := l.Listener.(deadliner); ok {
-		_ = d.SetDeadline(w.end()) // fails only on a closed listener, which Accept reports
-	}
+	_ = l.SetDeadline(w.end()) // fails on a closed listener, which Accept reports
 	return w, w.start.Before(l.acceptUntil)
 }
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -4,6 +4,7 @@
 package drain
 
 import (
+	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 
 	"github.com/pkg/errors"
 
+	"indigoglade/accept"
 	"indigoglade/wire"
 )
 
@@ -26,6 +28,9 @@
 	MaxHeaderBytes             int
 	// Traffic counts the bytes of all connections; nil counts nothing.
 	Traffic *wire.Counter
+	// MaxConns bounds the open connections; 0 means without bound. Beyond it the connection that has
+	// been idle longest is closed for a new one, and the new one if none is idle.
+	MaxConns int
 }
 
 // Server is an HTTP server with a drain of its own.
@@ -37,6 +42,12 @@
 	closing, draining atomic.Bool
 	mu                sync.Mutex
 	conns             map[*conn]struct{}
+	maxConns          int
+	// idle holds the connections between two requests, those that have been so longest first, and
+	// idleAt their places in it.
+	idle                *list.List
+	idleAt              map[*conn]*list.Element
+	closedIdle, refused int64
 	// allAccepted is whether no connection will be added to conns.
 	allAccepted bool
 	// drained is closed once all connections have ended and none will be accepted.
@@ -45,8 +56,11 @@
 
 // New returns a server for a listener that is already open.
 func New(config Config) *Server {
-	s := &Server{handler: config.Handler, conns: make(map[*conn]struct{}), drained: make(chan struct{})}
-	s.listener = &listener{Listener: config.Listener, traffic: config.Traffic, draining: &s.draining}
+	s := &Server{
+		handler: config.Handler, conns: make(map[*conn]struct{}), drained: make(chan struct{}),
+		maxConns: config.MaxConns, idle: list.New(), idleAt: make(map[*conn]*list.Element),
+	}
+	s.listener = &listener{Listener: accept.New(config.Listener), traffic: config.Traffic, draining: &s.draining}
 	s.server = &http.Server{
 		Handler: s, ConnState: s.track,
 		ReadHeaderTimeout: config.HeaderTimeout, IdleTimeout: config.IdleTimeout, MaxHeaderBytes: config.MaxHeaderBytes,
@@ -111,17 +125,66 @@
 	c := netConn.(*conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.setBusy(c)
 	switch state {
 	case http.StateNew:
 		s.conns[c] = struct{}{}
+		s.makeRoom(c)
 	case http.StateIdle:
 		c.setAwaiting()
+		s.idleAt[c] = s.idle.PushBack(c)
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, c)
 		s.signalDrained()
 	}
 }
 
+// setBusy notes that a connection is not idle. The caller holds the lock.
+func (s *Server) setBusy(c *conn) {
+	if place, ok := s.idleAt[c]; ok {
+		s.idle.Remove(place)
+		delete(s.idleAt, c)
+	}
+}
+
+// makeRoom closes a connection if there are too many, the newest one if none is idle. The caller holds
+// the lock.
+func (s *Server) makeRoom(newest *conn) {
+	if s.maxConns == 0 || len(s.conns) <= s.maxConns {
+		return
+	}
+	last := newest
+	if oldest := s.idle.Front(); oldest != nil {
+		last = oldest.Value.(*conn)
+		s.setBusy(last)
+		s.closedIdle++
+	} else {
+		s.refused++
+	}
+	_ = last.Close() // the HTTP server reports the end of the connection
+}
+
+// Connections counts the connections of a server.
+type Connections struct {
+	Open int `json:"open"`
+	Idle int `json:"idle"`
+	Most int `json:"most"`
+	// ClosedIdle and Refused count the connections that were closed because there were too many, and
+	// Failed those that could not be accepted.
+	ClosedIdle int64 `json:"closed"`
+	Refused    int64 `json:"refused"`
+	Failed     int64 `json:"failed"`
+}
+
+// Connections returns the counts so far.
+func (s *Server) Connections() Connections {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Connections{
+		Open: len(s.conns), Idle: s.idle.Len(), Most: s.maxConns, ClosedIdle: s.closedIdle, Refused: s.refused, Failed: s.listener.Failures(),
+	}
+}
+
 // signalDrained closes drained if nothing is left. The caller holds the lock. After
 // allAccepted the number of connections only falls, so that it becomes zero once.
 func (s *Server) signalDrained() {
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -6,12 +6,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"indigoglade/drain"
 )
@@ -149,3 +151,72 @@
 		expectResponse(t, client, "/", true)
 	})
 }
+
+// TestMaxConns guards against a process that has no descriptor left for its files, the store and other
+// hosts, because its callers' connections have them all.
+func TestMaxConns(t *testing.T) {
+	const most = 3
+	run := func(name string, test func(t *testing.T, server *drain.Server, connect func() net.Conn)) {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				listener := conns{queue: make(chan net.Conn, 3)}
+				server := drain.New(drain.Config{Listener: listener, Handler: http.HandlerFunc(handle), IdleTimeout: time.Minute, MaxConns: most})
+				go func() { _ = server.Serve() }()
+				defer server.Close()
+				test(t, server, func() net.Conn {
+					client, inner := net.Pipe()
+					listener.queue <- inner
+					time.Sleep(10 * time.Millisecond)
+					return client
+				})
+			})
+		})
+	}
+	isOpen := func(conn net.Conn) bool { // a closed pipe has no deadlines
+		if conn.SetReadDeadline(time.Now().Add(time.Millisecond)) != nil {
+			return false
+		}
+		_, err := conn.Read(make([]byte, 1))
+		return errors.Is(err, os.ErrDeadlineExceeded) && conn.SetReadDeadline(time.Time{}) == nil
+	}
+	expectCounts := func(t *testing.T, server *drain.Server, open, idle int, closedIdle, refused int64) {
+		t.Helper()
+		synctest.Wait() // a connection is idle just after its response
+		qt.Assert(t, server.Connections(), qt.Equals, drain.Connections{Open: open, Idle: idle, Most: most, ClosedIdle: closedIdle, Refused: refused})
+	}
+	run("the one that has been idle longest is closed", func(t *testing.T, server *drain.Server, connect func() net.Conn) {
+		var open []net.Conn
+		for range most {
+			open = append(open, connect())
+			expectResponse(t, open[len(open)-1], "/", false)
+			time.Sleep(time.Second)
+		}
+		expectResponse(t, open[0], "/", false)
+		expectCounts(t, server, most, most, 0, 0)
+		newest := connect()
+		expectResponse(t, newest, "/", false)
+		qt.Assert(t, []bool{isOpen(open[0]), isOpen(open[1]), isOpen(open[2]), isOpen(newest)}, qt.DeepEquals, []bool{true, false, true, true})
+		expectCounts(t, server, most, most, 1, 0)
+	})
+	run("the newest is refused if none is idle", func(t *testing.T, server *drain.Server, connect func() net.Conn) {
+		var open []net.Conn
+		for range most {
+			conn := connect()
+			open = append(open, conn)
+			_, err := io.WriteString(conn, "GET /5s HTTP/1.1\r\nHost: a.example\r\n\r\n")
+			qt.Assert(t, err, qt.IsNil)
+		}
+		time.Sleep(time.Second)
+		newest := connect()
+		qt.Assert(t, isOpen(newest), qt.IsFalse)
+		expectCounts(t, server, most, 0, 0, 1)
+		for _, conn := range open {
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+		}
+		time.Sleep(time.Second)
+		expectResponse(t, connect(), "/", false)
+		expectCounts(t, server, most, most, 1, 1)
+	})
+}
--- a/jrpc/jrpc.go
+++ b/jrpc/jrpc.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"indigoglade/accept"
 	"indigoglade/wire"
 )
 
@@ -76,7 +77,7 @@
 
 // Server accepts connections of peers.
 type Server struct {
-	listener net.Listener
+	listener *accept.Listener
 	mux      *Mux
 	refused  atomic.Int64
 }
@@ -84,13 +85,16 @@
 // NewServer returns a server on listener. With a TLS listener it refuses peers
 // without a valid certificate before it reads a message, and counts them.
 func NewServer(listener net.Listener, mux *Mux) *Server {
-	return &Server{listener: listener, mux: mux}
+	return &Server{listener: accept.New(listener), mux: mux}
 }
 
 // Refused returns the number of connections refused in the TLS handshake.
 func (s *Server) Refused() int64 { return s.refused.Load() }
 
-// Run accepts connections until ctx ends.
+// AcceptFailures returns the number of connections that could not be accepted.
+func (s *Server) AcceptFailures() int64 { return s.listener.Failures() }
+
+// Run accepts connections until ctx ends. An error means that the listener is of no more use.
 func (s *Server) Run(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { s.listener.Close() })
 	defer stop()
--- a/jrpc/jrpc_test.go
+++ b/jrpc/jrpc_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"io"
 	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 
@@ -313,3 +315,38 @@
 		qt.Assert(t, dials, qt.Equals, 1)
 	})
 }
+
+// flakyListener has no free descriptor for its first connections.
+type flakyListener struct {
+	net.Listener
+	failures int
+}
+
+func (l *flakyListener) Accept() (net.Conn, error) {
+	if l.failures > 0 {
+		l.failures--
+		return nil, &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestFullServer guards against processes that end because they had no free descriptor for a connection of
+// another host.
+func TestFullServer(t *testing.T) {
+	mux := jrpc.NewMux()
+	jrpc.Handle(mux, "echo", func(_ context.Context, in echo) (echo, error) { return in, nil })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	qt.Assert(t, err, qt.IsNil)
+	ctx, cancel := context.WithCancel(context.Background())
+	server := jrpc.NewServer(&flakyListener{Listener: listener, failures: 3}, mux)
+	run := &background{ctx: ctx, task: server.Run, done: make(chan struct{})}
+	go run.run()
+	client := jrpc.NewClient(jrpc.Config{Address: listener.Addr().String(), Timeout: 5 * time.Second})
+	defer client.Close()
+	out, err := jrpc.Call[echo, echo](context.Background(), client, "echo", echo{Text: "a"})
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, out.Text, qt.Equals, "a")
+	qt.Assert(t, server.AcceptFailures(), qt.Equals, int64(3))
+	cancel()
+	<-run.done
+}
