No room is spared for a gang that no set of runners holds

Cause: tenants beyond their share leave up to a tenth of the pool to gangs of others that found no room, also to those that none will have once short tasks have ended.

Change: only gangs that will have room count, as for reservations.

--- a/sched/place.go
+++ b/sched/place.go
@@ -108,7 +108,8 @@
 				continue
 			}
 			starts = append(starts, s.placeStep(next.step, unreserved, now)...)
-			if anyBeyond && !next.beyond && next.class < classBeyond && next.step.rule.Gang && next.step.pending > 0 && next.step.limitedSince.IsZero() {
+			if anyBeyond && spared < maxSpared && !next.beyond && next.class < classBeyond && next.step.rule.Gang && next.step.pending > 0 &&
+				next.step.limitedSince.IsZero() && s.willHaveRoom(next.step, all, now) {
 				spared = min(spared+next.startable*next.step.rule.Need.CPU, maxSpared)
 			}
 		} else {
--- a/sched/reserve.go
+++ b/sched/reserve.go
@@ -153,8 +153,7 @@
 	return places
 }
 
-// willHaveRoom reports whether a task of a long-running step, or all of a gang, has room once short
-// tasks have ended.
+// willHaveRoom reports whether a task of a step, or all of a gang, has room once short tasks have ended.
 func (s *Scheduler) willHaveRoom(st *step, usable []*runner, now time.Time) bool {
 	if st.rule.Gang {
 		return s.gangRunners(st, usable, s.placesBesideLasting, now) != nil
--- a/sched/shares_test.go
+++ b/sched/shares_test.go
@@ -265,3 +265,34 @@
 	none, much := accepted(0), accepted(40*core.CPU)
 	qt.Assert(t, none > 0 && none < 20 && much > 5*none, qt.IsTrue, qt.Commentf("%d and %d accepted", none, much))
 }
+
+// TestSparedForHopelessGang guards against room that a tenant beyond its share leaves to the gang of another one,
+// although no set of runners holds that gang, however much short work ends.
+func TestSparedForHopelessGang(t *testing.T) {
+	const runners, width = 10, 10
+	expectUsed := func(name string, step glade.Step, want int) {
+		t.Run(name, func(t *testing.T) {
+			r := newHarness(qt.New(t), runners, cores(width))
+			rules := glade.Rules{Version: 1, Queues: []glade.QueueRule{{Queue: queue, Service: service, MaxFailures: 3, Stretch: 20, Slack: time.Minute}}}
+			for _, name := range []glade.Tenant{"hot", "calm"} {
+				rules.Tenants = append(rules.Tenants, glade.TenantRule{Tenant: name, Weight: 1})
+			}
+			r.sched.SetRules(rules)
+			r.advance(time.Second)
+			r.submit("gang", of("calm", batchOf(step)))
+			for i := range 15 {
+				r.submit(glade.BatchID(fmt.Sprint(i)), of("hot", batchOf(glade.Step{Count: 10, Need: core, Estimate: 60_000})))
+				r.advance(500 * time.Millisecond)
+			}
+			used := 0
+			for _, f := range r.runners {
+				used += len(f.running)
+			}
+			r.c.Assert(used, qt.Equals, want)
+			r.expectRunning("gang", 0)
+		})
+	}
+	expectUsed("wider than its runners", glade.Step{Count: runners + 1, Need: core, Estimate: 500, Gang: true, MaxPerRunner: 1}, runners*width)
+	expectUsed("larger than its runners", glade.Step{Count: runners, Need: cores(width + 1), Estimate: 500, Gang: true}, runners*width)
+	expectUsed("of a kind that the pool lacks", glade.Step{Count: 2, Need: core, Estimate: 500, Gang: true, Label: "other"}, runners*width)
+}
