Attempts to place a gang that has too little room are no runs

Cause: placeGang assigned a run to each member that had room and took them back if one had none. Each attempt took a run number: 500 in 10 s, of the 65,536 that keep the runs of two leaders apart, and more the busier the service is. removeRun asks for another pass at once, and sets the time since which the step has had no run, so that a lasting gang with room for one member never counted as without room and got no host.

Change: members are placed once all have a place.

--- a/sched/gang.go
+++ b/sched/gang.go
@@ -30,6 +30,9 @@
 		if isSpread && s.gangWaits(st, usable, now) {
 			return nil
 		}
+		if s.freePlaces(st, group, now) < len(st.tasks) {
+			continue
+		}
 		var placed []*run
 		for i := range st.tasks {
 			r := s.chooseRunner(st, &st.tasks[i], group, now)
--- a/sched/reserve_test.go
+++ b/sched/reserve_test.go
@@ -361,3 +361,28 @@
 	expectStart("a task", glade.Step{Count: 1, Need: glade.Need{CPU: 14_000}, LongRunning: true})
 	expectStart("a gang", lastingGang(3, 14_000))
 }
+
+// TestWaitingGang guards against attempts to place a gang that has too little room which count as runs: they use up
+// the run numbers of the leader, each is followed by another pass at once, and the gang never counts as without room.
+func TestWaitingGang(t *testing.T) {
+	expectFirstRun := func(name string, step glade.Step) {
+		t.Run(name, func(t *testing.T) {
+			r := newHarness(qt.New(t), 2, twoCores)
+			r.advance(time.Second)
+			r.submit("busy", batchOf(glade.Step{Count: 1, Need: twoCores, Estimate: 60_000}))
+			r.advance(100 * time.Millisecond)
+			r.submit("gang", batchOf(step))
+			r.advance(10 * time.Second)
+			r.expectRunning("gang", 0)
+			r.endAll("busy", 0, glade.EndDone)
+			r.advance(500 * time.Millisecond)
+			r.expectRunning("gang", step.Count)
+			for _, order := range r.startOrders {
+				r.c.Assert(order.Run, qt.Equals, int64(1), qt.Commentf("%v", order.Task))
+			}
+		})
+	}
+	expectFirstRun("that ends", glade.Step{Count: 3, Need: core, Estimate: 1000, Gang: true})
+	expectFirstRun("that lasts", glade.Step{Count: 3, Need: core, LongRunning: true, Gang: true})
+	expectFirstRun("that is slow across racks", glade.Step{Count: 4, Need: core, Estimate: 1000, Gang: true, OneRack: true})
+}
