A lasting gang asks for the hosts that it lacks, and not for good

Cause: each waiting task of a lasting gang counted as without room, so that a gang of nine with eight runners asked for nine hosts more. A pool gave up only once it had all of them; where fewer can be had it kept what it had taken, and since long-running tasks go before short ones, another pool was left without a host.

Change: of a gang those members count that would have no place once short tasks have ended. A pool gives up 10 s after the last host has come, or the last task found room.

--- a/moves/plan_test.go
+++ b/moves/plan_test.go
@@ -139,6 +139,11 @@
 		}
 		loads[h.info.Pool] = load
 	}
+	for service, demand := range s.demand { // a service without hosts has a leader
+		if load, ok := loads[service]; !ok && demand > 0 {
+			loads[service] = load
+		}
+	}
 	s.maxDown = max(s.maxDown, down)
 	s.planner.SetHosts(list)
 	for service, load := range loads {
@@ -303,6 +308,17 @@
 		s.run(3 * time.Second)
 		s.c.Assert(s.moved > 0, qt.IsTrue)
 	})
+	t.Run("give hosts back that long-running tasks wait for in vain, where there are too few for all", func(t *testing.T) {
+		s := newSimulation(qt.New(t), map[glade.Service]int{"a": 4, "b": 6, spare: 0})
+		s.unplaced, s.neverFits, s.demand["a"], s.demand["b"] = 9, true, hostCPU, hostCPU
+		s.run(10 * time.Second)
+		s.demand["b"] = 6 * hostCPU
+		s.run(10 * time.Second)
+		s.c.Assert(s.poolSize("b") >= 6, qt.IsTrue, qt.Commentf("pool b has %d hosts", s.poolSize("b")))
+		s.moved = 0
+		s.run(20 * time.Second)
+		s.c.Assert(s.moved <= 1, qt.IsTrue, qt.Commentf("%d hosts move back and forth", s.moved))
+	})
 	t.Run("take a host for a long-running task from a pool whose burst exceeds all hosts", func(t *testing.T) {
 		s := newSimulation(qt.New(t), map[glade.Service]int{"a": 2, "b": 6, spare: 0})
 		for _, h := range s.hosts {
--- a/moves/pools.go
+++ b/moves/pools.go
@@ -242,7 +242,7 @@
 	// Enough capacity in sum can still leave no place for tasks that are large or must be spread.
 	// Hosts that are about to join the pool may be enough.
 	wasVain := tracker.unplaced.isVain
-	pool.base = max(pool.base, tracker.unplaced.observe(load.Unplaced, pool.size-pool.joining, now))
+	pool.base = max(pool.base, tracker.unplaced.observe(load.Unplaced, pool.size-pool.joining, pool.joining, now))
 	if tracker.unplaced.isVain && !wasVain {
 		p.event("in vain", "pool", service, "hosts", pool.size, "from", tracker.unplaced.from, "unplaced", load.Unplaced)
 	}
--- a/moves/unplaced.go
+++ b/moves/unplaced.go
@@ -11,29 +11,45 @@
 	from, most int
 	// reachedAt is when the pool had a host more for each of them, zero before.
 	reachedAt time.Time
-	// isVain means that those hosts did not help.
+	// isVain means that those hosts did not help, or that no more could be had.
 	isVain bool
+	// ready is the last number of hosts, progressAt when it rose, fewer tasks were without room or
+	// hosts were on the way.
+	ready, unplaced int
+	progressAt      time.Time
 }
 
 // placementWait is the time after which hosts that have joined a pool would have taken the
 // tasks that found no room, and the load would tell of it.
 const placementWait = 2 * time.Second
 
+// maxStall is how long a pool asks for hosts of which none comes. Those that it has taken from others
+// meanwhile are of no use to the tasks; hosts that can't leave their pool yet can do so earlier.
+const maxStall = 10 * time.Second
+
 // observe returns the number of hosts that the pool needs for its unplaced tasks; 0 if it needs
-// none for them, or more hosts were in vain. ready is the number of hosts that can run tasks.
-func (t *unplacedTracker) observe(unplaced, ready int, now time.Time) int {
+// none for them, or more hosts were in vain. ready is the number of hosts that can run tasks,
+// joining that of those on the way.
+func (t *unplacedTracker) observe(unplaced, ready, joining int, now time.Time) int {
 	if unplaced == 0 {
 		*t = unplacedTracker{}
 		return 0
 	}
 	if t.most == 0 || (t.isVain && unplaced > t.most) {
-		*t = unplacedTracker{from: ready}
+		*t = unplacedTracker{from: ready, progressAt: now}
+	}
+	if ready > t.ready || unplaced < t.unplaced || joining > 0 {
+		t.progressAt = now
 	}
+	t.ready, t.unplaced = ready, unplaced
 	t.most = max(t.most, unplaced)
 	hosts := t.from + t.most
 	switch {
 	case t.isVain:
 		return 0
+	case ready < hosts && now.Sub(t.progressAt) > maxStall:
+		t.isVain = true
+		return 0
 	case ready < hosts:
 		t.reachedAt = time.Time{}
 	case t.reachedAt.IsZero():
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -87,7 +87,7 @@
 		}
 		load.LongRunning += left * allocation(st.rule).CPU
 		if now.Sub(st.lastEnd) > placementTime && now.Sub(st.occurrence.batch.submittedAt) > placementTime {
-			load.Unplaced += min(pending, st.duePending(now))
+			load.Unplaced += s.unplaced(st, min(pending, st.duePending(now)), now)
 		}
 		if st.rule.MaxPerRunner > 0 {
 			load.MinRunners = max(load.MinRunners, (left+st.rule.MaxPerRunner-1)/st.rule.MaxPerRunner)
@@ -117,6 +117,19 @@
 	return load
 }
 
+// unplaced returns how many of some pending tasks of a long-running step have no room. Of a gang, these
+// are the members that would have none once short tasks have ended.
+func (s *Scheduler) unplaced(st *step, pending int, now time.Time) int {
+	if !st.rule.Gang {
+		return pending
+	}
+	places := 0
+	for _, r := range s.usable(now) {
+		places += s.placesBesideLasting(r, st, now)
+	}
+	return min(pending, max(len(st.tasks)-places, 0))
+}
+
 // Evacuate asks for the evacuation of runners, that is, that they run nothing any
 // more. It must be repeated until they are empty, since a request expires.
 func (s *Scheduler) Evacuate(ids []glade.RunnerID, now time.Time) {
--- a/sched/reserve_test.go
+++ b/sched/reserve_test.go
@@ -362,6 +362,27 @@
 	expectStart("a gang", lastingGang(3, 14_000))
 }
 
+// TestUnplacedGang guards against a pool that asks for a host for each task of a gang, although some of them have
+// room: it takes the hosts of other pools in vain.
+func TestUnplacedGang(t *testing.T) {
+	expectUnplaced := func(name string, runners, want int, step glade.Step) {
+		t.Run(name, func(t *testing.T) {
+			w := newCrowd(t, runners, 4000, 400*time.Millisecond)
+			w.play(2*time.Second, 8*runners)
+			w.submit("gang", batchOf(step))
+			w.play(600*time.Millisecond, 8*runners)
+			w.c.Assert(w.sched.Demand(w.now).Unplaced, qt.Equals, want)
+		})
+	}
+	expectUnplaced("with one runner too few", 8, 1, lastingGang(9, 10_000))
+	expectUnplaced("with two tasks a runner", 4, 2, lastingGang(10, 8000))
+	expectUnplaced("that will have room", 8, 0, lastingGang(8, 10_000))
+	expectUnplaced("larger than its runners", 4, 5, lastingGang(5, 20_000))
+	spread := lastingGang(9, 100)
+	spread.MaxPerRunner = 2
+	expectUnplaced("that is spread", 4, 1, spread)
+}
+
 // TestWaitingGang guards against attempts to place a gang that has too little room which count as runs: they use up
 // the run numbers of the leader, each is followed by another pass at once, and the gang never counts as without room.
 func TestWaitingGang(t *testing.T) {
