The order of placement of many ready steps is kept over several passes

Cause: each pass ranked all of them, and its starts were older than 0.4 s before they could be sent. Ruled out by a profile: the search for runners (7 % of a pass).

Change: beyond 8,192 ready steps a pass that has ranked starts nothing; for a second the passes after it use its order, visit what is urgent or new and go on where the last one has stopped.

--- a/sched/batch.go
+++ b/sched/batch.go
@@ -245,6 +245,7 @@
 			continue
 		}
 		s.ready[st] = true
+		s.noteLate(st)
 		s.needsPlacement = true
 		s.demandGen++
 		for i := range st.tasks {
@@ -407,6 +408,7 @@
 	delete(b.runs, r)
 	if len(t.runs) == 0 && !t.done {
 		r.step.pending++
+		s.noteLate(r.step)
 		r.step.lastEnd = now
 		t.readySince = now
 	}
--- a/sched/place.go
+++ b/sched/place.go
@@ -79,6 +79,11 @@
 	if len(all) == 0 || now.Before(s.awaitRunnersUntil) {
 		return nil
 	}
+	if !s.prepareRanking(now) {
+		s.needsPlacement = true
+		return nil
+	}
+	defer s.endPass()
 	occupied := s.trialRunners(now)
 	all = without(all, occupied)
 	unreserved := all
@@ -92,7 +97,7 @@
 	clear(s.blocked)
 	rooms := newHeadrooms(false)
 	var starts []Start
-	for _, next := range s.ranked(now) {
+	for next := range s.nextRanks(now) {
 		if next.step.occurrence.batch.inherited && unknownRuns {
 			next.step.occurrence.batch.trialBlock = unknownRunsLeft
 			continue
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -140,6 +140,7 @@
 	// that one waits for runners. idleSince is since when less than half of the pool is in use.
 	reserving, awaited bool
 	idleSince          time.Time
+	ranking            ranking
 	estimates          estimates
 	// times holds the run times as distributions, waits the tasks that wait for a rack.
 	times        *times.Times
@@ -203,6 +204,8 @@
 	// place there, and WaitsGivenUp those that did not. WaitsGainMs is the expected time that
 	// this has saved, less the time of the waits.
 	Waited, WaitsGained, WaitsGivenUp, WaitsGainMs int64
+	// Ranked counts the ready steps that were put in the order of placement, once for each time.
+	Ranked int64
 }
 
 // New returns the scheduler of a leader that took over now. It has no batches
