A service that leaves the contract is led until its batches are over

Cause: former services of a path, services that need a leader and those that the fleet's leader asks came from the newest contract alone. Ruled out: the rule of a batch, which is stored with it.

Change: a service that has had a term and is not in the contract needs a leader until its batches, and the time for which their states are kept, are over. Its leader then marks the term as over, once its row of paths is stored. It is a former service until then; one that is over is not asked. Its pool is not sized.

TestWaiting had a case in which the part of such a service was left out, as no host would claim it. That was the fault: the case now asks for the whole number before, during and after the takeover.

--- a/lead/directory.go
+++ b/lead/directory.go
@@ -39,6 +39,8 @@
 	Epoch int64 `json:"epoch"`
 	// Heartbeats counts the leader's heartbeats.
 	Heartbeats int64 `json:"beat"`
+	// Ended means that the service had left the contract and has no batches any more.
+	Ended bool `json:"over,omitempty"`
 }
 
 // termEntry is the newest term of a service that this process has seen, and when
@@ -107,11 +109,48 @@
 }
 
 // Services returns the services that need a leader, and whether their terms are
-// in sync with the store.
+// in sync with the store. Those that have left the contract need one until their batches are over.
 func (d *Directory) Services() ([]glade.Service, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.services, d.synced
+	return slices.Concat(d.services, d.departed()), d.synced
+}
+
+// departed returns the services that have had a leader, are not in the contract and may have batches.
+// The caller must hold the lock.
+func (d *Directory) departed() []glade.Service {
+	if len(d.services) == 0 {
+		return nil
+	}
+	var list []glade.Service
+	for service, e := range d.entries {
+		if e.term.Epoch > 0 && !e.term.Ended && !slices.Contains(d.services, service) {
+			list = append(list, service)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
+// Departed returns the services that have left the contract and may have batches.
+func (d *Directory) Departed() []glade.Service {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.departed()
+}
+
+// IsOver reports whether a service has left the contract and has no batches any more.
+func (d *Directory) IsOver(service glade.Service) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	e, ok := d.entries[service]
+	return ok && e.term.Ended && len(d.services) > 0 && !slices.Contains(d.services, service)
+}
+
+// NeedsLeader reports whether a service is in the contract, or has left it and may have batches.
+func (d *Directory) NeedsLeader(service glade.Service) bool {
+	services, _ := d.Services()
+	return slices.Contains(services, service)
 }
 
 // Leader returns the term of a service's leader as last seen, and false if no
--- a/lead/load.go
+++ b/lead/load.go
@@ -50,15 +50,19 @@
 	f.mu.Unlock()
 	collected := &loadReplies{loads: make(map[glade.Service]sched.Load)}
 	var group sync.WaitGroup
+	var services []glade.Service
 	for _, rule := range rules.Services {
-		if rule.Spare {
-			continue
+		if !rule.Spare {
+			services = append(services, rule.Service)
 		}
+	}
+	departed := f.manager.config.Directory.Departed()
+	for _, service := range append(services, departed...) {
 		c := &loadCall{
 			fleet: f, group: &group, replies: collected,
 			args: LoadArgs{
-				Service: rule.Service, Epoch: f.term.Epoch, EvacuateRunners: evacuating[rule.Service],
-				Lendable: lendable[rule.Service], RunnersGone: gone[rule.Service], InventoryAgeMs: age,
+				Service: service, Epoch: f.term.Epoch, EvacuateRunners: evacuating[service],
+				Lendable: lendable[service], RunnersGone: gone[service], InventoryAgeMs: age,
 			},
 		}
 		group.Add(1)
@@ -68,6 +72,9 @@
 	if collected.newestEpoch > f.term.Epoch {
 		return nil, errNotLeader
 	}
+	for _, service := range departed { // their pools are not sized any more
+		delete(collected.loads, service)
+	}
 	return collected.loads, nil
 }
 
--- a/lead/paths.go
+++ b/lead/paths.go
@@ -67,7 +67,7 @@
 
 func (p *servicePaths) setRules(rules glade.Rules) {
 	p.mu.Lock()
-	p.table.SetRules(rules)
+	p.table.SetRules(rules, p.leader.manager.config.Directory.Departed()...)
 	changed := p.table.HasWrite()
 	p.mu.Unlock()
 	if changed {
@@ -106,6 +106,13 @@
 	return nil, needed, true
 }
 
+// isStored reports whether the stored row is that of the newest contract.
+func (p *servicePaths) isStored() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return !p.table.HasWrite()
+}
+
 // proves reports whether the row as of a version of the contract is stored: from then on the service
 // accepts nothing that the row does not list. What it knows must be looked up after that. If the
 // contract is known, the row is written.
@@ -226,7 +233,10 @@
 	defer cancel()
 	reply, found, err := route(bounded, m.router, c.args.Service, methodHeld, c.args, func() (HeldReply, error) { return m.heldLocal(c.args), nil })
 	if !found || err != nil || !reply.IsLeader {
-		return
+		if !m.config.Directory.IsOver(c.args.Service) {
+			return
+		}
+		reply = HeldReply{Answer: paths.Answer{Version: c.args.Version}} // its stored row has no paths
 	}
 	p.mu.Lock()
 	p.table.Apply(c.args.Question, c.args.Service, reply.Answer)
--- a/lead/waiting.go
+++ b/lead/waiting.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
@@ -152,10 +151,10 @@
 		switch {
 		case c.ok:
 			count += c.reply.Waiting
-		case r.manager.hasService(c.args.Service):
+		case r.manager.config.Directory.NeedsLeader(c.args.Service):
 			return 0, c.args.Service
 		}
-		// No host claims a service that has left the contract: its batches can't start any more.
+		// No host claims a service that has left the contract without batches.
 	}
 	return count, ""
 }
@@ -180,10 +179,3 @@
 	r.learn(c.args.Service, reply.KnownTerm)
 	c.reply, c.ok = reply, found && err == nil && reply.IsLeader
 }
-
-// hasService reports whether the contract of this host has a service.
-func (m *Manager) hasService(service glade.Service) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return slices.ContainsFunc(m.rules.Services, func(rule glade.ServiceRule) bool { return rule.Service == service })
-}
--- a/lead/waiting_test.go
+++ b/lead/waiting_test.go
@@ -205,9 +205,10 @@
 		s.fill(other, s.rules, "y", 4)
 		s.apply(rules, "h1", "h2", "h3")
 		s.sleep(2 * time.Second)
+		s.expectWaiting(other, 5)
 		s.crash(former)
-		s.sleep(4 * time.Second)
-		s.expectWaiting(other, 2)
+		s.expectNoLess(other, 5, 6*time.Second)
+		s.expectWaiting(other, 5)
 	})
 }
 
--- a/lead/writer.go
+++ b/lead/writer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -60,9 +61,10 @@
 		}
 		if s.clock.Now().Sub(lastCleanup) > cleanupPeriod {
 			lastCleanup = s.clock.Now()
-			s.mu.Lock()
-			s.sched.Sweep(lastCleanup)
-			s.mu.Unlock()
+			if s.sweep(lastCleanup) {
+				s.end(ctx)
+				return
+			}
 		}
 		if s.clock.Sleep(ctx, writeInterval) != nil {
 			return
@@ -71,6 +73,23 @@
 	}
 }
 
+// sweep queues the rows of batches for deletion that are no longer needed. It reports whether the service
+// has left the contract and has no batches any more.
+func (s *ServiceLeader) sweep(now time.Time) (isOver bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.sched.Sweep(now)
+	return s.sched.IsEmpty() && s.paths.isStored() && slices.Contains(s.manager.config.Directory.Departed(), s.service)
+}
+
+// end releases the term of a service that needs no leader any more.
+func (s *ServiceLeader) end(ctx context.Context) {
+	s.term.Ended = true
+	s.manager.config.Log.Info("service over", "service", s.service, "epoch", s.term.Epoch)
+	s.stopLeading()
+	s.release(ctx)
+}
+
 // write writes the changes that are queued and renews the term when that is due. A transaction
 // without an answer is fenced off and repeated until one is committed: that a repetition was refused
 // doesn't mean that nothing was written.
--- a/paths/paths.go
+++ b/paths/paths.go
@@ -108,8 +108,9 @@
 // Inherit tells a table without a row whether the service has had its paths before.
 func (t *Table) Inherit(inherits bool) { t.inherits = inherits }
 
-// SetRules applies a version of the contract, unless a newer one was applied.
-func (t *Table) SetRules(rules glade.Rules) {
+// SetRules applies a version of the contract, unless a newer one was applied. departed are the services
+// that are not in it and may have batches.
+func (t *Table) SetRules(rules glade.Rules, departed ...glade.Service) {
 	if rules.Version < t.contract {
 		return
 	}
@@ -120,6 +121,11 @@
 			others = append(others, rule.Service)
 		}
 	}
+	for _, service := range departed {
+		if service != t.service {
+			others = append(others, service)
+		}
+	}
 	for _, rule := range rules.Queues {
 		if path := rule.Path(); path != "" && rule.Service == t.service {
 			t.inContract[HashOf(path)] = true
--- a/sched/expiry.go
+++ b/sched/expiry.go
@@ -69,6 +69,11 @@
 	}
 }
 
+// IsEmpty reports whether no batch is known and no row waits to be written or deleted.
+func (s *Scheduler) IsEmpty() bool {
+	return len(s.batches) == 0 && s.drops.len() == 0 && s.writes.inFlight == nil && !s.HasWrites()
+}
+
 // HasDeletions reports whether rows wait to be deleted and no write is in flight.
 func (s *Scheduler) HasDeletions() bool { return s.writes.inFlight == nil && s.drops.len() > 0 }
 
