A host that starts anew knows the services that have left the contract

Cause: the terms are listed by the services of the contract. Those that have left it were known from the feed, and only while they have a leader: after a kill of all hosts nobody led them any more.

Change: PartitionedTable.Partitions; the services with a term are listed with the terms. Without an answer the contract's alone are, as before.

--- a/lead/departed_test.go
+++ b/lead/departed_test.go
@@ -65,6 +65,21 @@
 		s.sleep(8 * time.Second)
 		expectKept(c, s, others(former)...)
 	})
+	runPath(t, "keeps its batches when all hosts are killed", func(c *qt.C, s *pathCluster) {
+		start(c, s)
+		for _, node := range all {
+			s.crash(node)
+		}
+		s.sleep(time.Second)
+		s.runners.mu.Lock()
+		clear(s.runners.unreachable)
+		s.runners.mu.Unlock()
+		for _, node := range all {
+			s.start(node)
+		}
+		s.sleep(15 * time.Second)
+		expectKept(c, s, all...)
+	})
 	runPath(t, "has no leader once its batches are over, until the contract has it again", func(c *qt.C, s *pathCluster) {
 		start(c, s)
 		c.Assert(s.cancelBatch("h2", "x"), qt.IsTrue)
--- a/lead/directory.go
+++ b/lead/directory.go
@@ -443,6 +443,7 @@
 	services := d.services
 	d.resync = false
 	d.mu.Unlock()
+	services = append(slices.Clip(services), d.listDeparted(ctx, services)...)
 	from := int64(-1)
 	for _, service := range services {
 		rows, version, err := d.config.PartitionedTable.List(ctx, tableTerm, string(service))
@@ -473,6 +474,26 @@
 	return from, nil
 }
 
+// listDeparted returns the services with a term that are not in the contract. Without an answer there are
+// none: the feed tells of those that have a leader.
+func (d *Directory) listDeparted(ctx context.Context, services []glade.Service) []glade.Service {
+	if len(services) == 0 {
+		return nil
+	}
+	parts, err := d.config.PartitionedTable.Partitions(ctx, tableTerm)
+	if err != nil {
+		d.config.Log.Info("services that have left the contract are not known", "error", err.Error())
+		return nil
+	}
+	var departed []glade.Service
+	for _, part := range parts {
+		if service := glade.Service(part); !slices.Contains(services, service) {
+			departed = append(departed, service)
+		}
+	}
+	return departed
+}
+
 // missesHeartbeat reports whether a leader's heartbeat is overdue.
 func (d *Directory) missesHeartbeat() bool {
 	d.mu.Lock()
--- a/lead/quota_test.go
+++ b/lead/quota_test.go
@@ -87,6 +87,8 @@
 	return f.table.ListPage(ctx, table, part, from, limit)
 }
 
+func (f *fakeService) Partitions(context.Context, string) ([]string, error) { return nil, nil }
+
 func (f *fakeService) List(ctx context.Context, table, part string) ([]glade.PartitionRow, int64, error) {
 	return f.table.List(ctx, table, part)
 }
--- a/memory/ledger.go
+++ b/memory/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -166,6 +167,27 @@
 	return t.version, nil, glade.Committed
 }
 
+// Partitions returns the partitions of a table that have rows, in order.
+func (t *PartitionedTable) Partitions(ctx context.Context, table string) ([]string, error) {
+	t.sleepDelay()
+	if t.isUnresponsive() {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.fault == PartitionedDown {
+		return nil, errPartitionedDown
+	}
+	parts := make(map[string]bool)
+	for key := range t.rows {
+		if key.table == table {
+			parts[key.part] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(parts)), nil
+}
+
 // isSinglePartition reports whether a transaction lies within one partition.
 func isSinglePartition(txn glade.PartitionTxn) bool {
 	all := slices.Concat(txn.Checks, txn.Puts, txn.Deletes)
--- a/runner.go
+++ b/runner.go
@@ -201,6 +201,8 @@
 	// ListPage returns the first rows of a partition whose keys are not below from, at
 	// most limit of them. The service may return fewer.
 	ListPage(ctx context.Context, table, part, from string, limit int) (RowPage, error)
+	// Partitions returns the partitions of a table that have rows.
+	Partitions(ctx context.Context, table string) ([]string, error)
 	// Get returns one row. Version 0 means that the row is absent.
 	Get(ctx context.Context, table, part, key string) (PartitionRow, error)
 	// Feed waits for changes of a table after the version after. It returns the
