--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 		echo "only platform/ may hold the platform's words"; exit 1; fi
 
 lint: border
-	@out=$$(go tool gofumpt -l .); if [ -n "$$out" ]; then echo "gofumpt:"; echo "$$out"; exit 1; fi
+	@out=$$(go tool gofumpt -l .) || exit 1; if [ -n "$$out" ]; then echo "gofumpt:"; echo "$$out"; exit 1; fi
 	go tool revive -set_exit_status $(PACKAGES)
 	go vet $(PACKAGES)
 
