TestAccept waits for Close before it looks at the listener

Cause: Accept ends as soon as Close has begun; the test read a field that Close still writes.

Change: synctest.Wait.

--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -73,6 +73,7 @@
 			time.AfterFunc(20*time.Millisecond, func() { l.Close() })
 			_, err := l.Accept()
 			qt.Assert(t, err, qt.Equals, net.ErrClosed)
+			synctest.Wait() // Close goes on after Accept has ended
 			qt.Assert(t, inner.closed, qt.IsTrue)
 			qt.Assert(t, l.Close(), qt.IsNil)
 		})
