--- a/lead/load_test.go
+++ b/lead/load_test.go
@@ -87,35 +87,30 @@
 	})
 }
 
+// expectLeads checks whether a leader that was last confirmed some time ago, and knows no batch, answers a
+// question as one.
+func expectLeads(t *testing.T, name string, args BatchArgs, renewedAgo time.Duration, want bool) {
+	t.Run(name, func(t *testing.T) {
+		m := newLoadedManager()
+		m.leaders[testService].sched = sched.New(sched.Config{Service: testService, Epoch: 1}, time.Now().Add(-renewedAgo))
+		reply := m.stateLocal(args)
+		qt.Assert(t, args.ID != "" && reply.Known, qt.IsFalse)
+		qt.Assert(t, reply.IsLeader, qt.Equals, want)
+	})
+}
+
 // TestUnknownBatch guards against a leader that was paused or has lost the store, and tells a
 // caller that its batch does not exist, although its successor has accepted it.
 func TestUnknownBatch(t *testing.T) {
-	expectLeads := func(name string, renewedAgo time.Duration, want bool) {
-		t.Run(name, func(t *testing.T) {
-			m := newLoadedManager()
-			leader := m.leaders[testService]
-			leader.sched = sched.New(sched.Config{Service: testService, Epoch: 1}, time.Now().Add(-renewedAgo))
-			reply := m.stateLocal(BatchArgs{Service: testService, ID: "a"})
-			qt.Assert(t, reply.Known, qt.IsFalse)
-			qt.Assert(t, reply.IsLeader, qt.Equals, want)
-		})
-	}
-	expectLeads("is reported by a leader that was confirmed a moment ago", time.Second, true)
-	expectLeads("is not reported by one that another host may have replaced", heartbeatTimeout+time.Second, false)
+	args := BatchArgs{Service: testService, ID: "a"}
+	expectLeads(t, "is reported by a leader that was confirmed a moment ago", args, time.Second, true)
+	expectLeads(t, "is not reported by one that another host may have replaced", args, heartbeatTimeout+time.Second, false)
 }
 
 // TestUnconfirmedNumber guards against the number of waiting batches of a leader that was paused or
 // has lost the store, although its successor has accepted others.
 func TestUnconfirmedNumber(t *testing.T) {
-	expectLeads := func(name string, renewedAgo time.Duration, want bool) {
-		t.Run(name, func(t *testing.T) {
-			m := newLoadedManager()
-			leader := m.leaders[testService]
-			leader.sched = sched.New(sched.Config{Service: testService, Epoch: 1}, time.Now().Add(-renewedAgo))
-			reply := m.stateLocal(BatchArgs{Service: testService, Queue: "fast"})
-			qt.Assert(t, reply.IsLeader, qt.Equals, want)
-		})
-	}
-	expectLeads("is given by a leader that was confirmed a moment ago", time.Second, true)
-	expectLeads("is not given by one that another host may have replaced", heartbeatTimeout+time.Second, false)
+	args := BatchArgs{Service: testService, Queue: "fast"}
+	expectLeads(t, "is given by a leader that was confirmed a moment ago", args, time.Second, true)
+	expectLeads(t, "is not given by one that another host may have replaced", args, heartbeatTimeout+time.Second, false)
 }
