Long-running tasks that get hosts in vain no longer keep them

Cause: what a gang without room needs counted in LongRunning, Memory and MinRunners of its service, and so in the size of its pool, for good: by the log 81 cores, of which 4 ran, and "wanted 22" after "in vain". Long-running tasks go before short ones, so that no host came back. Ruled out: Unplaced, which is 0 for the size after "in vain"; the reservations, as the other service had no host to reserve. The case of TestMoves gave its tasks no CPU.

Change: Load has the parts that wait with the unplaced tasks; they don't count once the hosts for them were in vain. The spread of an unplaced gang asks by Unplaced alone.

--- a/moves/plan_test.go
+++ b/moves/plan_test.go
@@ -21,14 +21,16 @@
 	planner *moves.Planner
 	hosts   map[glade.Host]*fakeHost
 	// demand is the demand of each service, in millicores.
-	demand       map[glade.Service]int
-	moved        int
-	unplaced     int                 // long-running tasks of service a that fit nowhere
-	neverFits    bool                // more hosts don't help them
-	memoryDemand int                 // demand of service a, in megabytes
-	shrunk       int                 // by how much the runners of service a have shrunk, in millicores
-	maxDown      int                 // the most hosts that were down for maintenance at once
-	lostAnswer   map[glade.Host]bool // hosts for which the next answer is lost
+	demand         map[glade.Service]int
+	moved          int
+	unplaced       int // long-running tasks of service a that fit nowhere
+	unplacedCPU    int // what they need, in millicores and megabytes
+	unplacedMemory int
+	neverFits      bool                // more hosts don't help them
+	memoryDemand   int                 // demand of service a, in megabytes
+	shrunk         int                 // by how much the runners of service a have shrunk, in millicores
+	maxDown        int                 // the most hosts that were down for maintenance at once
+	lostAnswer     map[glade.Host]bool // hosts for which the next answer is lost
 	// late maps hosts whose next order gets no answer to when it is carried out. Later orders for
 	// them are refused until then.
 	late map[glade.Host]time.Time
@@ -150,6 +152,8 @@
 		load.Demand, load.Offered, load.OfferedRise = s.demand[service], s.demand[service], s.rise[service]
 		if service == "a" {
 			load.Unplaced, load.Memory, load.Shrunk = s.unplaced, s.memoryDemand, s.shrunk
+			load.LongRunning, load.UnplacedCPU = s.unplacedCPU, s.unplacedCPU
+			load.Memory, load.UnplacedMemory = load.Memory+s.unplacedMemory, s.unplacedMemory
 			if s.upCount("a") > 4 && !s.neverFits {
 				load.Unplaced = 0
 			}
@@ -308,17 +312,20 @@
 		s.run(3 * time.Second)
 		s.c.Assert(s.moved > 0, qt.IsTrue)
 	})
-	t.Run("give hosts back that long-running tasks wait for in vain, where there are too few for all", func(t *testing.T) {
-		s := newSimulation(qt.New(t), map[glade.Service]int{"a": 4, "b": 6, spare: 0})
-		s.unplaced, s.neverFits, s.demand["a"], s.demand["b"] = 9, true, hostCPU, hostCPU
-		s.run(10 * time.Second)
-		s.demand["b"] = 6 * hostCPU
-		s.run(10 * time.Second)
-		s.c.Assert(s.poolSize("b") >= 6, qt.IsTrue, qt.Commentf("pool b has %d hosts", s.poolSize("b")))
-		s.moved = 0
-		s.run(20 * time.Second)
-		s.c.Assert(s.moved <= 1, qt.IsTrue, qt.Commentf("%d hosts move back and forth", s.moved))
-	})
+	for name, size := range map[string]int{"": 0, ", though they would need more than all hosts": 20} {
+		t.Run("give hosts back that long-running tasks wait for in vain, where there are too few for all"+name, func(t *testing.T) {
+			s := newSimulation(qt.New(t), map[glade.Service]int{"a": 4, "b": 6, spare: 0})
+			s.unplaced, s.neverFits, s.demand["a"], s.demand["b"] = 9, true, hostCPU, hostCPU
+			s.unplacedCPU, s.unplacedMemory = size*hostCPU, size*hostMemory
+			s.run(10 * time.Second)
+			s.demand["b"] = 6 * hostCPU
+			s.run(10 * time.Second)
+			s.c.Assert(s.poolSize("b") >= 6, qt.IsTrue, qt.Commentf("pool b has %d hosts", s.poolSize("b")))
+			s.moved = 0
+			s.run(20 * time.Second)
+			s.c.Assert(s.moved <= 1, qt.IsTrue, qt.Commentf("%d hosts move back and forth", s.moved))
+		})
+	}
 	t.Run("take a host for a long-running task from a pool whose burst exceeds all hosts", func(t *testing.T) {
 		s := newSimulation(qt.New(t), map[glade.Service]int{"a": 2, "b": 6, spare: 0})
 		for _, h := range s.hosts {
--- a/moves/pools.go
+++ b/moves/pools.go
@@ -232,20 +232,25 @@
 		return nil
 	}
 	hostCPU := float64(pool.hostCPU)
-	hosts := (float64(load.LongRunning) + tracker.smoothed*headroomFactor) / hostCPU
-	ahead := max(p.forecast(tracker, now)*headroomFactor, float64(load.Demand+load.Late), p.extrapolate(load)*headroomFactor)
-	pool.ahead = int(math.Ceil((float64(load.LongRunning) + ahead) / hostCPU))
-	if pool.hostMemory > 0 {
-		hosts = max(hosts, float64(load.Memory)/float64(pool.hostMemory))
-	}
-	pool.base = max(int(math.Ceil(float64(load.LongRunning)/hostCPU)), load.MinRunners)
 	// Enough capacity in sum can still leave no place for tasks that are large or must be spread.
 	// Hosts that are about to join the pool may be enough.
 	wasVain := tracker.unplaced.isVain
-	pool.base = max(pool.base, tracker.unplaced.observe(load.Unplaced, pool.size-pool.joining, pool.joining, now))
-	if tracker.unplaced.isVain && !wasVain {
-		p.event("in vain", "pool", service, "hosts", pool.size, "from", tracker.unplaced.from, "unplaced", load.Unplaced)
+	unplacedHosts := tracker.unplaced.observe(load.Unplaced, pool.size-pool.joining, pool.joining, now)
+	longRunning, memory := float64(load.LongRunning), load.Memory
+	if tracker.unplaced.isVain {
+		longRunning -= float64(load.UnplacedCPU)
+		memory -= load.UnplacedMemory
+		if !wasVain {
+			p.event("in vain", "pool", service, "hosts", pool.size, "from", tracker.unplaced.from, "unplaced", load.Unplaced)
+		}
+	}
+	hosts := (longRunning + tracker.smoothed*headroomFactor) / hostCPU
+	ahead := max(p.forecast(tracker, now)*headroomFactor, float64(load.Demand+load.Late), p.extrapolate(load)*headroomFactor)
+	pool.ahead = int(math.Ceil((longRunning + ahead) / hostCPU))
+	if pool.hostMemory > 0 {
+		hosts = max(hosts, float64(memory)/float64(pool.hostMemory))
 	}
+	pool.base = max(int(math.Ceil(longRunning/hostCPU)), load.MinRunners, unplacedHosts)
 	hosts += float64(load.Shrunk) / hostCPU // hostCPU is that of a host whose runner is whole
 	pool.wanted = max(int(math.Ceil(hosts))+reserveHosts, load.MinRunners+reserveHosts, pool.base)
 	p.sortHosts(pool)
--- a/sched/evacuate.go
+++ b/sched/evacuate.go
@@ -25,6 +25,10 @@
 	Memory int `json:"memory"`
 	// Unplaced counts long-running tasks for which there is no room.
 	Unplaced int `json:"idle"`
+	// UnplacedCPU and UnplacedMemory are the parts of LongRunning and Memory that wait with them: a gang
+	// waits as a whole.
+	UnplacedCPU    int `json:"idlecpu,omitempty"`
+	UnplacedMemory int `json:"idlememory,omitempty"`
 	// Offered is the load of the arriving work, in millicores.
 	Offered int `json:"offered"`
 	// OfferedRise is the increase of the offered load per second, in millicores.
@@ -87,7 +91,16 @@
 		}
 		load.LongRunning += left * allocation(st.rule).CPU
 		if now.Sub(st.lastEnd) > placementTime && now.Sub(st.occurrence.batch.submittedAt) > placementTime {
-			load.Unplaced += s.unplaced(st, min(pending, st.duePending(now)), now)
+			due := min(pending, st.duePending(now))
+			n := s.unplaced(st, due, now)
+			load.Unplaced += n
+			if n > 0 {
+				load.UnplacedCPU += due * allocation(st.rule).CPU
+				load.UnplacedMemory += due * st.rule.Need.Memory
+			}
+			if n > 0 && st.rule.Gang {
+				left -= due // its spread asks for hosts by Unplaced alone
+			}
 		}
 		if st.rule.MaxPerRunner > 0 {
 			load.MinRunners = max(load.MinRunners, (left+st.rule.MaxPerRunner-1)/st.rule.MaxPerRunner)
--- a/sched/reserve_test.go
+++ b/sched/reserve_test.go
@@ -371,7 +371,13 @@
 			w.play(2*time.Second, 8*runners)
 			w.submit("gang", batchOf(step))
 			w.play(600*time.Millisecond, 8*runners)
-			w.c.Assert(w.sched.Demand(w.now).Unplaced, qt.Equals, want)
+			load := w.sched.Demand(w.now)
+			w.c.Assert(load.Unplaced, qt.Equals, want)
+			waiting := 0
+			if want > 0 {
+				waiting = step.Count * step.Need.CPU
+			}
+			w.c.Assert([]int{load.UnplacedCPU, load.LongRunning - load.UnplacedCPU}, qt.DeepEquals, []int{waiting, step.Count*step.Need.CPU - waiting})
 		})
 	}
 	expectUnplaced("with one runner too few", 8, 1, lastingGang(9, 10_000))
