Bubbles of the race detector have one processor

A bubble of synctest has one context of the race detector for all its timers. A goroutine that finds its timer due runs it itself (timer.maybeRunChan), while the bubble's root or another goroutine runs others: two threads use one context of the detector at once. Ruled out: code of ours (a test of 20 lines that imports testing and time only ends in the same way) and memory (296 MB).

Change: bubble.Test starts a bubble with one processor in builds with the race detector; all packages use it. Other builds keep their processors.

--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"indigoglade/accept"
+	"indigoglade/bubble"
 )
 
 // failing is a listener that fails some times before it accepts.
@@ -46,7 +47,7 @@
 func TestAccept(t *testing.T) {
 	expect := func(name string, want error, failures int64, took time.Duration, errs ...error) {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				l := accept.New(&failing{errs: errs})
 				began := time.Now()
 				conn, err := l.Accept()
@@ -67,7 +68,7 @@
 	expect("a listener that is none", syscall.EBADF, 1, 5*time.Millisecond, full, refused)
 	expect("a deadline", os.ErrDeadlineExceeded, 0, 0, os.ErrDeadlineExceeded)
 	t.Run("closed during a pause", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			inner := &failing{errs: []error{full, full, full, full, full, full}}
 			l := accept.New(inner)
 			time.AfterFunc(20*time.Millisecond, func() { l.Close() })
--- /dev/null
+++ b/bubble/norace.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package bubble
+
+const isRace = false
--- a/drain/drain_test.go
+++ b/drain/drain_test.go
@@ -15,6 +15,7 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
+	"indigoglade/bubble"
 	"indigoglade/drain"
 )
 
@@ -123,7 +124,7 @@
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				listener := conns{queue: make(chan net.Conn, 3)}
 				server := drain.New(drain.Config{Listener: listener, Handler: http.HandlerFunc(handle), IdleTimeout: time.Minute})
 				client, inner := net.Pipe()
@@ -158,7 +159,7 @@
 	const most = 3
 	run := func(name string, test func(t *testing.T, server *drain.Server, connect func() net.Conn)) {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				listener := conns{queue: make(chan net.Conn, 3)}
 				server := drain.New(drain.Config{Listener: listener, Handler: http.HandlerFunc(handle), IdleTimeout: time.Minute, MaxConns: most})
 				go func() { _ = server.Serve() }()
--- a/lead/directory_test.go
+++ b/lead/directory_test.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
 	glade "indigoglade"
+	"indigoglade/bubble"
 	"indigoglade/clock"
 	"indigoglade/lead"
 	"indigoglade/memory"
@@ -19,7 +19,7 @@
 
 func TestRank(t *testing.T) {
 	t.Run("prefers hosts of high capacity", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			table := memory.NewPartitionedTable()
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
@@ -70,7 +70,7 @@
 // call to the store.
 func TestTermPolls(t *testing.T) {
 	polls := func(t *testing.T, hosts, refreshes int) (perSecond int64) {
-		synctest.Test(t, func(*testing.T) {
+		bubble.Test(t, func(*testing.T) {
 			ctx, cancel := context.WithCancel(context.Background())
 			defer cancel()
 			table := &feedCounter{PartitionedTable: memory.NewPartitionedTable()}
--- a/lead/lead_test.go
+++ b/lead/lead_test.go
@@ -7,13 +7,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
 	glade "indigoglade"
+	"indigoglade/bubble"
 	"indigoglade/clock"
 	"indigoglade/lead"
 	"indigoglade/memory"
@@ -605,7 +605,7 @@
 // task was run twice.
 func runCluster(t *testing.T, name string, test func(c *qt.C, s *cluster)) {
 	t.Run(name, func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			s := newCluster(c, "h1", "h2")
 			defer s.shutdown()
@@ -662,7 +662,7 @@
 // Leases end when heartbeats wait for other calls.
 func TestHeartbeats(t *testing.T) {
 	t.Run("are sent while runners answer no start", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			s := newCluster(qt.New(t))
 			defer s.shutdown()
 			s.runners = newFakeRunners(300)
@@ -863,7 +863,7 @@
 func TestWeakHost(t *testing.T) {
 	expectLeader := func(name string, capacity int, want glade.Node) {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				s := newCluster(qt.New(t))
 				defer s.shutdown()
 				s.capacity = map[glade.Node]int{"h1": capacity, "h2": 800}
--- a/lead/loading_test.go
+++ b/lead/loading_test.go
@@ -6,12 +6,12 @@
 	"fmt"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/bubble"
 	"indigoglade/lead"
 	"indigoglade/sched"
 )
@@ -115,7 +115,7 @@
 	// expectLed checks that a host leads all services within a time after it has claimed them.
 	expectLed := func(name string, rows, specBytes int, slow func() *slowLink, within func(stats lead.TakeoverStats) time.Duration) {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				s := newSlowCluster(c, rows, specBytes)
 				defer s.shutdown()
@@ -170,7 +170,7 @@
 // the rows: no other host, not even one that could, takes the service over.
 func TestStalledTakeover(t *testing.T) {
 	t.Run("another host leads", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			s := newCluster(c)
 			defer s.shutdown()
@@ -191,7 +191,7 @@
 		})
 	})
 	t.Run("an outage of the store is no reason to release the term", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			s := newCluster(c)
 			defer s.shutdown()
--- a/lead/ordered_test.go
+++ b/lead/ordered_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/bubble"
 	"indigoglade/lead"
 )
 
@@ -17,7 +17,7 @@
 // moveUnderCut lets two hosts move machines one after the other: the first one loses
 // the store while it moves them, and the second one takes over.
 func moveUnderCut(t *testing.T, limits lead.Limits, check func(c *qt.C, s *cluster, second glade.Node)) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := newCluster(c)
 		defer s.shutdown()
--- a/lead/paths_test.go
+++ b/lead/paths_test.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/bubble"
 	"indigoglade/lead"
 )
 
@@ -41,7 +41,7 @@
 // runPath runs a test with three hosts. The path belongs to the first service.
 func runPath(t *testing.T, name string, test func(c *qt.C, s *pathCluster)) {
 	t.Run(name, func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			s := &pathCluster{cluster: newCluster(c), rules: pathRules(1, "q", firstService)}
 			defer s.shutdown()
--- a/lead/quota_test.go
+++ b/lead/quota_test.go
@@ -7,13 +7,13 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 	"github.com/go-logr/logr"
 
 	glade "indigoglade"
+	"indigoglade/bubble"
 	"indigoglade/clock"
 	"indigoglade/memory"
 	"indigoglade/quota"
@@ -231,7 +231,7 @@
 
 func runLimits(t *testing.T, name string, test func(c *qt.C, s *limitsCluster)) {
 	t.Run(name, func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			s := &limitsCluster{c: c, table: memory.NewPartitionedTable(), services: make(map[glade.Service]*fakeService), rules: limitRules(1, 100)}
 			s.table.SetDelay(10 * time.Millisecond)
--- a/lead/refusal_test.go
+++ b/lead/refusal_test.go
@@ -9,7 +9,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
@@ -17,6 +16,7 @@
 	"github.com/go-logr/logr/funcr"
 
 	glade "indigoglade"
+	"indigoglade/bubble"
 	"indigoglade/jrpc"
 	"indigoglade/lead"
 	"indigoglade/memory"
@@ -293,7 +293,7 @@
 // of them has begun to lead, while batches arrive at another one.
 func runRefused(t *testing.T, name string, test func(c *qt.C, s *cluster, leader glade.Node)) {
 	t.Run(name, func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			c := qt.New(t)
 			s := newCluster(c)
 			s.peers = newPeerNetwork()
--- a/lead/reject_test.go
+++ b/lead/reject_test.go
@@ -3,12 +3,12 @@
 import (
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/bubble"
 	"indigoglade/lead"
 )
 
@@ -17,7 +17,7 @@
 func TestRejectedWrite(t *testing.T) {
 	expectGoesOn := func(name string, row glade.PartitionRow, check func(c *qt.C, s *cluster)) {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				s := newCluster(c)
 				defer s.shutdown()
--- a/lead/stepdown_test.go
+++ b/lead/stepdown_test.go
@@ -4,12 +4,12 @@
 	"context"
 	"encoding/json"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/bubble"
 	"indigoglade/lead"
 	"indigoglade/memory"
 )
@@ -37,7 +37,7 @@
 func TestStepDown(t *testing.T) {
 	expectReleased := func(name string, prepare func(link *tableLink)) {
 		t.Run(name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
 				c := qt.New(t)
 				s := newCluster(c)
 				defer s.shutdown()
@@ -65,7 +65,7 @@
 // not answer, and waits for the store beyond its grace period: its callers' requests would be
 // cut off.
 func TestStepDownWithoutStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
 		c := qt.New(t)
 		s := newCluster(c, "h1")
 		defer s.shutdown()
--- a/lead/tenant_test.go
+++ b/lead/tenant_test.go
@@ -5,12 +5,12 @@
 	"fmt"
 	"slices"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/bubble"
 	"indigoglade/lead"
 	"indigoglade/memory"
 )
@@ -51,7 +51,7 @@
 // than its limit and that each accepted batch is completed.
 func runLimitedCluster(t *testing.T, name string, test func(c *qt.C, s *limitedCluster)) {
 	t.Run(name, func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
 			s := &limitedCluster{cluster: newCluster(qt.New(t)), accepted: make(map[glade.Service][]glade.BatchID)}
 			defer s.shutdown()
 			s.runners = newFakeRunners(6)
