Advice is asked for runners that a long-running step waits for

Callers saw: a long-running task or gang of a queue with advice is accepted and never starts while short tasks keep the pool full.

Cause: runners were asked about only while they had room, and only runners with a ticket are reserved for long-running steps. In a full pool each waits for the other. Ruled out: denials (all runners are approved) and late answers (the stand-in answers within the step).

Change: for a long-running step, runners that will have room once short tasks have ended follow those that have room now.

Measured: TestTicketsInFullPool, 3 of 3 cases fail without the change, as does "no answer" of TestHopelessGangWithTickets; all pass with it.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -57,12 +57,7 @@
 		if !st.occurrence.batch.rule.NeedsAdvice || st.adviceInFlight || now.Before(st.adviceRetryAt) {
 			continue
 		}
-		var ids []glade.RunnerID
-		for _, r := range s.usable(now) {
-			if !st.denied[r.info.ID] && !st.hasTicket(r.info.ID, now) && len(ids) < maxAskedRunners && allocation(st.rule).Fits(r.info.Capacity.Minus(r.used)) {
-				ids = append(ids, r.info.ID)
-			}
-		}
+		ids := s.runnersToAsk(st, now)
 		if len(ids) == 0 {
 			continue
 		}
@@ -75,6 +70,28 @@
 	return requests
 }
 
+// runnersToAsk returns the runners without an answer of the advice service on which tasks of a step
+// have room. For long-running tasks, these are followed by runners that will have room once short tasks
+// have ended: only those with a ticket are reserved.
+func (s *Scheduler) runnersToAsk(st *step, now time.Time) []glade.RunnerID {
+	var ids, later []glade.RunnerID
+	for _, r := range s.usable(now) {
+		if st.denied[r.info.ID] || st.hasTicket(r.info.ID, now) {
+			continue
+		}
+		switch {
+		case hasRoom(r, st):
+			ids = append(ids, r.info.ID)
+		case st.rule.LongRunning && allocation(st.rule).Fits(r.info.Capacity.Minus(r.lasting())):
+			later = append(later, r.info.ID)
+		}
+		if len(ids) == maxAskedRunners {
+			return ids
+		}
+	}
+	return append(ids, later[:min(len(later), maxAskedRunners-len(ids))]...)
+}
+
 // AdviceFailed records that a request got no answer. It is repeated after adviceRetry.
 func (s *Scheduler) AdviceFailed(request AdviceRequest, now time.Time) {
 	s.adviceInFlight--
