--- a/sched/reserve_test.go
+++ b/sched/reserve_test.go
@@ -197,8 +197,8 @@
 	})
 }
 
-// TestHopelessSteps draws lasting steps that come, lose runners and wait beside a stream of short batches. It
-// guards against waits that keep the runners from the short ones, and against lasting steps that have room and
+// TestHopelessSteps draws lasting steps that come, lose runners and wait beside a stream of short batches, while
+// leaders change and starts are carried out late. It guards against waits that keep the runners from the short ones, and against lasting steps that have room and
 // don't get it.
 func TestHopelessSteps(t *testing.T) {
 	hopeless := 0
@@ -226,6 +226,16 @@
 		if lost := rapid.IntRange(0, len(w.infos)).Draw(rt, "lost"); lost < len(w.infos) {
 			w.loseRunner(w.infos[lost].ID, 10)
 		}
+		switch rapid.SampledFrom([]string{"none", "takeover", "late starts"}).Draw(rt, "trouble") {
+		case "takeover":
+			w.resume(2)
+			w.play(6*time.Second, 10) // the new leader finds lost runs by their leases
+		case "late starts":
+			w.loseStarts = rapid.IntRange(1, 4).Draw(rt, "lost starts")
+			w.play(time.Duration(rapid.IntRange(20, 1000).Draw(rt, "late ms"))*time.Millisecond, 10)
+			w.carryOutLate()
+			w.play(6*time.Second, 10)
+		}
 		w.play(8*time.Second, 10) // starts, and restarts of gangs that lost a member, are over
 		events := w.sched.Events()
 		if rapid.Bool().Draw(rt, "returns") {
