An explanation asks the former services of a path

Operators saw: `indigo explain` of a batch whose path has moved explains it as a new one, though a former service knows it and a submission is not run again.

Cause: Router.Explain asked the leader of the path's service alone.

Change: the leader lists the former services; the host asks them, within one search, and the reply names the one that knows the batch and those that have not answered.

--- a/indigo/internal/cmds/explain.go
+++ b/indigo/internal/cmds/explain.go
@@ -120,6 +120,12 @@
 		fmt.Fprintln(w, "  the store takes no writes: every batch is refused (store)")
 	}
 	fmt.Fprintf(w, "admission of %s: %s\n", args.ID, describeAdmission(x))
+	if reply.Holder != "" {
+		fmt.Fprintf(w, "  service %s knows it, which had the path before\n", reply.Holder)
+	}
+	if len(reply.Unasked) > 0 {
+		fmt.Fprintf(w, "  it may be known to services that had the path before and don't answer: %v\n", reply.Unasked)
+	}
 	if x.Known {
 		return
 	}
--- a/indigo/internal/cmds/explain_test.go
+++ b/indigo/internal/cmds/explain_test.go
@@ -162,6 +162,10 @@
 	})
 	expectText("a leader without a renewal", "another host may lead by now", func(r *lead.ExplainReply) { r.IsReplaceable = true })
 	expectText("a store that takes no writes", "every batch is refused (store)", func(r *lead.ExplainReply) { r.StoreFailing = true })
+	expectText("a batch of a former service", "accepted, as the ID is known: a submission is not run again\n  service old knows it, which had the path before", func(r *lead.ExplainReply) {
+		r.Explanation.Known, r.Holder = true, "old"
+	})
+	expectText("a former service that doesn't answer", "had the path before and don't answer: [old]", func(r *lead.ExplainReply) { r.Unasked = []glade.Service{"old"} })
 	expectCode := func(name string, code int, want, source string, h *explainHost, isOld bool) {
 		t.Run(name, func(t *testing.T) {
 			c := qt.New(t)
--- a/lead/explain.go
+++ b/lead/explain.go
@@ -45,6 +45,13 @@
 	Explanation *sched.Explanation `json:"explanation,omitempty"`
 	// Problem is why the leader has no explanation, although it tried.
 	Problem string `json:"problem,omitempty"`
+	// Former lists other services that may know the batch, which this one doesn't, and Version the
+	// version of the contract as of which they must answer.
+	Former  []glade.Service `json:"former,omitempty"`
+	Version int64           `json:"number,omitempty"`
+	// Holder is the former service that knows the batch. Unasked lists those that have not answered.
+	Holder  glade.Service   `json:"holder,omitempty"`
+	Unasked []glade.Service `json:"unasked,omitempty"`
 }
 
 func (r ExplainReply) decided() (bool, *KnownTerm) { return r.IsLeader, r.KnownTerm }
@@ -67,9 +74,42 @@
 	if err != nil {
 		return ExplainReply{KnownTerm: r.manager.knownTerm(in.Service)}
 	}
+	if len(reply.Former) > 0 {
+		r.findHolder(ctx, in, &reply, timeout)
+	}
 	return reply
 }
 
+// findHolder asks the former services of a queue's path whether they know a batch, all within the timeout.
+func (r *Router) findHolder(ctx context.Context, in ExplainArgs, reply *ExplainReply, timeout time.Duration) {
+	deadline := r.clock.Now().Add(timeout)
+	args := BatchArgs{ID: in.ID, Queue: in.Queue, Tenant: in.Batch.Tenant, FormerOnly: true, Version: reply.Version}
+	for _, service := range reply.Former {
+		args.Service = service
+		state, err := callIdempotent(ctx, r, service, methodState, args, deadline.Sub(r.clock.Now()), func() (BatchReply, error) { return r.manager.stateLocal(args), nil })
+		switch {
+		case err != nil:
+			reply.Unasked = append(reply.Unasked, service)
+		case state.Known:
+			reply.Holder = service
+			reply.Explanation.Known, reply.Explanation.Accepted, reply.Explanation.Reason = true, true, ""
+			return
+		}
+	}
+}
+
+// pathOf returns the path of a queue.
+func (m *Manager) pathOf(service glade.Service, queue glade.Queue) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, rule := range m.rules.Queues {
+		if rule.Service == service && rule.Queue == queue {
+			return rule.Path()
+		}
+	}
+	return ""
+}
+
 func (m *Manager) explainLocal(in ExplainArgs) ExplainReply {
 	leader, ok := m.LocalLeader(in.Service)
 	if !ok || leader.hasEnded() {
@@ -96,5 +136,8 @@
 		return ExplainReply{KnownTerm: m.knownTerm(in.Service)}
 	}
 	reply.IsReplaceable = leader.mayBeReplaced()
+	if reply.Explanation != nil && !reply.Explanation.Known {
+		reply.Former, reply.Version, _ = leader.paths.formers(m.pathOf(in.Service, in.Queue))
+	}
 	return reply
 }
--- a/lead/paths_test.go
+++ b/lead/paths_test.go
@@ -203,3 +203,42 @@
 		}
 	})
 }
+
+// TestExplainMovedPath guards against an explanation as of a new batch for one that a former service of
+// the path knows, or may know.
+func TestExplainMovedPath(t *testing.T) {
+	explain := func(s *pathCluster, node glade.Node, id glade.BatchID) lead.ExplainReply {
+		s.c.Helper()
+		queue, service := target(s.rules)
+		args := lead.ExplainArgs{Service: service, Queue: queue, ID: id, Batch: glade.Batch{Steps: []glade.Step{{Count: 1, Need: glade.Need{CPU: 100}}}}}
+		reply := s.managers[node].Router().Explain(context.Background(), args, submitTimeout)
+		s.c.Assert(reply.IsLeader, qt.IsTrue)
+		s.c.Assert(reply.Explanation, qt.IsNotNil)
+		return reply
+	}
+	runPath(t, "a former service knows it", func(c *qt.C, s *pathCluster) {
+		c.Assert(s.send("h1", s.rules, "x"), qt.Equals, lead.SubmitAccepted)
+		s.sleep(time.Second)
+		s.apply(pathRules(2, "q2", secondService), "h1", "h2", "h3")
+		s.sleep(2 * time.Second)
+		for _, node := range []glade.Node{"h1", "h2", "h3"} {
+			reply := explain(s, node, "x")
+			c.Assert(reply.Explanation.Known, qt.IsTrue)
+			c.Assert(reply.Holder, qt.Equals, firstService)
+			reply = explain(s, node, "unknown")
+			c.Assert(reply.Explanation.Known, qt.IsFalse)
+			c.Assert([]glade.Service{reply.Holder}, qt.DeepEquals, []glade.Service{""})
+			c.Assert(reply.Unasked, qt.HasLen, 0)
+		}
+	})
+	runPath(t, "a former service does not answer", func(c *qt.C, s *pathCluster) {
+		former, other := s.moveWithWaiting()
+		if s.termOf(secondService).Node == former {
+			return
+		}
+		s.peers.setCut(former)
+		reply := explain(s, other, "x0")
+		c.Assert(reply.Explanation.Known, qt.IsFalse)
+		c.Assert(reply.Unasked, qt.DeepEquals, []glade.Service{firstService})
+	})
+}
