No load is taken from a leader that may have been replaced

Answers to callers have this guard, loads had not.

Change: such a leader carries out what the fleet leader asks of it, and gives no load. The last one counts for maxLoadAge, as without an answer.

Measured: TestLoadOfReplacedLeader fails without the change.

--- a/lead/load.go
+++ b/lead/load.go
@@ -28,8 +28,8 @@
 }
 
 // LoadReply returns the load of a service. The load is not set if the called host
-// does not lead the service, has not loaded its state yet, or knows a newer fleet
-// leader than the one that asks.
+// does not lead the service, may have been replaced, has not loaded its state yet, or
+// knows a newer fleet leader than the one that asks.
 type LoadReply struct {
 	IsLeader bool       `json:"leads"`
 	Load     sched.Load `json:"load"`
@@ -133,7 +133,7 @@
 		scheduler.Lendable(in.Lendable, now)
 		scheduler.RunnersGone(in.RunnersGone, now.Add(-time.Duration(in.InventoryAgeMs)*time.Millisecond), now)
 		reply.Load = scheduler.Demand(now)
-	}) {
+	}) || leader.mayBeReplaced() { // a successor may have started tasks on runners that are idle here
 		return LoadReply{FleetEpoch: newest}
 	}
 	return reply
--- a/lead/load_test.go
+++ b/lead/load_test.go
@@ -49,6 +49,22 @@
 	return ids
 }
 
+// TestLoadOfReplacedLeader guards against a fleet leader that takes a host whose runner is idle by the account
+// of a leader without the store, while its successor has started tasks there.
+func TestLoadOfReplacedLeader(t *testing.T) {
+	c, m := qt.New(t), newLoadedManager()
+	leader := m.leaders[testService]
+	leader.sched.LeaderRenewed(time.Now())
+	args := LoadArgs{Service: testService, Epoch: 1, EvacuateRunners: []glade.RunnerID{"r1"}}
+	c.Assert(m.loadLocal(LoadArgs{Service: testService, Epoch: 1}).IsLeader, qt.IsTrue)
+	leader.clock = lateClock{clock.System{}}
+	reply := m.loadLocal(args)
+	c.Assert(reply.IsLeader, qt.IsFalse)
+	c.Assert(reply.Load.Runners, qt.HasLen, 0)
+	leader.clock = clock.System{}
+	c.Assert(evacuating(m, 1), qt.DeepEquals, []glade.RunnerID{"r1"}) // the order is carried out all the same
+}
+
 // TestReplacedFleetLeader guards against two fleet leaders that are obeyed at once: one
 // that has lost the store and was replaced still reaches the leaders of services, and
 // has them evacuate runners that its successor needs.
