Long-running steps ask for advice one at a time, in turn

Callers saw: short batches of a queue with advice don't start while long-running gangs without room wait.

Cause: tickets expire, so that such a gang asks again for all its runners, and the service answers one call at a time; two of them take both requests.

Change: one long-running step has a request in flight at a time, the one that has not asked for the longest time.

Measured: TestTicketsBesideHopelessGangs, three gangs on 40 runners, tickets for 1 s, answers after 0.3 s: no short batch starts before, all do now, and a long-running task with room does within 6 s.

--- a/sched/advice.go
+++ b/sched/advice.go
@@ -49,18 +49,23 @@
 		return nil
 	}
 	var requests []AdviceRequest
-	for _, next := range s.ranked(now) {
+	ranking := s.ranked(now)
+	lasting := s.lastingToAsk(ranking, now)
+	for _, next := range ranking {
 		st := next.step
 		if s.adviceInFlight == maxAdviceRequests {
 			break
 		}
-		if !st.occurrence.batch.rule.NeedsAdvice || st.adviceInFlight || now.Before(st.adviceRetryAt) {
+		if !st.mayAsk(now) || st.rule.LongRunning && st != lasting {
 			continue
 		}
 		ids := s.runnersToAsk(st, now)
 		if len(ids) == 0 {
 			continue
 		}
+		if st.rule.LongRunning {
+			s.lastingAsked, st.advisedAt = st, now
+		}
 		st.adviceInFlight = true
 		s.adviceInFlight++
 		requests = append(requests, AdviceRequest{
@@ -70,6 +75,27 @@
 	return requests
 }
 
+// mayAsk reports whether a step needs tickets and has no request in flight.
+func (st *step) mayAsk(now time.Time) bool {
+	return st.occurrence.batch.rule.NeedsAdvice && !st.adviceInFlight && !now.Before(st.adviceRetryAt)
+}
+
+// lastingToAsk returns the long-running step that may ask next: one at a time, in turn. Those that wait
+// for room ask again whenever tickets expire, and would leave no request to others.
+func (s *Scheduler) lastingToAsk(ranking []rank, now time.Time) *step {
+	if s.lastingAsked != nil && s.lastingAsked.adviceInFlight {
+		return nil
+	}
+	var longest *step
+	for _, next := range ranking {
+		st := next.step
+		if st.rule.LongRunning && st.mayAsk(now) && (longest == nil || st.advisedAt.Before(longest.advisedAt)) && len(s.runnersToAsk(st, now)) > 0 {
+			longest = st
+		}
+	}
+	return longest
+}
+
 // runnersToAsk returns the runners without an answer of the advice service on which tasks of a step
 // have room. For long-running tasks, these are followed by runners that will have room once short tasks
 // have ended: only those with a ticket are reserved.
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -96,6 +96,8 @@
 	// is when the next one may be sent after one that failed.
 	adviceInFlight bool
 	adviceRetryAt  time.Time
+	// advisedAt is when a long-running step has last asked.
+	advisedAt time.Time
 	// limitedSince is since when the step has waited for its tenant's limit alone, zero if
 	// it doesn't.
 	limitedSince time.Time
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -84,6 +84,8 @@
 	probesInFlight int
 	// adviceInFlight is the number of requests to the advice service without an answer yet.
 	adviceInFlight int
+	// lastingAsked is the long-running step that has asked last.
+	lastingAsked *step
 	// stopping holds the runs that are to be stopped.
 	stopping map[*run]bool
 	// reviewedAt is when all runners were last reviewed.
--- a/sched/ticket_test.go
+++ b/sched/ticket_test.go
@@ -1,9 +1,12 @@
 package sched_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
+	qt "github.com/frankban/quicktest"
+
 	glade "indigoglade"
 )
 
@@ -69,3 +72,49 @@
 	expectStart("tasks", glade.Step{Count: 4, Need: glade.Need{CPU: 14_000}, LongRunning: true})
 	expectStart("a gang", lastingGang(4, 10_000))
 }
+
+// answerAdvice plays on while the advice service answers one request at a time, each after a delay. All runners get
+// tickets that are valid for the given time.
+func (w *crowd) answerAdvice(length, delay, valid time.Duration) {
+	const step = 20 * time.Millisecond
+	answerAt := w.now.Add(delay)
+	for end := w.now.Add(length); w.now.Before(end); {
+		w.play(step, 0)
+		if len(w.lostAdvice) == 0 {
+			answerAt = w.now.Add(delay)
+			continue
+		}
+		if w.now.Before(answerAt) {
+			continue
+		}
+		request := w.lostAdvice[0]
+		w.lostAdvice, answerAt = w.lostAdvice[1:], w.now.Add(delay)
+		tickets := make(map[glade.RunnerID]string)
+		for _, id := range request.Runners {
+			tickets[id] = "t"
+		}
+		w.sched.Advised(request, tickets, valid, w.now)
+	}
+}
+
+// TestTicketsBesideHopelessGangs guards against gangs without room which ask for tickets again and again, as these
+// expire, and leave no request to others.
+func TestTicketsBesideHopelessGangs(t *testing.T) {
+	w := newAdvisedCrowd(t, 40, 1000, 200*time.Millisecond)
+	w.loseAdvice = true
+	for _, id := range []glade.BatchID{"gang", "gang2", "gang3"} {
+		w.sched.Submit(id, advised, batchOf(lastingGang(50, 10_000)), w.now)
+	}
+	const delay, valid = 300 * time.Millisecond, time.Second
+	w.answerAdvice(3*time.Second, delay, valid)
+	for i := range 10 {
+		id := glade.BatchID(fmt.Sprintf("short%d", i))
+		w.sched.Submit(id, advised, batchOf(glade.Step{Count: 1, Need: core, Estimate: 200}), w.now)
+		w.answerAdvice(3*delay, delay, valid)
+		w.c.Assert(w.done >= i, qt.IsTrue, qt.Commentf("%d of %d short batches are done", w.done, i+1))
+	}
+	w.sched.Submit("task", advised, batchOf(glade.Step{Count: 1, Need: core, LongRunning: true}), w.now)
+	w.answerAdvice(6*time.Second, delay, valid)
+	w.expectRunning("task", 1)
+	w.expectRunning("gang", 0)
+}
