The runners in use of a large service are stored in several rows

Operators would see: a service with more than some 3,000 runners starts nothing on a runner that no earlier leader has used.

Cause: the row of the runners in use names each of them, 21 bytes with ids as on the users' platform; beyond 64 KB the store rejects it, and a runner gets no task before the row names it.

Change: beyond 48 KB the runners are stored in several rows, in one transaction; the first one tells how many there are, and a new leader reads them all. Smaller services have the row that they had.

Measured: with the split taken out TestRegistrySize fails at 6,000 runners (126,040 bytes) and at 3,000 with ids of 40 bytes (147,040); it passes with it, as does TestReadRunners.

--- a/lead/loading.go
+++ b/lead/loading.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"encoding/json"
 	"maps"
+	"strconv"
 	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
+	"indigoglade/sched"
 )
 
 // errLoadStalled means that this host can't read the rows of a service although the store
@@ -106,8 +109,10 @@
 type loader struct {
 	leader            *ServiceLeader
 	batches, progress tableRows
-	runners, paths    glade.PartitionRow
-	stats             TakeoverStats
+	// runners are the rows of the runners in use; there is none before the first one.
+	runners []glade.PartitionRow
+	paths   glade.PartitionRow
+	stats   TakeoverStats
 	// progressAt is when a page was last read, or when the store last did not take a
 	// renewal: an outage of the store is no reason to release the term.
 	progressAt time.Time
@@ -131,10 +136,11 @@
 			}
 		}
 	}
-	for table, row := range map[string]*glade.PartitionRow{tableRunners: &l.runners, tablePaths: &l.paths} {
-		if err := l.readRow(ctx, table, row); err != nil {
-			return err
-		}
+	if err := l.readRunners(ctx); err != nil {
+		return err
+	}
+	if err := l.readRow(ctx, tablePaths, singletonKey, &l.paths); err != nil {
+		return err
 	}
 	l.stats.Ms = l.leader.clock.Now().Sub(began).Milliseconds()
 	return nil
@@ -232,11 +238,49 @@
 	return err
 }
 
-// readRow reads the only row of a table.
-func (l *loader) readRow(ctx context.Context, table string, row *glade.PartitionRow) error {
+// runnersKey returns the key of one of the rows of the runners in use.
+func runnersKey(part int) string {
+	if part == 0 {
+		return singletonKey
+	}
+	return strconv.Itoa(part)
+}
+
+// readRunners reads the rows of the runners in use. The first one tells how many there are.
+func (l *loader) readRunners(ctx context.Context) error {
+	for part, count := 0, 1; part < count; part++ {
+		var row glade.PartitionRow
+		if err := l.readRow(ctx, tableRunners, runnersKey(part), &row); err != nil {
+			return err
+		}
+		l.runners = append(l.runners, row)
+		var first sched.RegistryRow
+		if part == 0 && row.Version > 0 && json.Unmarshal(row.Value, &first) == nil {
+			count = max(first.Parts, 1)
+		}
+	}
+	return nil
+}
+
+// decodeRunners decodes the rows of the runners in use. Rows of one write have all been written.
+func decodeRunners(rows []glade.PartitionRow) ([]sched.RegistryRow, error) {
+	decoded := make([]sched.RegistryRow, len(rows))
+	for i, row := range rows {
+		if row.Version == 0 && len(rows) == 1 {
+			return nil, nil
+		}
+		if err := json.Unmarshal(row.Value, &decoded[i]); err != nil {
+			return nil, errors.Wrapf(err, "row %s", row.Key)
+		}
+	}
+	return decoded, nil
+}
+
+// readRow reads a row.
+func (l *loader) readRow(ctx context.Context, table, key string, row *glade.PartitionRow) error {
 	s := l.leader
 	for {
-		found, err := s.manager.config.PartitionedTable.Get(ctx, table, string(s.service), singletonKey)
+		found, err := s.manager.config.PartitionedTable.Get(ctx, table, string(s.service), key)
 		if err == nil {
 			*row = found
 			return nil
--- a/lead/service.go
+++ b/lead/service.go
@@ -168,23 +168,22 @@
 
 // buildState builds the scheduler from the rows that were read.
 func (s *ServiceLeader) buildState(rows *loader) {
-	batchRows, progressRows, runnersRow := rows.batches.rows, rows.progress.rows, rows.runners
+	batchRows, progressRows := rows.batches.rows, rows.progress.rows
 	now := s.clock.Now()
 	scheduler := sched.New(s.manager.schedConfig(s.service, s.term.Epoch), now)
 	if err := loadBatches(scheduler, batchRows, progressRows, now); err != nil {
 		s.manager.config.Log.Error(err, "batch row could not be loaded", "service", s.service)
 	}
-	var registry sched.RegistryRow
-	if runnersRow.Version > 0 {
-		if err := json.Unmarshal(runnersRow.Value, &registry); err != nil {
-			s.manager.config.Log.Error(err, "list of runners in use is not valid JSON: tasks may run on any runner", "service", s.service)
-			registry = sched.RegistryRow{}
-			for _, info := range s.listedRunners() {
-				registry.Runners = append(registry.Runners, info.ID)
-			}
+	registry, err := decodeRunners(rows.runners)
+	if err != nil {
+		s.manager.config.Log.Error(err, "list of runners in use is not valid JSON: tasks may run on any runner", "service", s.service)
+		var listed sched.RegistryRow
+		for _, info := range s.listedRunners() {
+			listed.Runners = append(listed.Runners, info.ID)
 		}
+		registry = []sched.RegistryRow{listed}
 	}
-	scheduler.LoadRegistered(registry)
+	scheduler.LoadRegistered(registry...)
 	scheduler.LeaderRenewed(s.confirmedAt)
 	s.paths.load(rows.paths, len(batchRows)+len(progressRows) > 0)
 	rules := s.publish(scheduler, now)
--- a/lead/writer.go
+++ b/lead/writer.go
@@ -247,7 +247,7 @@
 		case sched.KindProgress:
 			row.Table = tableProgress
 		case sched.KindRegistry:
-			row.Table, row.Key = tableRunners, singletonKey
+			row.Table, row.Key = tableRunners, runnersKey(r.Part)
 		}
 		puts = append(puts, row)
 	}
--- a/sched/losses.go
+++ b/sched/losses.go
@@ -19,6 +19,30 @@
 	// Lost holds, for each incarnation that a leader has found gone without having seen it, when
 	// that leader took over, in milliseconds since 1970; the latest maxUnseen of them.
 	Lost []int64 `json:"lost,omitempty"`
+	// Parts is the number of rows if there are several; the first one has it.
+	Parts int `json:"parts,omitempty"`
+}
+
+// maxRegistryBytes bounds one row of the runners, of the 64 KB that the store takes.
+const maxRegistryBytes = 48 << 10
+
+// split returns the rows as which the runners are stored.
+func (r *RegistryRow) split() []*RegistryRow {
+	const tagBytes = 7 // with a comma
+	first := &RegistryRow{Lost: r.Lost}
+	parts, bytes := []*RegistryRow{first}, 0
+	for i, id := range r.Runners {
+		size := len(Encode(id)) + 1 + tagBytes
+		if bytes += size; bytes > maxRegistryBytes {
+			parts, bytes = append(parts, &RegistryRow{}), size
+		}
+		last := parts[len(parts)-1]
+		last.Runners, last.Born = append(last.Runners, id), append(last.Born, r.Born[i])
+	}
+	if len(parts) > 1 {
+		first.Parts = len(parts)
+	}
+	return parts
 }
 
 // UnmarshalJSON decodes also the rows of earlier versions, which are lists of runners.
@@ -93,14 +117,16 @@
 }
 
 // LoadRegistered restores the runners that earlier leaders may have used, from
-// their row.
-func (s *Scheduler) LoadRegistered(row RegistryRow) {
-	s.losses.at = row.Lost
-	for i, id := range row.Runners {
-		s.registered[id] = true
-		s.runner(id)
-		if i < len(row.Born) {
-			s.losses.loaded[id] = row.Born[i]
+// their rows.
+func (s *Scheduler) LoadRegistered(rows ...RegistryRow) {
+	for _, row := range rows {
+		s.losses.at = append(s.losses.at, row.Lost...)
+		for i, id := range row.Runners {
+			s.registered[id] = true
+			s.runner(id)
+			if i < len(row.Born) {
+				s.losses.loaded[id] = row.Born[i]
+			}
 		}
 	}
 }
--- a/sched/write.go
+++ b/sched/write.go
@@ -159,8 +159,9 @@
 type Write struct {
 	Work     map[glade.BatchID]WorkRow
 	Progress map[glade.BatchID]ProgressRow
-	// Registered is the row of the runners that may run tasks; it is written unless it is nil.
+	// Registered has the runners that may run tasks; they are written unless it is nil, as parts rows.
 	Registered *RegistryRow
+	parts      int
 	Deletions  Deletions
 	// Rows are the rows to write as they are stored.
 	Rows []EncodedRow
@@ -184,10 +185,11 @@
 	KindRegistry
 )
 
-// EncodedRow is a row as it is stored. Batch is empty for the row of the runners.
+// EncodedRow is a row as it is stored. Batch is empty for the rows of the runners, of which Part is the index.
 type EncodedRow struct {
 	Kind  RowKind
 	Batch glade.BatchID
+	Part  int
 	Value []byte
 }
 
@@ -201,11 +203,7 @@
 
 // Len returns the number of rows that are written.
 func (w Write) Len() int {
-	n := len(w.Work) + len(w.Progress)
-	if w.Registered != nil {
-		n++
-	}
-	return n
+	return len(w.Work) + len(w.Progress) + w.parts
 }
 
 // markChanged counts a change of a batch and queues its rows for writing.
@@ -240,8 +238,11 @@
 	bytes := 0
 	if s.writesRegistry() {
 		w.Registered = s.registryRow()
-		w.Rows = append(w.Rows, EncodedRow{Kind: KindRegistry, Value: Encode(w.Registered)})
-		bytes = s.encodedSize(w.Rows[0])
+		for i, part := range w.Registered.split() {
+			w.Rows = append(w.Rows, EncodedRow{Kind: KindRegistry, Part: i, Value: Encode(part)})
+			bytes += s.encodedSize(w.Rows[i])
+		}
+		w.parts = len(w.Rows)
 		if s.writes.rejects.registryAlone {
 			return w
 		}
