The progress of a large wave is stored in several rows

Operators would see: once a wave has begun some 3,000 hosts, no host of any wave begins its maintenance.

Cause: the row of a wave lists the hosts that have begun; beyond 64 KB the store rejects it, and with it the rows of the other waves. Maintenance waits for the row that lists its host.

Change: beyond 48 KB a wave has several rows, in one transaction; the first one tells how many there are. Smaller waves have the row that they had.

--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -151,13 +150,17 @@
 			err = f.loadOrdered(ctx)
 		}
 		if err == nil {
+			parts := make(map[wavePart]WaveRow)
 			for _, row := range rows {
 				var progress WaveRow
-				var number int64
-				if _, err := fmt.Sscan(row.Key, &number); err != nil || json.Unmarshal(row.Value, &progress) != nil {
+				p, err := parseWavePart(row.Key)
+				if err != nil || json.Unmarshal(row.Value, &progress) != nil {
 					f.manager.config.Log.Info("wave row ignored: its key is not a number or its value is not valid JSON", "key", row.Key)
 					continue
 				}
+				parts[p] = progress
+			}
+			for number, progress := range mergeWaves(parts) {
 				f.waveRows[number] = progress
 				f.savedRows[number] = string(encodeRow(progress))
 			}
--- a/lead/wave.go
+++ b/lead/wave.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"strings"
 	"time"
 
 	glade "indigoglade"
@@ -23,6 +25,80 @@
 	Requested []glade.Host `json:"ordered,omitempty"`
 	// Done means that the operator has received the report that the wave is complete.
 	Done bool `json:"done,omitempty"`
+	// Parts is the number of rows if there are several; the first one has it.
+	Parts int `json:"parts,omitempty"`
+}
+
+// maxWaveBytes bounds one row of a wave, of the 64 KB that the store takes.
+const maxWaveBytes = 48 << 10
+
+// split returns the rows as which the progress is stored.
+func (r WaveRow) split() []WaveRow {
+	rest := WaveRow{Started: r.Started, Requested: r.Requested}
+	r.Started, r.Requested = nil, nil
+	parts, bytes := []WaveRow{r}, 0
+	add := func(host glade.Host, to func(*WaveRow) *[]glade.Host) {
+		size := len(encodeRow(host)) + 1
+		if bytes += size; bytes > maxWaveBytes {
+			parts, bytes = append(parts, WaveRow{}), size
+		}
+		list := to(&parts[len(parts)-1])
+		*list = append(*list, host)
+	}
+	for _, host := range rest.Started {
+		add(host, func(part *WaveRow) *[]glade.Host { return &part.Started })
+	}
+	for _, host := range rest.Requested {
+		add(host, func(part *WaveRow) *[]glade.Host { return &part.Requested })
+	}
+	if len(parts) > 1 {
+		parts[0].Parts = len(parts)
+	}
+	return parts
+}
+
+// wavePart names one of the rows of a wave. The key of the first one is the number of the wave.
+type wavePart struct {
+	wave int64
+	part int
+}
+
+func (p wavePart) key() string {
+	if p.part == 0 {
+		return fmt.Sprint(p.wave)
+	}
+	return fmt.Sprintf("%d.%d", p.wave, p.part)
+}
+
+// parseWavePart returns the row that a key names.
+func parseWavePart(key string) (wavePart, error) {
+	number, part, hasPart := strings.Cut(key, ".")
+	wave, err := strconv.ParseInt(number, 10, 64)
+	if err != nil || !hasPart {
+		return wavePart{wave: wave}, err
+	}
+	index, err := strconv.Atoi(part)
+	return wavePart{wave: wave, part: index}, err
+}
+
+// mergeWaves returns the progress of each wave from its rows. Rows beyond the parts that the first
+// one tells are left from an earlier write.
+func mergeWaves(rows map[wavePart]WaveRow) map[int64]WaveRow {
+	waves := make(map[int64]WaveRow)
+	for p, row := range rows {
+		if p.part > 0 {
+			continue
+		}
+		merged := row
+		merged.Parts = 0
+		for part := 1; part < row.Parts; part++ {
+			next := rows[wavePart{wave: p.wave, part: part}]
+			merged.Started = append(merged.Started, next.Started...)
+			merged.Requested = append(merged.Requested, next.Requested...)
+		}
+		waves[p.wave] = merged
+	}
+	return waves
 }
 
 // waveState is the state of a wave that was last reported to the operator.
@@ -64,9 +140,11 @@
 		}
 		f.waveRows[number] = next
 		f.savedRows[number] = string(encodeRow(next))
-		puts = append(puts, glade.PartitionRow{
-			Table: tableWave, Part: string(f.service), Key: fmt.Sprint(number), Value: encodeRow(next),
-		})
+		for i, part := range next.split() {
+			puts = append(puts, glade.PartitionRow{
+				Table: tableWave, Part: string(f.service), Key: wavePart{wave: number, part: i}.key(), Value: encodeRow(part),
+			})
+		}
 	}
 	return puts
 }
