Keys of wave rows: parts count from 1

Cause: read once more, a key such as 7.0 or 7.-1 would count as the first row of its wave. Change: such a row is ignored, as other keys that name no wave. Measured: TestWaveSize, "another key", fails without it.

--- a/lead/loading.go
+++ b/lead/loading.go
@@ -262,7 +262,8 @@
 	return nil
 }
 
-// decodeRunners decodes the rows of the runners in use. Rows of one write have all been written.
+// decodeRunners decodes the rows of the runners in use. They are written in one transaction, so that it is an
+// error if one of several is missing.
 func decodeRunners(rows []glade.PartitionRow) ([]sched.RegistryRow, error) {
 	decoded := make([]sched.RegistryRow, len(rows))
 	for i, row := range rows {
--- a/lead/wave.go
+++ b/lead/wave.go
@@ -7,6 +7,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	glade "indigoglade"
 	"indigoglade/moves"
 )
@@ -78,6 +80,9 @@
 		return wavePart{wave: wave}, err
 	}
 	index, err := strconv.Atoi(part)
+	if err == nil && index < 1 {
+		err = errors.Errorf("part %d of wave %d", index, wave)
+	}
 	return wavePart{wave: wave, part: index}, err
 }
 
--- a/lead/wave_test.go
+++ b/lead/wave_test.go
@@ -41,7 +41,7 @@
 	expectRows("several rows", 3, WaveRow{FirstSeenMs: 5, Started: hosts("a", 5000, 20), Requested: hosts("b", 20, 20)})
 	expectRows("long names", 5, WaveRow{FirstSeenMs: 5, Started: hosts("a", 3000, 64), Requested: hosts("b", 500, 64)})
 	t.Run("another key", func(t *testing.T) {
-		for _, key := range []string{"", "x", "7.x", ".1"} {
+		for _, key := range []string{"", "x", "7.x", ".1", "7.0", "7.-1"} {
 			_, err := parseWavePart(key)
 			qt.Assert(t, err, qt.IsNotNil, qt.Commentf("%q", key))
 		}
