A move that waits for a surplus says so

Cause: Rule.CheckMove answered WaitDown for a pool without surplus, which is explained as a budget whose hosts are down. Change: a reason of its own, WaitSurplus. No caller compares with WaitDown. Measured: TestMove fails before (does not compile without the reason; with WaitDown in its place 2 of 4 cases fail by reading). Tests of budget, owner, fleet, plan and wave pass.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -22,6 +22,7 @@
 	WaitDownTime   WaitReason = "minutes"  // the down time allowed in the window is spent or reserved
 	WaitHeadroom   WaitReason = "headroom" // losing the largest failure domain would break the promise
 	WaitNotServing WaitReason = "member"   // the host does not serve in this pool
+	WaitSurplus    WaitReason = "surplus"  // the pool has no host more than its size
 )
 
 // restartAllowance is the time that a planned step may take after the drain,
@@ -100,14 +101,14 @@
 
 // CheckMove returns why a surplus host may not begin to move to another pool, or
 // WaitNone. A move takes nothing from the budget, because the pool keeps its
-// size without the host. WaitDown means here that the pool has no surplus.
+// size without the host.
 func (r Rule) CheckMove(account glade.AccountRow, host glade.Host) WaitReason {
 	member, ok := account.Members[host]
 	if !ok || member.Cause != glade.CauseNone {
 		return WaitNotServing
 	}
 	if Serving(account) <= r.Size(account) {
-		return WaitDown
+		return WaitSurplus
 	}
 	return r.headroom(account, host)
 }
--- a/budget/budget_test.go
+++ b/budget/budget_test.go
@@ -53,6 +53,21 @@
 	expectWait(t, rule(3, 600, "host"), account(6, "", "", "", "", "", glade.CauseJoin), budget.WaitNotServing)
 }
 
+// TestMove guards against a move that waits for a surplus and is explained as one that waits for hosts that are down.
+func TestMove(t *testing.T) {
+	expectMove := func(a glade.AccountRow, want budget.WaitReason) {
+		t.Helper()
+		last := glade.Host(fmt.Sprintf("h%d", len(a.Members)-1))
+		wait := rule(2, 600, "host").CheckMove(a, last)
+		qt.Check(t, wait, qt.Equals, want)
+		qt.Check(t, budget.Explain(wait), qt.Not(qt.Equals), string(wait))
+	}
+	expectMove(account(8), budget.WaitNone)
+	expectMove(account(6), budget.WaitSurplus)
+	expectMove(account(7, glade.CauseFail), budget.WaitSurplus)
+	expectMove(account(8, "", "", "", "", "", "", "", glade.CauseJoin), budget.WaitNotServing)
+}
+
 func TestFailureReservesMinutes(t *testing.T) {
 	a := account(8, glade.CauseFail)
 	expectWait(t, rule(3, 18, "host"), a, budget.WaitNone)
--- a/budget/explain.go
+++ b/budget/explain.go
@@ -15,6 +15,7 @@
 	WaitDownTime:    "the down time of the window is spent or reserved",
 	WaitHeadroom:    "losing the largest failure domain next would break the promise",
 	WaitNotServing:  "the host does not serve in this pool",
+	WaitSurplus:     "the pool has no more hosts that serve than it needs",
 	WaitPaused:      "the contract pauses the wave",
 	WaitCanceled:    "the contract cancels the wave",
 	WaitDone:        "every host was maintained",
