Workers are polled in the order of their last poll, over all customers

Cause: pollWorkers filled a step's 200 polls in the order of customers; one with more due hosts than that left none to those after it, whose runs count as lost after a while. Change: the polls that are due for all customers are sorted by the last one. Measured: with the customers sorted first again TestDueReports fails (0 of 5 hosts are polled in four steps).

--- a/jobs/workers.go
+++ b/jobs/workers.go
@@ -1,6 +1,7 @@
 package jobs
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sort"
@@ -22,14 +23,7 @@
 
 // pollWorkers polls the workers that run jobs for the states of their tasks.
 func (c *Controller) pollWorkers(ctx context.Context, now time.Time) {
-	var reports []report
-	for _, d := range c.sortedDispatchers() {
-		for _, host := range d.dueHosts(now) {
-			if len(reports) < maxWorkerPolls {
-				reports = append(reports, report{dispatcher: d, host: host})
-			}
-		}
-	}
+	reports := dueReports(c.sortedDispatchers(), now)
 	c.calls.forEach(len(reports), func(i int) {
 		reports[i].tasks, reports[i].err = c.config.Workers.Tasks(ctx, reports[i].host)
 	})
@@ -44,22 +38,22 @@
 	}
 }
 
-// dueHosts returns the hosts to poll, starting with the one polled the longest ago.
-func (d *dispatcher) dueHosts(now time.Time) []glade.Host {
-	var hosts []glade.Host
-	for host := range d.jobsByHost {
-		if now.Sub(d.lastPolled[host]) >= pollPeriod {
-			hosts = append(hosts, host)
+// dueReports returns the polls that are due for all customers, starting with the host polled the
+// longest ago, as many as one step makes.
+func dueReports(dispatchers []*dispatcher, now time.Time) []report {
+	var reports []report
+	for _, d := range dispatchers {
+		for host := range d.jobsByHost {
+			if now.Sub(d.lastPolled[host]) >= pollPeriod {
+				reports = append(reports, report{dispatcher: d, host: host})
+			}
 		}
 	}
-	sort.Slice(hosts, func(i, j int) bool {
-		a, b := d.lastPolled[hosts[i]], d.lastPolled[hosts[j]]
-		if !a.Equal(b) {
-			return a.Before(b)
-		}
-		return hosts[i] < hosts[j]
+	slices.SortFunc(reports, func(a, b report) int {
+		return cmp.Or(a.dispatcher.lastPolled[a.host].Compare(b.dispatcher.lastPolled[b.host]), cmp.Compare(a.host, b.host),
+			cmp.Compare(a.dispatcher.customer, b.dispatcher.customer))
 	})
-	return hosts
+	return reports[:min(len(reports), maxWorkerPolls)]
 }
 
 // markLost queues the loss of the runs on a host whose worker has not answered for
