A suspect host counts once its row is written

Cause: recordSuspect counted `suspect` also when the transaction conflicted or the table was unavailable. Change: it counts a committed one only.

--- a/jobs/controller.go
+++ b/jobs/controller.go
@@ -343,7 +343,7 @@
 	table.Replace(batch, record, glade.SuspectRow{
 		Host: host, Incarnation: c.hosts.listed[host].Incarnation, Since: now.UnixMilli(), Failures: record.Data().Failures + 1,
 	})
-	if _, err := batch.Commit(ctx, c.config.Table); err == nil {
+	if result, err := batch.Commit(ctx, c.config.Table); err == nil && result == glade.Committed {
 		c.count("suspect", 1)
 	}
 }
