Log lines that tell apart why runs were given up

Cause: the lines of a leader that gives up the runs on a runner do not say how much of the lease is left or what the inventory said, and nothing says that the same incarnation answers later. Change: gone has lease and list, held has registered and born; returned is written when a runner that was given up answers; missing, by the leader of the fleet duty, has the host, its state and its present runner. The planner keeps the runners that each host has had. No decision uses any of this.

--- /dev/null
+++ b/moves/lives.go
@@ -0,0 +1,76 @@
+package moves
+
+import (
+	"maps"
+	"slices"
+
+	glade "indigoglade"
+)
+
+// A runner is one life of a host: the host's next runner shows that the one before has ended, with all that ran there.
+// Nothing else in the inventory does. The state of a host is what the platform believes, and an entry may be missing.
+
+// maxEndedLives bounds the ended runners that are remembered for each host.
+const maxEndedLives = 4
+
+// hostLives holds the runners that a host has had.
+type hostLives struct {
+	current glade.RunnerID
+	// ended holds those before, the latest last.
+	ended []glade.RunnerID
+}
+
+// lives holds the runners of all listed hosts, over the readings of the inventory.
+type lives map[glade.Host]*hostLives
+
+// update records a reading of the inventory. Hosts that it does not list are forgotten.
+func (l lives) update(hosts map[glade.Host]glade.HostInfo) {
+	maps.DeleteFunc(l, func(host glade.Host, _ *hostLives) bool {
+		_, listed := hosts[host]
+		return !listed
+	})
+	for host, info := range hosts {
+		if info.Runner == "" || info.State == glade.HostUnknown {
+			continue
+		}
+		h, ok := l[host]
+		if !ok {
+			l[host] = &hostLives{current: info.Runner}
+			continue
+		}
+		if h.current == info.Runner {
+			continue
+		}
+		h.ended = slices.DeleteFunc(h.ended, func(id glade.RunnerID) bool { return id == info.Runner })
+		if len(h.ended) == maxEndedLives {
+			h.ended = h.ended[1:]
+		}
+		h.ended, h.current = append(h.ended, h.current), info.Runner
+	}
+}
+
+// hostOf returns the host of a runner and the host's present runner, both empty if the runner is not known.
+func (l lives) hostOf(id glade.RunnerID) (glade.Host, glade.RunnerID) {
+	for host, h := range l {
+		if h.current == id || slices.Contains(h.ended, id) {
+			return host, h.current
+		}
+	}
+	return "", ""
+}
+
+// reportMissing logs once how the inventory lists the host of a runner that is taken for gone.
+func (p *Planner) reportMissing(gone map[glade.Service][]glade.RunnerID) {
+	missing := make(map[glade.RunnerID]bool)
+	for service, ids := range gone {
+		for _, id := range ids {
+			missing[id] = true
+			if p.missing[id] {
+				continue
+			}
+			host, present := p.lives.hostOf(id)
+			p.event("missing", "runner", id, "service", service, "host", host, "state", string(p.hosts[host].State), "present", present)
+		}
+	}
+	p.missing = missing
+}
--- a/moves/plan.go
+++ b/moves/plan.go
@@ -84,6 +84,9 @@
 	// reportedAt is when the sizes of the pools were last logged.
 	reportedAt time.Time
 	events     []sched.Event
+	lives      lives
+	// missing holds the runners that RunnersGone has returned last.
+	missing map[glade.RunnerID]bool
 }
 
 // wave is a maintenance wave and the progress of its hosts.
@@ -102,7 +105,7 @@
 		config: config, hosts: make(map[glade.Host]glade.HostInfo), loads: make(map[glade.Service]sched.Load), runners: make(map[glade.Service]map[glade.RunnerID]sched.RunnerLoad),
 		isSpare: make(map[glade.Service]bool), waves: make(map[int64]*wave), pending: make(map[glade.Host]*hostAction),
 		demands: make(map[glade.Service]*demandTracker), arrivedAt: make(map[glade.Host]time.Time),
-		held: make(map[glade.Host]time.Time),
+		held: make(map[glade.Host]time.Time), lives: make(lives),
 	}
 }
 
@@ -123,6 +126,7 @@
 	for _, host := range hosts {
 		p.hosts[host.Host] = host
 	}
+	p.lives.update(p.hosts)
 }
 
 // SetSparePools sets which pools are spare pools, whose hosts are off.
@@ -218,6 +222,7 @@
 			}
 		}
 	}
+	p.reportMissing(gone)
 	return gone
 }
 
--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -35,7 +35,8 @@
 		s.giveUpEnds(r)
 		if dropped > 0 || s.mayHaveUnknownRuns(id, now) {
 			s.addEvent("gone", "runner", id, "runs", dropped, "inFlight", inFlight, "unknown", unknown, "born", r.incarnation,
-				"heard", sinceMillis(now, r.lastAnswerAt))
+				"heard", sinceMillis(now, r.lastAnswerAt), "lease", s.leaseLeft(r, now), "list", sinceMillis(now, asOf))
+			s.noteGivenUp(r, "gone", dropped, now)
 			s.needsPlacement = true
 		}
 		s.deregister(id)
@@ -226,6 +227,7 @@
 		unknown := r.unknownStarts()
 		dropped, inFlight := s.giveUpRuns(r, now)
 		s.stats.Lapsed += int64(dropped)
+		s.noteGivenUp(r, "lapsed", dropped, now)
 		s.addEvent("lapsed", "runner", r.info.ID, "runs", dropped, "inFlight", inFlight, "unknown", unknown, "born", r.incarnation,
 			"heard", sinceMillis(now, r.lastAnswerAt), "over", sinceMillis(now, r.lapse()), "renewed", sinceMillis(now, s.renewedAt))
 	}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -264,10 +264,15 @@
 // and none was renewed: a newer leader may have done so on a runner that this one has not
 // reached, so that the leader row must have been renewed after that time.
 func (s *Scheduler) inheritedLeasesOver(now time.Time) bool {
-	over := s.leaderSince.Add(time.Duration(float64(s.config.RenewalTTL)*clockDriftFactor) + leaseMargin)
+	over := s.inheritedLeaseEnd()
 	return now.After(over) && s.confirmedSince(over)
 }
 
+// inheritedLeaseEnd returns when the leases end that earlier leaders have granted.
+func (s *Scheduler) inheritedLeaseEnd() time.Time {
+	return s.leaderSince.Add(time.Duration(float64(s.config.RenewalTTL)*clockDriftFactor) + leaseMargin)
+}
+
 // anyUnknownRuns reports whether runs of an earlier leader may be active on any
 // runner that has not answered yet.
 func (s *Scheduler) anyUnknownRuns(now time.Time) bool {
@@ -393,8 +398,10 @@
 		if r.listed && !r.info.Draining && s.sizes.add(r) {
 			s.noteSizes()
 		}
-		s.addEvent("held", "runner", r.info.ID, "running", len(answer.Running), "ended", len(answer.Ended))
+		s.addEvent("held", "runner", r.info.ID, "running", len(answer.Running), "ended", len(answer.Ended),
+			"registered", s.registered[r.info.ID], "born", answer.Born)
 	}
+	s.reportReturn(r, answer, now)
 	s.recordCompleteness(r, len(answer.Ended), first, answer.Incomplete)
 	s.applyRunning(r, answer.Running, sent, now)
 	s.applyEnds(r, answer.Ended, now)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -123,6 +123,8 @@
 	registryGen     int64
 	registryWritten int64
 	losses          losses
+	// givenUp holds the runners whose runs were given up without a word of theirs, until they answer.
+	givenUp map[glade.RunnerID]givenUp
 	// suspects holds the batches with a crash that may be their doing, trials the runs of
 	// suspect tasks that have not survived yet, and silences the runners that went silent.
 	suspects      map[*batch]bool
@@ -229,6 +231,7 @@
 		suspects:        make(map[*batch]bool),
 		trials:          make(map[*run]bool),
 		registered:      make(map[glade.RunnerID]bool),
+		givenUp:         make(map[glade.RunnerID]givenUp),
 		losses:          newLosses(),
 		loadAverages:    make(map[glade.Queue]*loadAverage),
 		refused:         make(map[glade.BatchID]bool),
