A runner counts as gone once its host has another one

Cause: Planner.RunnersGone took the state of a host for the end of its runner. A runner that is behind a partition is silent, and the platform may list its host as down; what it runs goes on under its leases. The leader gave all of it up at once and started it again. Change: the planner keeps the runners that each host has had. A runner is one life of a host, so that it has ended once the inventory lists another one there; no state of the host and no missing entry shows that. Other runners keep what they run until their leases end. The report to the leaders has a new name on the wire, so that those of earlier versions are ignored.

--- a/lead/load.go
+++ b/lead/load.go
@@ -20,9 +20,9 @@
 	EvacuateRunners []glade.RunnerID `json:"runners,omitempty"`
 	// Lendable is the capacity that other pools could lend, in millicores.
 	Lendable int `json:"lend"`
-	// RunnersGone lists unresponsive runners that belonged to no host that was
-	// up when the inventory was last read.
-	RunnersGone []glade.RunnerID `json:"gone,omitempty"`
+	// RunnersGone lists unresponsive runners whose hosts had another runner when the
+	// inventory was last read. Earlier versions sent runners that may work on, as "gone".
+	RunnersGone []glade.RunnerID `json:"replaced,omitempty"`
 	// InventoryAgeMs is the time since the inventory was last read, in milliseconds.
 	InventoryAgeMs int64 `json:"age,omitempty"`
 }
--- a/moves/lives.go
+++ b/moves/lives.go
@@ -49,6 +49,20 @@
 	}
 }
 
+// ended returns the runners that have ended.
+func (l lives) ended() map[glade.RunnerID]bool {
+	ended := make(map[glade.RunnerID]bool)
+	for _, h := range l {
+		for _, id := range h.ended {
+			ended[id] = true
+		}
+	}
+	for _, h := range l {
+		delete(ended, h.current)
+	}
+	return ended
+}
+
 // hostOf returns the host of a runner and the host's present runner, both empty if the runner is not known.
 func (l lives) hostOf(id glade.RunnerID) (glade.Host, glade.RunnerID) {
 	for host, h := range l {
@@ -59,17 +73,21 @@
 	return "", ""
 }
 
-// reportMissing logs once how the inventory lists the host of a runner that is taken for gone.
-func (p *Planner) reportMissing(gone map[glade.Service][]glade.RunnerID) {
+// reportMissing logs how the inventory lists the host of each unresponsive runner that is not up under this runner: once,
+// and again when the runner counts as gone.
+func (p *Planner) reportMissing(ended map[glade.RunnerID]bool) {
 	missing := make(map[glade.RunnerID]bool)
-	for service, ids := range gone {
-		for _, id := range ids {
-			missing[id] = true
-			if p.missing[id] {
+	for service, load := range p.loads {
+		for _, id := range load.Unresponsive {
+			host, present := p.lives.hostOf(id)
+			info := p.hosts[host]
+			if info.Runner == id && info.State == glade.HostUp {
 				continue
 			}
-			host, present := p.lives.hostOf(id)
-			p.event("missing", "runner", id, "service", service, "host", host, "state", string(p.hosts[host].State), "present", present)
+			missing[id] = ended[id]
+			if wasGone, known := p.missing[id]; !known || wasGone != ended[id] {
+				p.event("missing", "runner", id, "service", service, "host", host, "state", string(info.State), "present", present, "gone", ended[id])
+			}
 		}
 	}
 	p.missing = missing
--- a/moves/plan.go
+++ b/moves/plan.go
@@ -85,7 +85,8 @@
 	reportedAt time.Time
 	events     []sched.Event
 	lives      lives
-	// missing holds the runners that RunnersGone has returned last.
+	// missing holds the unresponsive runners whose hosts are not up under them, and whether these were gone, as of
+	// the last report.
 	missing map[glade.RunnerID]bool
 }
 
@@ -202,27 +203,19 @@
 	return evacuating
 }
 
-// RunnersGone returns, for each service, its unresponsive runners that belong
-// to no host that is up.
+// RunnersGone returns, for each service, its unresponsive runners whose hosts
+// have another runner by now.
 func (p *Planner) RunnersGone() map[glade.Service][]glade.RunnerID {
-	if len(p.hosts) == 0 {
-		return nil
-	}
-	upRunners := make(map[glade.RunnerID]bool, len(p.hosts))
-	for _, info := range p.hosts {
-		if info.State == glade.HostUp || info.State == glade.HostUnknown {
-			upRunners[info.Runner] = true
-		}
-	}
+	ended := p.lives.ended()
 	gone := make(map[glade.Service][]glade.RunnerID)
 	for service, load := range p.loads {
 		for _, id := range load.Unresponsive {
-			if !upRunners[id] {
+			if ended[id] {
 				gone[service] = append(gone[service], id)
 			}
 		}
 	}
-	p.reportMissing(gone)
+	p.reportMissing(ended)
 	return gone
 }
 
--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -9,13 +9,12 @@
 )
 
 // goneAfter is how long a runner must have been unresponsive before the inventory
-// was read. Otherwise its absence there does not prove that it is gone: the
-// inventory lags, and so does the entry of a new runner.
+// was read: the inventory lags.
 const goneAfter = 700 * time.Millisecond
 
-// RunnersGone reports that runners were missing from the inventory when it was
-// read, at asOf. It gives up the runs of those that were unresponsive by then and
-// deregisters them. A runner that started later is not in the inventory either.
+// RunnersGone reports that the hosts of runners had other runners when the inventory
+// was read, at asOf, so that these runners have ended. It gives up the runs of those that
+// were unresponsive by then and deregisters them, whatever is left of their leases.
 func (s *Scheduler) RunnersGone(ids []glade.RunnerID, asOf, now time.Time) {
 	for _, id := range ids {
 		r, ok := s.runners[id]
