A runner that answers again has not crashed under its runs

What callers saw: a batch shown as failed, although none of its tasks has failed or crashed a runner; before that, its tasks start alone, as those of a suspect. Cause: when the leases on a silent runner are over, its runs count as crashes of the runner. An end or a run that it lists later takes the entry back. A start that never reached it is in neither list, so that its entry stays, although the same incarnation answers again.

--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -32,8 +32,8 @@
 		unknown := r.unknownStarts()
 		dropped, inFlight := s.giveUpRuns(r, now)
 		s.giveUpEnds(r)
-		if dropped > 0 || s.mayHaveUnknownRuns(id, now) {
-			s.addEvent("gone", "runner", id, "runs", dropped, "inFlight", inFlight, "unknown", unknown, "born", r.incarnation,
+		if len(dropped) > 0 || s.mayHaveUnknownRuns(id, now) {
+			s.addEvent("gone", "runner", id, "runs", len(dropped), "inFlight", inFlight, "unknown", unknown, "born", r.incarnation,
 				"heard", sinceMillis(now, r.lastAnswerAt), "lease", s.leaseLeft(r, now), "list", sinceMillis(now, asOf))
 			s.noteGivenUp(r, "gone", dropped, now)
 			s.needsPlacement = true
@@ -183,9 +183,9 @@
 }
 
 // giveUpRuns detaches every run from a runner that can carry out no order any more, and returns
-// their number and that of the orders in flight for them. These may take their whole timeout, and
+// them and the number of orders in flight for them. These may take their whole timeout, and
 // the next one may follow at once, so that no run waits for the answer.
-func (s *Scheduler) giveUpRuns(r *runner, now time.Time) (dropped, inFlight int) {
+func (s *Scheduler) giveUpRuns(r *runner, now time.Time) (dropped []*run, inFlight int) {
 	for n := range r.runs {
 		if n.orderInFlight {
 			inFlight++
@@ -193,7 +193,7 @@
 		if n.orderInFlight && n.phase == starting {
 			n.start.Record(effect.Lost, now) // a later incarnation may carry it out
 		}
-		dropped++
+		dropped = append(dropped, n)
 		s.removeRun(n, now)
 	}
 	return dropped, inFlight
@@ -225,9 +225,9 @@
 		s.recordCrash(r, "lapsed", false, now)
 		unknown := r.unknownStarts()
 		dropped, inFlight := s.giveUpRuns(r, now)
-		s.stats.Lapsed += int64(dropped)
+		s.stats.Lapsed += int64(len(dropped))
 		s.noteGivenUp(r, "lapsed", dropped, now)
-		s.addEvent("lapsed", "runner", r.info.ID, "runs", dropped, "inFlight", inFlight, "unknown", unknown, "born", r.incarnation,
+		s.addEvent("lapsed", "runner", r.info.ID, "runs", len(dropped), "inFlight", inFlight, "unknown", unknown, "born", r.incarnation,
 			"heard", sinceMillis(now, r.lastAnswerAt), "over", sinceMillis(now, r.lapse()), "renewed", sinceMillis(now, s.renewedAt))
 	}
 }
