The answer of a restarted runner to a start lengthens its leases

What callers saw: two runs of one task at once (by a test only). Cause: a start that finds its connection closed is sent again, and reaches the next incarnation of a runner that has restarted under its id. The lease that it carries is a time on the clock of before, which the runner takes for the longest that it grants. Its answer shows the restart, as its clock has gone back, but the leader went on to reckon with the earlier clock. If the runner was cut off then, before a heartbeat was answered, its run was given up after 4.5 s and started again, while it may go on for 10 s. Change: such an answer also lengthens the reckoned leases to the longest, as the first heartbeat of the new incarnation does.

--- a/sched/answers.go
+++ b/sched/answers.go
@@ -66,7 +66,7 @@
 	if result == effect.Rejected {
 		s.excludeStart(n)
 	}
-	n.runner.checkRestart(n, answer, err, now)
+	s.checkRestart(n, answer, err, now)
 	if !wasNotCarriedOut(err) {
 		s.pace.observe(now.Sub(n.sendAt), now)
 	}
@@ -162,8 +162,10 @@
 
 // checkRestart notes that a runner may have restarted: a start got no answer, or
 // the answer carries a clock that has gone back. The next heartbeat must then
-// acknowledge no end reports, because a restarted runner numbers them anew.
-func (r *runner) checkRestart(n *run, answer glade.RunAnswer, err error, now time.Time) {
+// acknowledge no end reports, because a restarted runner numbers them anew. It takes leases on
+// the earlier clock for the longest that it grants.
+func (s *Scheduler) checkRestart(n *run, answer glade.RunAnswer, err error, now time.Time) {
+	r := n.runner
 	if err != nil {
 		r.maybeRestarted, r.failedAt = true, now
 		return
@@ -172,6 +174,7 @@
 		least := float64(r.clock) + float64(n.startedAt.Sub(r.clockAt).Milliseconds())/clockDriftFactor - clockSlackMillis
 		if float64(answer.Clock) < least {
 			r.maybeRestarted, r.failedAt = true, now
+			r.leaseEnd = max(r.leaseEnd, r.clockNow(now)+s.config.MaxLease.Milliseconds())
 		}
 	}
 }
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -318,7 +318,7 @@
 		r.delayed = append(r.delayed, o)
 		return
 	}
-	r.sched.Started(o, glade.RunAnswer{}, nil, r.now)
+	r.sched.Started(o, glade.RunAnswer{Clock: r.clock(f)}, nil, r.now)
 }
 
 // lostOrder is a start that may be carried out late.
