A new leader counts with the longest lease on a runner that has restarted lately

What callers saw: two runs of one task at once (by a test only). An earlier leader that did not know of a restart under the runner's id has granted a time on the clock of before, which the runner takes for the longest that it grants. A runner that is cut off again soon after the takeover lost its runs too early. Other runners are given up as soon as before.

--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -125,9 +125,10 @@
 	}
 	// A restarted runner's clock starts anew, so that a late start with a lease on
 	// the earlier clock gets the longest lease that a runner grants. At first
-	// contact, only leases of earlier leaders count.
+	// contact, only leases of earlier leaders count, which may have known an earlier
+	// incarnation.
 	length := s.config.MaxLease
-	if first {
+	if first && answer.Clock > (s.config.MaxLease+orderLateness).Milliseconds() {
 		length = s.config.LeaseTime
 	}
 	r.leaseEnd = answer.Clock + length.Milliseconds()
