--- a/sched/adopted_test.go
+++ b/sched/adopted_test.go
@@ -31,3 +31,10 @@
 		r.c.Assert(r.runnerOf("a"), qt.Not(qt.Equals), first)
 	})
 }
+
+// TestInheritedLeaseOnEarlierClock guards against the same on a runner that the next leader does not reach.
+func TestInheritedLeaseOnEarlierClock(t *testing.T) {
+	r, end := startOnUnseenIncarnation(t)
+	r.reload(2)
+	r.expectOneRunUntil(end)
+}
