A host that is listed without a runner is not taken for empty

What callers saw: tasks that end with their host (by a test only). Cause: Planner.isDrained took a host that the inventory lists as up without a runner for drained, and nothing was evacuated there. What the inventory says of a runner is what the platform believes; that nothing runs on it only its service's leader hears from the runner itself. Change: such a host counts as the host of its last known runner, which is evacuated. While none is known, the host is not ordered: a wave may end later.

--- a/moves/plan.go
+++ b/moves/plan.go
@@ -196,13 +196,23 @@
 	evacuating := make(map[glade.Service][]glade.RunnerID)
 	for host, a := range p.pending {
 		info, ok := p.hosts[host]
-		if _, accepted := a.acceptedAt(); ok && info.Runner != "" && !accepted {
-			evacuating[info.Pool] = append(evacuating[info.Pool], info.Runner)
+		runner := p.runnerOn(host)
+		if _, accepted := a.acceptedAt(); ok && runner != "" && !accepted {
+			evacuating[info.Pool] = append(evacuating[info.Pool], runner)
 		}
 	}
 	return evacuating
 }
 
+// runnerOn returns the runner of a host: the last known one if the inventory names none, as that may be at work.
+func (p *Planner) runnerOn(host glade.Host) glade.RunnerID {
+	id := p.hosts[host].Runner
+	if h, ok := p.lives[host]; ok && id == "" {
+		id = h.current
+	}
+	return id
+}
+
 // RunnersGone returns, for each service, its unresponsive runners whose hosts
 // have another runner by now.
 func (p *Planner) RunnersGone() map[glade.Service][]glade.RunnerID {
@@ -295,12 +305,12 @@
 	if info.State != glade.HostUp {
 		return false
 	}
-	if p.isSpare[info.Pool] || info.Runner == "" {
+	if p.isSpare[info.Pool] {
 		return true
 	}
 	// A runner that the service's leader does not list may still run what an earlier
 	// leader started: the list may be old, or the runner cut off from the store.
-	runner, listed := p.runners[info.Pool][info.Runner]
+	runner, listed := p.runners[info.Pool][p.runnerOn(host)]
 	return listed && runner.Responsive && runner.Evacuating && runner.Runs == 0 && now.Sub(p.demands[info.Pool].updatedAt) <= maxDrainedAge
 }
 
