A wave waits for a host that a single reading of the inventory lacks

What callers saw: a wave reported as completed before the maintenance of one of its hosts had begun (by a test only). Cause: FinishedWaves took a host that the last reading did not list for one that has left. A report can't be taken back.

--- a/moves/plan.go
+++ b/moves/plan.go
@@ -97,7 +97,9 @@
 	// started maps the hosts whose maintenance has started to when this planner learnt
 	// of it.
 	started map[glade.Host]time.Time
-	done    bool // the end was reported
+	// absences counts, for each host that the last reading of the inventory lacked, the readings in a row that did.
+	absences map[glade.Host]int
+	done     bool // the end was reported
 }
 
 // New returns a planner without hosts, loads and waves.
@@ -128,6 +130,23 @@
 		p.hosts[host.Host] = host
 	}
 	p.lives.update(p.hosts)
+	for _, w := range p.waves {
+		w.countAbsences(p.hosts)
+	}
+}
+
+// leftAfter is the number of readings of the inventory in a row that lack a host which has left. A single one may lack
+// the entry of a host that stays.
+const leftAfter = 3
+
+func (w *wave) countAbsences(hosts map[glade.Host]glade.HostInfo) {
+	for _, host := range w.spec.Hosts {
+		if _, listed := hosts[host]; listed {
+			delete(w.absences, host)
+		} else {
+			w.absences[host]++
+		}
+	}
 }
 
 // SetSparePools sets which pools are spare pools, whose hosts are off.
@@ -147,7 +166,7 @@
 	if _, ok := p.waves[spec.Wave]; ok {
 		return
 	}
-	w := &wave{spec: spec, since: since, started: make(map[glade.Host]time.Time)}
+	w := &wave{spec: spec, since: since, started: make(map[glade.Host]time.Time), absences: make(map[glade.Host]int)}
 	for _, host := range started {
 		w.started[host] = now
 	}
@@ -390,8 +409,7 @@
 		}
 		remaining := 0
 		for _, host := range w.spec.Hosts {
-			_, listed := p.hosts[host]
-			if _, started := w.started[host]; listed && !started {
+			if _, started := w.started[host]; !started && w.absences[host] < leftAfter {
 				remaining++
 			}
 		}
