A runner with a young clock has restarted only if the row names another incarnation

Hosts that are moved get runners with new ids, which no earlier leader can have granted a lease on another clock; on the users' sites most runners are as young at any time. Change: it counts only for a runner that the row of the runners in use names with another incarnation. What stays open: an earlier leader that granted such a lease and wrote the restart down before it was replaced.

--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -128,13 +128,22 @@
 	// contact, only leases of earlier leaders count, which may have known an earlier
 	// incarnation.
 	length := s.config.MaxLease
-	if first && answer.Clock > (s.config.MaxLease+orderLateness).Milliseconds() {
+	if first && !s.mayHaveRestarted(r.info.ID, answer) {
 		length = s.config.LeaseTime
 	}
 	r.leaseEnd = answer.Clock + length.Milliseconds()
 	r.health = health{}
 }
 
+// mayHaveRestarted reports whether a runner that answers for the first time has restarted under its id, so lately that a
+// lease on the clock of before may count there, and without the knowledge of the leaders before this one.
+func (s *Scheduler) mayHaveRestarted(id glade.RunnerID, answer glade.HeartbeatAnswer) bool {
+	if answer.Clock > (s.config.MaxLease + orderLateness).Milliseconds() {
+		return false
+	}
+	return s.registered[id] && s.losses.loaded[id] != bornTag(answer.Born)
+}
+
 // doubtStart records that another attempt of a start that was carried out may reach the next incarnation
 // of the runner: one of them got no answer. It returns false if there was none.
 func (n *run) doubtStart(now time.Time) bool {
