The runners of hosts outlast the leader of the fleet duty

Cause: a new leader of the fleet duty does not know which runner a host had before, so that since the mend of runners taken for gone it can't tell that one was replaced while nobody led. The next one compares its second reading of the inventory with that, as the first one may be older than what is stored.

--- a/lead/fleet.go
+++ b/lead/fleet.go
@@ -44,6 +44,9 @@
 	pending []moves.Action
 	// gate tells which hosts may be ordered; it is nil where hosts check fencing tokens.
 	gate *fence.Gate
+	// savedLives holds the runners of hosts as they were last handed to a writer, at livesAt.
+	savedLives map[glade.Host]glade.RunnerID
+	livesAt    time.Time
 	// savedOrders is the number of orders in the row that was last handed to a writer.
 	savedOrders int
 	// steppingDown is set when no new actions may start.
@@ -149,6 +152,9 @@
 		if err == nil {
 			err = f.loadOrdered(ctx)
 		}
+		if err == nil {
+			err = f.loadLives(ctx)
+		}
 		if err == nil {
 			parts := make(map[wavePart]WaveRow)
 			for _, row := range rows {
@@ -236,6 +242,9 @@
 	}
 	w := &waveWriter{fleet: f, puts: f.changedRows(), actions: f.pending, renew: now.Sub(f.heartbeatAt) >= heartbeatPeriod-fleetStepPeriod}
 	f.pending = nil
+	if w.renew { // with a write that is made anyway
+		w.puts = append(w.puts, f.changedLives(now)...)
+	}
 	if f.gate != nil {
 		w.record()
 	}
--- a/moves/lives.go
+++ b/moves/lives.go
@@ -18,6 +18,9 @@
 	current glade.RunnerID
 	// ended holds those before, the latest last.
 	ended []glade.RunnerID
+	// isRestored means that the current one was listed to an earlier leader and no reading of this one has been
+	// compared with it: the first one may be the older of the two.
+	isRestored bool
 }
 
 // lives holds the runners of all listed hosts, over the readings of the inventory.
@@ -38,7 +41,9 @@
 			l[host] = &hostLives{current: info.Runner}
 			continue
 		}
-		if h.current == info.Runner {
+		isRestored := h.isRestored
+		h.isRestored = false
+		if h.current == info.Runner || isRestored {
 			continue
 		}
 		h.ended = slices.DeleteFunc(h.ended, func(id glade.RunnerID) bool { return id == info.Runner })
@@ -49,6 +54,22 @@
 	}
 }
 
+// RestoreRunners sets the runners of hosts as they were listed to an earlier leader.
+func (p *Planner) RestoreRunners(runners map[glade.Host]glade.RunnerID) {
+	for host, id := range runners {
+		p.lives[host] = &hostLives{current: id, isRestored: true}
+	}
+}
+
+// Runners returns the latest runner of each listed host.
+func (p *Planner) Runners() map[glade.Host]glade.RunnerID {
+	runners := make(map[glade.Host]glade.RunnerID, len(p.lives))
+	for host, h := range p.lives {
+		runners[host] = h.current
+	}
+	return runners
+}
+
 // ended returns the runners that have ended.
 func (l lives) ended() map[glade.RunnerID]bool {
 	ended := make(map[glade.RunnerID]bool)
--- a/moves/lives_test.go
+++ b/moves/lives_test.go
@@ -85,6 +85,27 @@
 		s.planner.SetLoad("a", sched.Load{Unresponsive: []glade.RunnerID{"r0"}}, s.now)
 		expectGone(t, s)
 	})
+	t.Run("a runner that an earlier leader has listed is gone once two readings name another one", func(t *testing.T) {
+		s := newLivesRig()
+		s.planner = moves.New(moves.Config{})
+		s.planner.RestoreRunners(map[glade.Host]glade.RunnerID{"m": "r1"})
+		s.planner.SetLoad("a", sched.Load{Unresponsive: []glade.RunnerID{"r1"}}, s.now)
+		expectGone(t, s)
+		s.read(glade.HostInfo{Host: "m", Pool: "a", State: glade.HostUp, Runner: "r2"})
+		expectGone(t, s)
+		s.read(glade.HostInfo{Host: "m", Pool: "a", State: glade.HostUp, Runner: "r2"})
+		expectGone(t, s, "r1")
+	})
+	t.Run("and not if the first reading was older", func(t *testing.T) {
+		s := newLivesRig()
+		s.planner = moves.New(moves.Config{})
+		s.planner.RestoreRunners(map[glade.Host]glade.RunnerID{"m": "r1"})
+		s.planner.SetLoad("a", sched.Load{Unresponsive: []glade.RunnerID{"r1"}}, s.now)
+		for _, id := range []glade.RunnerID{"r0", "r1", "r1"} {
+			s.read(glade.HostInfo{Host: "m", Pool: "a", State: glade.HostUp, Runner: id})
+			expectGone(t, s)
+		}
+	})
 	t.Run("a runner that is listed on another host is not gone", func(t *testing.T) {
 		s := newLivesRig()
 		s.read(glade.HostInfo{Host: "m", Pool: "a", State: glade.HostUp, Runner: "r2"}, glade.HostInfo{Host: "n", Pool: "a", State: glade.HostUp, Runner: "r1"})
