A released term tells how long leases may last

Cause: a new leader takes leases of earlier ones for 9 s from its takeover, whichever way the last one ended. One that releases the service knows its leases, 4.5 s at most as a rule. Inherited work beside dead runners waited for the rest in vain, which is felt since these no longer count as gone by the state of their hosts. Change: a leader that releases the service grants no lease any more and writes into the term how long the present ones may last, its own and those of leaders before it on runners that it has not heard. The next leader waits for these. Terms that were not released, or by an earlier version, count as before.

--- a/lead/directory.go
+++ b/lead/directory.go
@@ -39,6 +39,9 @@
 	Epoch int64 `json:"epoch"`
 	// Heartbeats counts the leader's heartbeats.
 	Heartbeats int64 `json:"beat"`
+	// LeasesMs is how long leases on runners may last after the release of the service, in milliseconds; 0 if that
+	// is not known.
+	LeasesMs int64 `json:"leases,omitempty"`
 	// Ended means that the service had left the contract and has no batches any more.
 	Ended bool `json:"over,omitempty"`
 }
--- a/lead/leadership.go
+++ b/lead/leadership.go
@@ -32,6 +32,8 @@
 	// predecessorSeen is when this host had seen the last renewal of the earlier
 	// leader's term.
 	predecessorSeen time.Time
+	// inheritedLeases is how long leases of earlier leaders may last from the takeover on; 0 if that is not known.
+	inheritedLeases time.Duration
 	clock           glade.Clock
 	stepWake        chan struct{}
 	health          storeHealth
--- a/lead/load_test.go
+++ b/lead/load_test.go
@@ -34,7 +34,7 @@
 // nothing ever waits for a place near its data.
 func TestRemoteFactor(t *testing.T) {
 	m := New(Config{Clock: clock.System{}, Log: logr.Discard(), Limits: Limits{RemoteFactor: 2.5}})
-	qt.Assert(t, m.schedConfig(testService, 1).RemoteFactor, qt.Equals, 2.5)
+	qt.Assert(t, m.schedConfig(&leadership{service: testService, term: Term{Epoch: 1}}).RemoteFactor, qt.Equals, 2.5)
 }
 
 // evacuating returns the runners that the service evacuates, as the fleet leader of an
--- a/lead/manager.go
+++ b/lead/manager.go
@@ -366,6 +366,9 @@
 		manager: m, service: service, term: term, version: next, confirmedAt: sent, heartbeatAt: sent,
 		predecessorSeen: at.Add(-idle), clock: m.config.Clock, stepWake: make(chan struct{}, 1),
 	}
+	if old.Node == "" {
+		l.inheritedLeases = time.Duration(old.LeasesMs) * time.Millisecond
+	}
 	if !m.startLeader(ctx, l) {
 		l.release(ctx) // this host was asked to stop meanwhile
 	}
@@ -422,9 +425,10 @@
 }
 
 // schedConfig returns the configuration of a service's scheduler.
-func (m *Manager) schedConfig(service glade.Service, epoch int64) sched.Config {
+func (m *Manager) schedConfig(l *leadership) sched.Config {
 	return sched.Config{
-		Service: service, Epoch: epoch, LeaseTime: runLease, RenewalTTL: renewalTTL, MaxLease: m.config.Limits.MaxLease, RestoreTime: m.config.Limits.RestoreTime,
+		Service: l.service, Epoch: l.term.Epoch, LeaseTime: runLease, RenewalTTL: renewalTTL, InheritedLeases: l.inheritedLeases,
+		MaxLease: m.config.Limits.MaxLease, RestoreTime: m.config.Limits.RestoreTime,
 		Retention: m.config.Limits.Retention * 3 / 2, HeartbeatWait: heartbeatWait, StopTimeout: m.config.Limits.StopTimeout,
 		RemoteFactor: m.config.Limits.RemoteFactor, StartRepeats: startRepeats,
 	}
--- a/lead/service.go
+++ b/lead/service.go
@@ -170,7 +170,7 @@
 func (s *ServiceLeader) buildState(rows *loader) {
 	batchRows, progressRows := rows.batches.rows, rows.progress.rows
 	now := s.clock.Now()
-	scheduler := sched.New(s.manager.schedConfig(s.service, s.term.Epoch), now)
+	scheduler := sched.New(s.manager.schedConfig(s.leadership), now)
 	if err := loadBatches(scheduler, batchRows, progressRows, now); err != nil {
 		s.manager.config.Log.Error(err, "batch row could not be loaded", "service", s.service)
 	}
--- a/lead/stepdown_test.go
+++ b/lead/stepdown_test.go
@@ -79,3 +79,20 @@
 		s.crash(node)
 	})
 }
+
+// TestLeasesInReleasedTerm guards against inherited work that waits beside a dead runner although its leader has released
+// the service: the term does not say how long leases may last, or the next leader does not look.
+func TestLeasesInReleasedTerm(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newCluster(c, "h1")
+		defer s.shutdown()
+		node := s.leader()
+		s.sleep(time.Second)
+		s.submit(node, "a", 1)
+		s.sleep(200 * time.Millisecond)
+		s.managers[node].StepDown()
+		c.Assert(s.term().Node, qt.Equals, glade.Node(""))
+		c.Assert(s.term().LeasesMs > 3000 && s.term().LeasesMs < 5000, qt.IsTrue, qt.Commentf("%d ms", s.term().LeasesMs))
+	})
+}
--- a/lead/writer.go
+++ b/lead/writer.go
@@ -281,5 +281,16 @@
 			return
 		}
 	}
+	s.endLeases()
 	s.leadership.release(ctx)
 }
+
+// endLeases grants no lease any more and notes in the term how long the present ones may last. Without a scheduler it
+// is not known how long those of earlier leaders do.
+func (s *ServiceLeader) endLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sched != nil {
+		s.term.LeasesMs = s.sched.EndLeases(s.clock.Now()).Milliseconds() + 1
+	}
+}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -181,7 +181,7 @@
 // grantLease returns the end of a lease that is granted now, on the runner's
 // clock, or 0 if none may be granted.
 func (s *Scheduler) grantLease(r *runner, now time.Time) int64 {
-	if r.clockAt.IsZero() {
+	if r.clockAt.IsZero() || s.grantsNothing {
 		return 0
 	}
 	length := min(s.config.LeaseTime, s.config.MaxLease, s.config.RenewalTTL-now.Sub(s.renewedAt))
@@ -270,7 +270,27 @@
 
 // inheritedLeaseEnd returns when the leases end that earlier leaders have granted.
 func (s *Scheduler) inheritedLeaseEnd() time.Time {
-	return s.leaderSince.Add(time.Duration(float64(s.config.RenewalTTL)*clockDriftFactor) + leaseMargin)
+	longest := s.config.RenewalTTL
+	if s.config.InheritedLeases > 0 {
+		longest = s.config.InheritedLeases
+	}
+	return s.leaderSince.Add(time.Duration(float64(longest)*clockDriftFactor) + leaseMargin)
+}
+
+// EndLeases makes the scheduler grant no lease any more, and returns how long those that it and the leaders before it have
+// granted may last. It is for a leader that releases the service.
+func (s *Scheduler) EndLeases(now time.Time) time.Duration {
+	s.grantsNothing = true
+	longest := time.Duration(0)
+	for id, r := range s.runners {
+		switch {
+		case r.contacted:
+			longest = max(longest, r.lapse().Sub(now))
+		case s.registered[id]:
+			longest = max(longest, s.inheritedLeaseEnd().Sub(now))
+		}
+	}
+	return longest
 }
 
 // anyUnknownRuns reports whether runs of an earlier leader may be active on any
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -36,6 +36,9 @@
 	// RenewalTTL bounds the end of every lease, counted from the last confirmed
 	// renewal of the leader row.
 	RenewalTTL time.Duration
+	// InheritedLeases is how long leases of earlier leaders may last from the takeover on, by the
+	// account of the last one, which has released the service; 0 if it gave none.
+	InheritedLeases time.Duration
 	// MaxLease is the longest lease that a runner grants.
 	MaxLease time.Duration
 	// RestoreTime is how long a task takes to resume from its checkpoint.
@@ -123,6 +126,8 @@
 	registryGen     int64
 	registryWritten int64
 	losses          losses
+	// grantsNothing means that this leader releases the service and has told how long its leases last.
+	grantsNothing bool
 	// givenUp holds the runners whose runs were given up without a word of theirs, until they answer.
 	givenUp map[glade.RunnerID]givenUp
 	// suspects holds the batches with a crash that may be their doing, trials the runs of
--- a/sched/sched_test.go
+++ b/sched/sched_test.go
@@ -43,7 +43,9 @@
 	lose         func() bool
 	orderTimeout time.Duration
 	startRepeats int
-	pending      []pendingFailure
+	// inheritedLeases is the account of the last leader, which the next one gets.
+	inheritedLeases time.Duration
+	pending         []pendingFailure
 	// throttles holds the throttles, none of which is answered.
 	throttles []sched.Throttle
 	// loseStarts is the number of next starts that are neither carried out nor
@@ -170,7 +172,8 @@
 // takeOver starts a new leader that knows only the list of runners.
 func (r *harness) takeOver(epoch int64) {
 	config := testConfig(epoch)
-	config.StartRepeats = r.startRepeats
+	config.StartRepeats, config.InheritedLeases = r.startRepeats, r.inheritedLeases
+	r.inheritedLeases = 0
 	r.sched = sched.New(config, r.now)
 	r.sched.SetRules(glade.Rules{Version: 1, Queues: []glade.QueueRule{{
 		Queue: queue, Service: service, MaxFailures: 3, Stretch: 2, Slack: 500 * time.Millisecond,
