An older reading of the inventory does not end the present runner of a host

Cause: lives.update appended the present runner to the ended ones whenever a reading named another one, also if that other one was known to have been there before. A reading that goes back from r2 to r1 made r2 count as ended: if it is cut off at that time, all that it runs is given up within its leases. Change: a reading that names a runner of before shows that neither has ended, as it does not tell which of the two came first; the leases decide.

--- a/moves/lives.go
+++ b/moves/lives.go
@@ -46,7 +46,11 @@
 		if h.current == info.Runner || isRestored {
 			continue
 		}
-		h.ended = slices.DeleteFunc(h.ended, func(id glade.RunnerID) bool { return id == info.Runner })
+		if i := slices.Index(h.ended, info.Runner); i >= 0 {
+			// An older reading, or a runner that has started again under its id: it doesn't show which of the two came first.
+			h.ended, h.current = slices.Delete(h.ended, i, i+1), info.Runner
+			continue
+		}
 		if len(h.ended) == maxEndedLives {
 			h.ended = h.ended[1:]
 		}
--- a/moves/lives_test.go
+++ b/moves/lives_test.go
@@ -112,3 +112,16 @@
 		expectGone(t, s)
 	})
 }
+
+// TestInventoryThatGoesBack guards against two runs of a task: an older reading makes the present runner of a host count as ended.
+func TestInventoryThatGoesBack(t *testing.T) {
+	s := newLivesRig()
+	list := func(id glade.RunnerID) { s.read(glade.HostInfo{Host: "m", Pool: "a", State: glade.HostUp, Runner: id}) }
+	list("r2")
+	s.planner.SetLoad("a", sched.Load{Unresponsive: []glade.RunnerID{"r1", "r2"}}, s.now)
+	expectGone(t, s, "r1")
+	list("r1")
+	expectGone(t, s)
+	list("r2")
+	expectGone(t, s, "r1")
+}
