sched: the model's hosts go through the planner, and are listed as down while their runners work

Cause: the model told leaders which runners are gone from its own knowledge of crashes. Change: hosts have a state that the platform believes: as it is, or, for 1 to 5 s, down, moving, in maintenance, unreadable, without a runner or missing, mostly while the leader can't reach the runner. moves.Planner reads them each 0.9 s; leaders are told what its RunnersGone says, with the age of the reading, and tell it their load. Half of the crashed runners come back under another id, on the same host. A new planner comes now and then. These draws have random numbers of their own; the schedules of a seed differ all the same, as the ids of runners do. The check of runs on dead runners asked for their end 3.5 s after a crash. The state of a host doesn't prove that crash: now it asks for it as soon as the planner has read that the host has another runner, and by the end of the leases otherwise, as before for runners that can't be reached. TestModelDead also fails if nothing is given up because of another runner.

--- a/sched/model_dead_test.go
+++ b/sched/model_dead_test.go
@@ -56,13 +56,16 @@
 const (
 	// A long poll may be in flight (1 s, 2 s without runs), and lastAnswerAt must be 700 ms old.
 	modelGoneTime = 2*time.Second + deadTimeout + 700*time.Millisecond + 4*modelTick
+	// A leader that has just got back to the store tells its load first, and learns then which runners are gone.
+	modelReplacedTime = 4 * modelTick
 	// The longest lease on a slow clock; a heartbeat in flight when it ends, the pause after it, one that is sent
 	// after it; 700 ms of asking; two reviews.
 	modelLapseTime = 10300*time.Millisecond + 2*deadTimeout + 500*time.Millisecond + 700*time.Millisecond + 4*modelTick
 )
 
 // checkGivenUp verifies that a leader that reaches the store does not go on counting runs on a runner that answers
-// nothing: until modelGoneTime if the inventory shows that it is gone, until modelLapseTime otherwise.
+// nothing: for modelReplacedTime once the inventory lists another one on its host and it has been dead for modelGoneTime,
+// for modelLapseTime otherwise.
 func (w *simulation) checkGivenUp() {
 	for _, l := range w.leaders {
 		for id, r := range w.runners {
@@ -76,11 +79,11 @@
 				continue
 			}
 			dead, bound := w.now.Sub(since), modelLapseTime
-			if w.now.Before(r.downUntil) && w.now.Sub(r.startedAt) > modelGoneTime {
-				dead, bound = w.now.Sub(r.startedAt), modelGoneTime
+			if at, replaced := w.replacedAt[id]; replaced && w.now.Sub(r.startedAt) > modelGoneTime {
+				dead, bound = min(dead, w.now.Sub(at)), modelReplacedTime
 			}
 			if runs := l.sched.RunsOn(id); runs > 0 && dead > bound {
-				w.failf("leader %d counts %d runs on %s, which has been dead for %v", l.epoch, runs, id, dead)
+				w.failf("leader %d counts %d runs on %s, which has been dead, or known to be replaced, for %v", l.epoch, runs, id, dead)
 			}
 		}
 	}
@@ -90,13 +93,18 @@
 // whole timeout, must not keep a leader that stays from giving its runs up.
 func TestModelDead(t *testing.T) {
 	var sum sched.Stats
+	gone := 0
 	for i := range max(*modelSchedules/4, 1) {
 		w := newSimulation(*modelSeed+uint64(i), false)
 		w.isCalm = true
 		w.play(t, *modelSeed+uint64(i), 2*scheduleTime)
 		sum.Lapsed += w.leaders[0].sched.Stats().Lapsed
+		gone += w.gone
 	}
 	if sum.Lapsed == 0 {
 		t.Fatal("no run has lapsed")
 	}
+	if gone == 0 {
+		t.Fatal("no run was given up because its host had another runner")
+	}
 }
--- a/sched/model_test.go
+++ b/sched/model_test.go
@@ -14,6 +14,7 @@
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/moves"
 	"indigoglade/sched"
 )
 
@@ -24,7 +25,8 @@
 
 // simulation runs leaders that take over from each other at any moment, on runners
 // that carry orders out late or twice, reject them, lose answers, crash, come back as
-// another kind, drop out of the platform's list and become unreachable.
+// another kind or with another id, drop out of the platform's list and become unreachable, while the
+// inventory may list their hosts as down.
 type simulation struct {
 	// waits lets tasks name racks, and leaders wait for them.
 	waits bool
@@ -38,6 +40,14 @@
 	// infos is the platform's list, which follows the runners with a delay.
 	infos   []glade.RunnerInfo
 	leaders []*modelLeader
+	// hosts are those of the runners, and planner is that of the fleet duty, which read the inventory at readAt. What
+	// the platform believes is drawn by hostRng.
+	hosts   []*modelHost
+	planner *moves.Planner
+	readAt  time.Time
+	hostRng *rand.Rand
+	// replacedAt maps the runners whose hosts were listed with another one to when the planner learnt of it.
+	replacedAt map[glade.RunnerID]time.Time
 	// epoch is that of the leader that may write the rows: workRows, progressRows
 	// and registered.
 	epoch         int64
@@ -53,6 +63,7 @@
 	ackedDone map[glade.TaskID]time.Time
 	submitted int // number of submitted batches
 	copies    int // number of copies that leaders have decided to start
+	gone      int // number of runners whose runs leaders have given up because their hosts had another one
 	// share bounds what the tenant of all batches runs, in cores, unless it is 0.
 	share int
 	err   error
@@ -79,7 +90,9 @@
 	sickUntil time.Time
 	// listedAt is when the list has the runner's present entry.
 	listedAt time.Time
-	tracef   func(format string, args ...any)
+	// unlistedAt is when the list drops the entry of a runner that does not come back.
+	unlistedAt time.Time
+	tracef     func(format string, args ...any)
 }
 
 // modelRunID identifies a run: a copy or a late start may be beside another run of its task.
@@ -130,7 +143,7 @@
 		rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0),
 		runners: make(map[glade.RunnerID]*modelRunner), workRows: make(map[glade.BatchID]sched.WorkRow),
 		progressRows: make(map[glade.BatchID]sched.ProgressRow), ackedDone: make(map[glade.TaskID]time.Time), waits: waits,
-		startRepeats: 3 * int(seed%2),
+		startRepeats: 3 * int(seed%2), hostRng: rand.New(rand.NewPCG(seed, 8)), replacedAt: make(map[glade.RunnerID]time.Time),
 	}
 	for i := range 3 {
 		r := w.newRunner(glade.RunnerInfo{
@@ -139,6 +152,7 @@
 		})
 		w.infos = append(w.infos, r.info)
 		w.runners[r.info.ID] = r
+		w.hosts = append(w.hosts, &modelHost{name: glade.Host(fmt.Sprintf("m%d", i)), runner: r.info.ID, known: r.info.ID})
 	}
 	w.takeOver()
 	return w
@@ -228,6 +242,7 @@
 	w.now = w.now.Add(modelTick)
 	w.injectEvent()
 	w.updateList()
+	w.updateHosts()
 	for _, r := range w.runners {
 		w.endRuns(r)
 	}
@@ -257,7 +272,7 @@
 	if w.isCalm && (roll < 75 && (roll >= 60 || w.submitted >= 30) || roll >= 85 && roll < 140) {
 		return // no takeovers, few changes of reachability, a store that answers
 	}
-	runner := glade.RunnerID(fmt.Sprintf("r%d", w.rng.IntN(len(w.runners))))
+	runner := w.hosts[w.rng.IntN(len(w.hosts))].runner
 	switch {
 	case roll < 60 && w.submitted < 30:
 		w.submit(current)
@@ -289,7 +304,7 @@
 	}
 }
 
-// crash replaces a runner by a new incarnation under its ID, which may be of another kind.
+// crash replaces a runner by a new incarnation, which may be of another kind, under its ID or as another runner of its host.
 func (w *simulation) crash(id glade.RunnerID) {
 	r := w.newRunner(w.runners[id].info)
 	r.info.Labels = modelKinds[w.rng.IntN(2):][:1]
@@ -299,13 +314,20 @@
 	}
 	r.downUntil = w.now.Add(minDown + time.Duration(w.rng.IntN(longest))*time.Millisecond)
 	r.listedAt = r.downUntil.Add(time.Duration(w.rng.IntN(2000)) * time.Millisecond)
-	w.runners[id] = r
-	w.tracef("%s crashes and becomes %s", id, r.info.Labels[0])
+	if w.hostRng.IntN(2) == 0 {
+		w.replaceRunner(w.host(id), r)
+	} else {
+		w.runners[id] = r
+	}
+	w.tracef("%s crashes and becomes %s of kind %s", id, r.info.ID, r.info.Labels[0])
 }
 
 // updateList brings the platform's list up to date.
 func (w *simulation) updateList() {
 	for id, r := range w.runners {
+		if !r.unlistedAt.IsZero() && w.now.After(r.unlistedAt) {
+			w.infos = slices.DeleteFunc(w.infos, func(info glade.RunnerInfo) bool { return info.ID == id })
+		}
 		if w.now.Before(r.listedAt) {
 			continue
 		}
@@ -320,17 +342,6 @@
 	slices.SortFunc(w.infos, func(a, b glade.RunnerInfo) int { return cmp.Compare(a.ID, b.ID) })
 }
 
-// goneRunners returns the runners that have crashed and not come back.
-func (w *simulation) goneRunners() []glade.RunnerID {
-	var gone []glade.RunnerID
-	for id, r := range w.runners {
-		if w.now.Before(r.downUntil) {
-			gone = append(gone, id)
-		}
-	}
-	return gone
-}
-
 func (w *simulation) submit(l *modelLeader) {
 	w.submitted++
 	work := glade.Batch{Spec: "s"}
@@ -418,9 +429,10 @@
 		}
 		l.sched.LeaderRenewed(w.now)
 		l.sched.SetRunners(slices.Clone(w.infos), w.now)
-		if gone := w.goneRunners(); len(gone) > 0 {
-			l.sched.RunnersGone(gone, w.now, w.now)
+		if gone := w.planner.RunnersGone()[service]; len(gone) > 0 {
+			l.sched.RunnersGone(gone, w.readAt, w.now)
 		}
+		w.planner.SetLoad(service, l.sched.Demand(w.now), w.now)
 	}
 	if w.step(l) && !l.storeUnreachable && l.sched.HasWrites() {
 		w.write(l)
@@ -431,8 +443,11 @@
 func (w *simulation) step(l *modelLeader) bool {
 	orders := l.sched.Step(w.now)
 	for _, e := range l.sched.Events() {
-		if e.Name == "copy" {
+		switch e.Name {
+		case "copy":
 			w.copies++
+		case "gone":
+			w.gone++
 		}
 		w.tracef("leader %d: %s %v", l.epoch, e.Name, e.Pairs)
 	}
