A runner that was cut off through a takeover has not been lost

What callers would see: a batch shown as failed, although none of its tasks crashes a runner. Cause: a registered runner that the platform does not list, and that a new leader has not reached when the inherited leases are over, is written down as a loss that no leader saw (RegistryRow.Lost). If the same incarnation answers later, the entry stayed: a missing entry stands for a crash. Change: the loss is taken back when that incarnation answers the leader that has written it down. One that answers only the leader after that is not.

--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -107,6 +107,7 @@
 		s.addEvent("reborn", "runner", r.info.ID, "runs", len(r.runs), "born", answer.Born)
 		s.recordCrash(r, "reborn", true, now)
 	}
+	s.takeBackLoss(r.info.ID, answer.Born)
 	s.compareIncarnation(r, answer.Born)
 	r.incarnation = answer.Born
 	r.processed, r.written, r.acked, r.unwrittenEnds = 0, 0, 0, nil
--- a/sched/losses.go
+++ b/sched/losses.go
@@ -81,10 +81,12 @@
 	// unwritten holds the batches with crashes that are not written, with the change of each.
 	unwritten map[*batch]int64
 	at        []int64 // RegistryRow.Lost
+	// gone holds the runners that this leader has counted as lost without having heard of them.
+	gone map[glade.RunnerID]bool
 }
 
 func newLosses() losses {
-	return losses{loaded: make(map[glade.RunnerID]int64), held: make(map[glade.RunnerID]int64), unwritten: make(map[*batch]int64)}
+	return losses{loaded: make(map[glade.RunnerID]int64), held: make(map[glade.RunnerID]int64), unwritten: make(map[*batch]int64), gone: make(map[glade.RunnerID]bool)}
 }
 
 // registryRow returns the row of the registered runners.
@@ -175,6 +177,18 @@
 	s.addEvent("unseen", "runner", id, "how", how, "losses", len(s.losses.at))
 }
 
+// takeBackLoss takes back the loss of a runner that answers as the incarnation that the row named: it was only cut off.
+func (s *Scheduler) takeBackLoss(id glade.RunnerID, born int64) {
+	if !s.losses.gone[id] {
+		return
+	}
+	delete(s.losses.gone, id)
+	if i := slices.Index(s.losses.at, s.leaderSince.UnixMilli()); i >= 0 && s.losses.loaded[id] == bornTag(born) {
+		s.losses.at = slices.Delete(s.losses.at, i, i+1)
+		s.registryGen++
+	}
+}
+
 // unseenCrashes returns how many runners may have crashed under a task without a row that tells of
 // it: as many as were lost so since its batch was submitted. For a task that lasts, most of what is
 // lost in its life has another cause. So have several that one leader has found lost: it took over
--- a/sched/place.go
+++ b/sched/place.go
@@ -57,6 +57,7 @@
 	if s.registered[id] {
 		if !ok || !r.contacted {
 			s.recordLoss(id, "gone")
+			s.losses.gone[id] = true
 		}
 		delete(s.registered, id)
 		s.registryGen++
