A test that a runner which restarts after its leases has crashed

Cause: no test found a reportReturn that drops the crashes of a runner whatever the incarnation is that answers (planted). A task that crashes its runners, which restart under their ids after their leases, would then be started without an end. Change: TestReturnOfRestartedRunner. No change of the product. Measured: fails with that fault planted ("running" in place of "failed"), holds without.

--- a/sched/returned_test.go
+++ b/sched/returned_test.go
@@ -31,3 +31,27 @@
 	r.c.Assert(r.running("a"), qt.Equals, 1)
 	r.expectState("a", glade.BatchRunning)
 }
+
+// TestReturnOfRestartedRunner guards against a task that crashes its runners without an end: they restart so late that their
+// runs were given up before, and are taken for cut off.
+func TestReturnOfRestartedRunner(t *testing.T) {
+	const maxCrashes = 5
+	r := newHarness(qt.New(t), 1, twoCores)
+	r.advance(time.Second)
+	r.submit("a", oneTask(60_000))
+	isFinal := func() bool {
+		state, ok := r.sched.State("a")
+		return ok && state.IsFinal()
+	}
+	for range maxCrashes {
+		for end := r.now.Add(30 * time.Second); r.running("a") == 0 && !isFinal() && r.now.Before(end); {
+			r.advance(20 * time.Millisecond)
+		}
+		f := r.runners["r0"]
+		f.running, f.unresponsive = nil, true
+		r.advance(12 * time.Second) // longer than any lease
+		f.incarnation, f.startedAt, f.leaseEnd, f.unresponsive = f.incarnation+1, r.now, 0, false
+	}
+	r.advance(time.Second)
+	r.expectState("a", glade.BatchFailed)
+}
