Bound what the system keeps unread of each connection from a client

Cause: nothing set the size of receive buffers, which the system lets grow to megabytes for each connection. What is in them counts toward the memory of the machine. 300 clients that sent 2 MB each, over the limit of 262,144 bytes, left 324 to 391 MB unread beside 53 to 57 MB resident.

Where a system refuses the sizes, connections keep its own.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -3,6 +3,7 @@
 package accept
 
 import (
+	"context"
 	"net"
 	"slices"
 	"sync"
@@ -26,6 +27,23 @@
 	syscall.ENETDOWN, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH,
 }
 
+// Listen listens on a TCP address. The system's buffers of its connections have some bytes each; 0 leaves them to the
+// system. What a connection has received and nothing has read counts toward the memory of the machine.
+func Listen(ctx context.Context, address string, bufferBytes int) (net.Listener, error) {
+	config := net.ListenConfig{Control: func(_, _ string, conn syscall.RawConn) error {
+		if bufferBytes == 0 {
+			return nil
+		}
+		// Connections inherit the sizes. Where the system refuses them, connections work with its own.
+		return conn.Control(func(file uintptr) {
+			_ = syscall.SetsockoptInt(int(file), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes)
+			_ = syscall.SetsockoptInt(int(file), syscall.SOL_SOCKET, syscall.SO_SNDBUF, bufferBytes)
+		})
+	}}
+	listener, err := config.Listen(ctx, "tcp", address)
+	return listener, errors.Wrapf(err, "listen on %s", address)
+}
+
 // Listener is a listener whose Accept tries again after errors that pass.
 type Listener struct {
 	net.Listener
--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -42,6 +42,32 @@
 	return &net.OpError{Op: "accept", Net: "tcp", Err: os.NewSyscallError("accept4", errno)}
 }
 
+// TestListen guards against what clients have sent and nobody reads, which fills the memory of the machine: the system's
+// buffers grow to megabytes for each connection.
+func TestListen(t *testing.T) {
+	const size, most = 16 << 10, 64 << 10
+	listener, err := accept.Listen(t.Context(), "127.0.0.1:0", size)
+	qt.Assert(t, err, qt.IsNil)
+	defer listener.Close()
+	client, err := net.Dial("tcp", listener.Addr().String())
+	qt.Assert(t, err, qt.IsNil)
+	defer client.Close()
+	server, err := listener.Accept()
+	qt.Assert(t, err, qt.IsNil)
+	defer server.Close()
+	raw, err := server.(*net.TCPConn).SyscallConn()
+	qt.Assert(t, err, qt.IsNil)
+	for _, option := range []int{syscall.SO_RCVBUF, syscall.SO_SNDBUF} {
+		qt.Assert(t, raw.Control(func(file uintptr) {
+			got, err := syscall.GetsockoptInt(int(file), syscall.SOL_SOCKET, option)
+			qt.Check(t, err, qt.IsNil)
+			qt.Check(t, got >= size && got <= most, qt.IsTrue, qt.Commentf("%d", got))
+		}), qt.IsNil)
+	}
+	_, err = accept.Listen(t.Context(), listener.Addr().String(), 0)
+	qt.Assert(t, err, qt.ErrorMatches, "listen on 127.0.0.1:.*")
+}
+
 // TestAccept guards against processes that end by themselves because they had no free descriptor for a
 // moment.
 func TestAccept(t *testing.T) {
