--- a/drain/conn.go
+++ b/drain/conn.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -53,7 +54,9 @@
 type conn struct {
 	net.Conn
 	draining *atomic.Bool
-	mu       sync.Mutex
+	// stopped is whether no more bytes are read from the peer.
+	stopped atomic.Bool
+	mu      sync.Mutex
 	// deadline is the read deadline that the HTTP server has set.
 	deadline time.Time
 	// awaiting is whether no byte of the next request has been read.
@@ -62,8 +65,8 @@
 	wait        wait
 }
 
-func newConn(inner net.Conn, draining *atomic.Bool) *conn {
-	return &conn{Conn: inner, draining: draining, awaiting: true, silentSince: time.Now()}
+func (l *listener) newConn(inner net.Conn) *conn {
+	return &conn{Conn: inner, draining: l.draining, awaiting: true, silentSince: time.Now()}
 }
 
 // SetReadDeadline sets the deadline of reads outside of a drain.
@@ -77,6 +80,9 @@
 // Read reads. During a drain it times out on a connection that is silent.
 func (c *conn) Read(data []byte) (int, error) {
 	for {
+		if c.stopped.Load() {
+			return 0, os.ErrDeadlineExceeded
+		}
 		c.startWait()
 		n, err := c.Conn.Read(data)
 		if n > 0 {
@@ -89,6 +95,30 @@
 	}
 }
 
+// stopReading ends the read in progress and all later ones.
+func (c *conn) stopReading() {
+	c.stopped.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection
+}
+
+// Limits of what is read and dropped before a connection with unread bytes is closed. Closing it at once would reset it,
+// and the peer could lose the response.
+const (
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 256 << 10
+)
+
+// Close closes the connection. If the peer was sending a request of which the rest is not read, it has some time to read
+// the response.
+func (c *conn) Close() error {
+	if c.stopped.Load() {
+		if c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) == nil {
+			_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes) // ends with an error in each case
+		}
+	}
+	return c.Conn.Close()
+}
+
 // setAwaiting notes that a response has been sent.
 func (c *conn) setAwaiting() {
 	c.mu.Lock()
@@ -168,7 +198,7 @@
 			if l.traffic != nil {
 				inner = l.traffic.Wrap(inner)
 			}
-			return newConn(inner, l.draining), nil
+			return l.newConn(inner), nil
 		}
 		if !isTimeout(err) {
 			return nil, err
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -26,6 +26,8 @@
 	// time between two requests of a connection.
 	HeaderTimeout, IdleTimeout time.Duration
 	MaxHeaderBytes             int
+	// BodyTime limits the time for reading the body of a request; 0 means without limit.
+	BodyTime time.Duration
 	// Traffic counts the bytes of all connections; nil counts nothing.
 	Traffic *wire.Counter
 	// MaxConns bounds the open connections; 0 means without bound. Beyond it the connection that has
@@ -43,6 +45,7 @@
 	mu                sync.Mutex
 	conns             map[*conn]struct{}
 	maxConns          int
+	bodyTime          time.Duration
 	// idle holds the connections between two requests, those that have been so longest first, and
 	// idleAt their places in it.
 	idle                *list.List
@@ -58,11 +61,14 @@
 func New(config Config) *Server {
 	s := &Server{
 		handler: config.Handler, conns: make(map[*conn]struct{}), drained: make(chan struct{}),
-		maxConns: config.MaxConns, idle: list.New(), idleAt: make(map[*conn]*list.Element),
+		maxConns: config.MaxConns, bodyTime: config.BodyTime,
+		idle: list.New(), idleAt: make(map[*conn]*list.Element),
+	}
+	s.listener = &listener{
+		Listener: accept.New(config.Listener), traffic: config.Traffic, draining: &s.draining,
 	}
-	s.listener = &listener{Listener: accept.New(config.Listener), traffic: config.Traffic, draining: &s.draining}
 	s.server = &http.Server{
-		Handler: s, ConnState: s.track,
+		Handler: s, ConnState: s.track, ConnContext: withConn,
 		ReadHeaderTimeout: config.HeaderTimeout, IdleTimeout: config.IdleTimeout, MaxHeaderBytes: config.MaxHeaderBytes,
 	}
 	return s
@@ -86,7 +92,7 @@
 	if s.closing.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	s.handler.ServeHTTP(w, r)
+	s.handler.ServeHTTP(w, s.receive(r))
 }
 
 // CloseConnections closes each connection after its next response, and announces that
@@ -117,6 +123,11 @@
 
 // Close closes the listener and all connections at once.
 func (s *Server) Close() {
+	s.mu.Lock()
+	for c := range s.conns {
+		_ = c.Conn.Close() // without the time that a peer has to read its response
+	}
+	s.mu.Unlock()
 	_ = s.server.Close() // fails only when the listener has been closed before
 }
 
@@ -161,7 +172,7 @@
 	} else {
 		s.refused++
 	}
-	_ = last.Close() // the HTTP server reports the end of the connection
+	_ = last.Conn.Close() // the HTTP server reports the end of the connection
 }
 
 // Connections counts the connections of a server.
--- /dev/null
+++ b/drain/request_test.go
@@ -0,0 +1,120 @@
+package drain_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
+
+	"indigoglade/bubble"
+	"indigoglade/drain"
+)
+
+// crowded is a server with bounds on what clients take of it.
+type crowded struct {
+	server *drain.Server
+	queue  chan net.Conn
+	// errs are the errors with which the bodies ended.
+	errs chan error
+}
+
+// Bounds of the server.
+const (
+	mostConns = 3
+	bodyTime  = 10 * time.Second
+)
+
+// ServeHTTP reads the body, or stops it, and takes as long as the path says.
+func (c *crowded) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/stop" {
+		w.Header().Set("Connection", "close")
+		drain.StopReading(r.Context())
+	}
+	_, err := io.Copy(io.Discard, r.Body)
+	c.errs <- err
+	handle(w, r)
+}
+
+func runCrowded(t *testing.T, name string, test func(t *testing.T, c *crowded)) {
+	t.Run(name, func(t *testing.T) {
+		bubble.Test(t, func(t *testing.T) {
+			c := &crowded{queue: make(chan net.Conn, 3), errs: make(chan error, 1000)}
+			c.server = drain.New(drain.Config{
+				Listener: conns{queue: c.queue}, Handler: c, HeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxConns: mostConns,
+				BodyTime: bodyTime,
+			})
+			go func() { _ = c.server.Serve() }()
+			test(t, c)
+			c.server.Close()
+		})
+	})
+}
+
+// send opens a connection and sends text on it.
+func (c *crowded) send(text string) net.Conn {
+	client, inner := net.Pipe()
+	c.queue <- inner
+	go func() { _, _ = io.WriteString(client, text) }()
+	synctest.Wait()
+	return client
+}
+
+const header = "POST %s HTTP/1.1\r\nHost: a.example\r\nContent-Length: %d\r\n\r\n"
+
+// expectEnd checks that a connection ends without a response after some time.
+func expectEnd(t *testing.T, conn net.Conn, after time.Duration) {
+	t.Helper()
+	start := time.Now()
+	_, err := conn.Read(make([]byte, 1))
+	qt.Assert(t, errors.Is(err, io.EOF), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, time.Since(start), qt.Equals, after)
+}
+
+// expectOK checks that a request is answered, and whether the response ends the connection.
+func expectOK(t *testing.T, conn net.Conn, last bool) {
+	t.Helper()
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, response.StatusCode, qt.Equals, http.StatusOK)
+	qt.Assert(t, response.Close, qt.Equals, last)
+}
+
+// TestArrival guards against requests that are never whole: they hold memory and connections, and keep others out.
+func TestArrival(t *testing.T) {
+	runCrowded(t, "a body has a time to arrive", func(t *testing.T, c *crowded) {
+		client := c.send(fmt.Sprintf(header, "/", 100) + "abc")
+		start := time.Now()
+		qt.Assert(t, errors.Is(<-c.errs, os.ErrDeadlineExceeded), qt.IsTrue)
+		qt.Assert(t, time.Since(start), qt.Equals, bodyTime)
+		client.Close()
+	})
+	runCrowded(t, "a request that takes longer than its body may is answered", func(t *testing.T, c *crowded) {
+		client := c.send(fmt.Sprintf(header, "/20s", 3) + "abc")
+		expectOK(t, client, false)
+		qt.Assert(t, <-c.errs, qt.IsNil)
+		expectResponse(t, client, "/", false)
+	})
+	runCrowded(t, "a stopped body ends at once, and the response arrives", func(t *testing.T, c *crowded) {
+		client := c.send(fmt.Sprintf(header, "/stop", 100) + "abc")
+		qt.Assert(t, errors.Is(<-c.errs, os.ErrDeadlineExceeded), qt.IsTrue)
+		expectOK(t, client, true)
+		_, err := io.WriteString(client, "more that is dropped")
+		qt.Assert(t, err, qt.IsNil)
+		expectEnd(t, client, 500*time.Millisecond)
+	})
+	runCrowded(t, "a stopped connection whose client has left is closed at once", func(t *testing.T, c *crowded) {
+		client := c.send(fmt.Sprintf(header, "/stop", 100) + "abc")
+		expectOK(t, client, true)
+		client.Close()
+		synctest.Wait()
+		qt.Assert(t, c.server.Connections().Open, qt.Equals, 0)
+	})
+}
