drain: Close the connection whose request arrives longest when there are too many

Cause: beyond the bound on connections an idle one was closed, and the new one if none was idle. A request that is never whole is not idle, so that as many clients as there are connections kept all others out for as long as they stayed.

If none is idle, the connection whose request has been arriving longest is closed, header or body, once it has had 0.3 s. Requests that have been read whole are kept as before. Counter `slow` of `connections`.

--- a/drain/drain.go
+++ b/drain/drain.go
@@ -4,7 +4,6 @@
 package drain
 
 import (
-	"container/list"
 	"context"
 	"net"
 	"net/http"
@@ -31,7 +30,8 @@
 	// Traffic counts the bytes of all connections; nil counts nothing.
 	Traffic *wire.Counter
 	// MaxConns bounds the open connections; 0 means without bound. Beyond it the connection that has
-	// been idle longest is closed for a new one, and the new one if none is idle.
+	// been idle longest is closed for a new one. If none is idle, it is the one whose request has been arriving
+	// longest, and the new one if none has had some time for that.
 	MaxConns int
 }
 
@@ -46,11 +46,9 @@
 	conns             map[*conn]struct{}
 	maxConns          int
 	bodyTime          time.Duration
-	// idle holds the connections between two requests, those that have been so longest first, and
-	// idleAt their places in it.
-	idle                *list.List
-	idleAt              map[*conn]*list.Element
-	closedIdle, refused int64
+	// idle holds the connections between two requests, and arriving those whose request has not been read.
+	idle, arriving                      *queue
+	closedIdle, closedArriving, refused int64
 	// allAccepted is whether no connection will be added to conns.
 	allAccepted bool
 	// drained is closed once all connections have ended and none will be accepted.
@@ -62,7 +60,7 @@
 	s := &Server{
 		handler: config.Handler, conns: make(map[*conn]struct{}), drained: make(chan struct{}),
 		maxConns: config.MaxConns, bodyTime: config.BodyTime,
-		idle: list.New(), idleAt: make(map[*conn]*list.Element),
+		idle: newQueue(), arriving: newQueue(),
 	}
 	s.listener = &listener{
 		Listener: accept.New(config.Listener), traffic: config.Traffic, draining: &s.draining,
@@ -136,43 +134,58 @@
 	c := netConn.(*conn)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.setBusy(c)
+	s.idle.remove(c)
 	switch state {
 	case http.StateNew:
 		s.conns[c] = struct{}{}
+		s.arriving.add(c)
 		s.makeRoom(c)
+	case http.StateActive:
+		s.arriving.add(c)
 	case http.StateIdle:
+		s.arriving.remove(c)
 		c.setAwaiting()
-		s.idleAt[c] = s.idle.PushBack(c)
+		s.idle.add(c)
 	case http.StateClosed, http.StateHijacked:
+		s.arriving.remove(c)
 		delete(s.conns, c)
 		s.signalDrained()
 	}
 }
 
-// setBusy notes that a connection is not idle. The caller holds the lock.
-func (s *Server) setBusy(c *conn) {
-	if place, ok := s.idleAt[c]; ok {
-		s.idle.Remove(place)
-		delete(s.idleAt, c)
-	}
+// setRead notes that the whole request of a connection has been read.
+func (s *Server) setRead(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.arriving.remove(c)
 }
 
-// makeRoom closes a connection if there are too many, the newest one if none is idle. The caller holds
-// the lock.
+// minArrival is how long a request may arrive before its connection can be closed for a new one.
+const minArrival = 300 * time.Millisecond
+
+// makeRoom closes a connection if there are too many. The caller holds the lock.
 func (s *Server) makeRoom(newest *conn) {
 	if s.maxConns == 0 || len(s.conns) <= s.maxConns {
 		return
 	}
 	last := newest
-	if oldest := s.idle.Front(); oldest != nil {
-		last = oldest.Value.(*conn)
-		s.setBusy(last)
+	if c := s.idle.first(0); c != nil {
+		last = c
 		s.closedIdle++
+	} else if c := s.arriving.first(minArrival); c != nil {
+		last = c
+		s.closedArriving++
 	} else {
 		s.refused++
 	}
-	_ = last.Conn.Close() // the HTTP server reports the end of the connection
+	s.end(last)
+}
+
+// end closes a connection at once. The HTTP server reports its end later. The caller holds the lock.
+func (s *Server) end(c *conn) {
+	s.idle.remove(c)
+	s.arriving.remove(c)
+	_ = c.Conn.Close() // fails only on a connection that is closed
 }
 
 // Connections counts the connections of a server.
@@ -180,11 +193,12 @@
 	Open int `json:"open"`
 	Idle int `json:"idle"`
 	Most int `json:"most"`
-	// ClosedIdle and Refused count the connections that were closed because there were too many, and
-	// Failed those that could not be accepted.
-	ClosedIdle int64 `json:"closed"`
-	Refused    int64 `json:"refused"`
-	Failed     int64 `json:"failed"`
+	// ClosedIdle, ClosedArriving and Refused count the connections that were closed because there were too many: idle ones,
+	// ones whose request had been arriving for some time, and new ones. Failed counts those that could not be accepted.
+	ClosedIdle     int64 `json:"closed"`
+	ClosedArriving int64 `json:"slow"`
+	Refused        int64 `json:"refused"`
+	Failed         int64 `json:"failed"`
 }
 
 // Connections returns the counts so far.
@@ -192,7 +206,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return Connections{
-		Open: len(s.conns), Idle: s.idle.Len(), Most: s.maxConns, ClosedIdle: s.closedIdle, Refused: s.refused, Failed: s.listener.Failures(),
+		Open: len(s.conns), Idle: s.idle.len(), Most: s.maxConns, ClosedIdle: s.closedIdle, ClosedArriving: s.closedArriving,
+		Refused: s.refused, Failed: s.listener.Failures(),
 	}
 }
 
--- a/drain/request.go
+++ b/drain/request.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"container/list"
 	"context"
 	"io"
 	"net"
@@ -25,16 +26,18 @@
 	}
 }
 
-// body is the body of a request. Its time ends when it has been read.
+// body is the body of a request. It notes when the request has been read.
 type body struct {
 	io.ReadCloser
-	conn *conn
+	server *Server
+	conn   *conn
 }
 
 // Read reads the body.
 func (b *body) Read(data []byte) (int, error) {
 	n, err := b.ReadCloser.Read(data)
 	if errors.Is(err, io.EOF) {
+		b.server.setRead(b.conn)
 		_ = b.conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	}
 	return n, err
@@ -47,6 +50,7 @@
 		return r
 	}
 	if r.ContentLength == 0 {
+		s.setRead(c)
 		return r
 	}
 	if s.bodyTime > 0 {
@@ -54,6 +58,49 @@
 	}
 	// The HTTP server looks at the type of the body of its own copy.
 	copied := r.WithContext(r.Context())
-	copied.Body = &body{ReadCloser: r.Body, conn: c}
+	copied.Body = &body{ReadCloser: r.Body, server: s, conn: c}
 	return copied
 }
+
+// queue holds connections in the order in which they were added.
+type queue struct {
+	order  *list.List
+	places map[*conn]*list.Element
+}
+
+// place is an entry of a queue.
+type place struct {
+	conn  *conn
+	since time.Time
+}
+
+func newQueue() *queue { return &queue{order: list.New(), places: make(map[*conn]*list.Element)} }
+
+func (q *queue) len() int { return q.order.Len() }
+
+// add adds a connection unless it is there.
+func (q *queue) add(c *conn) {
+	if _, ok := q.places[c]; !ok {
+		q.places[c] = q.order.PushBack(place{conn: c, since: time.Now()})
+	}
+}
+
+func (q *queue) remove(c *conn) {
+	if e, ok := q.places[c]; ok {
+		q.order.Remove(e)
+		delete(q.places, c)
+	}
+}
+
+// first returns the connection that was added first, if it was added at least some time ago, or nil.
+func (q *queue) first(ago time.Duration) *conn {
+	e := q.order.Front()
+	if e == nil {
+		return nil
+	}
+	p := e.Value.(place)
+	if ago > 0 && time.Since(p.since) < ago {
+		return nil
+	}
+	return p.conn
+}
--- a/drain/request_test.go
+++ b/drain/request_test.go
@@ -118,3 +118,58 @@
 		qt.Assert(t, c.server.Connections().Open, qt.Equals, 0)
 	})
 }
+
+// TestMaxArriving guards against connections with unfinished requests that keep all new ones out.
+func TestMaxArriving(t *testing.T) {
+	expectClosed := func(t *testing.T, c *crowded, arriving, refused int64) {
+		t.Helper()
+		synctest.Wait()
+		counts := c.server.Connections()
+		qt.Assert(t, []int64{counts.ClosedArriving, counts.Refused}, qt.DeepEquals, []int64{arriving, refused})
+	}
+	for name, text := range map[string]string{
+		"nothing":            "",
+		"a part of a header": "GET / HTTP/1.1\r\nHost:",
+		"a part of a body":   fmt.Sprintf(header, "/", 100) + "abc",
+	} {
+		runCrowded(t, "the one that has sent "+name+" for longest is closed", func(t *testing.T, c *crowded) {
+			var open []net.Conn
+			for range mostConns {
+				open = append(open, c.send(text))
+				time.Sleep(time.Second)
+			}
+			newest := c.send("")
+			expectEnd(t, open[0], 0)
+			expectResponse(t, newest, "/", false)
+			expectClosed(t, c, 1, 0)
+			for _, conn := range open {
+				conn.Close()
+			}
+		})
+	}
+	runCrowded(t, "a request that began to arrive just now is kept", func(t *testing.T, c *crowded) {
+		var open []net.Conn
+		for range mostConns {
+			open = append(open, c.send(fmt.Sprintf(header, "/", 3)+"ab"))
+		}
+		expectEnd(t, c.send(""), 0)
+		for _, conn := range open {
+			_, err := io.WriteString(conn, "c")
+			qt.Assert(t, err, qt.IsNil)
+			expectOK(t, conn, false)
+		}
+		expectClosed(t, c, 0, 1)
+	})
+	runCrowded(t, "a request that has arrived is kept", func(t *testing.T, c *crowded) {
+		var open []net.Conn
+		for range mostConns {
+			open = append(open, c.send(fmt.Sprintf(header, "/5s", 3)+"abc"))
+		}
+		time.Sleep(time.Second)
+		expectEnd(t, c.send(""), 0)
+		for _, conn := range open {
+			expectOK(t, conn, false)
+		}
+		expectClosed(t, c, 0, 1)
+	})
+}
