drain: Bound the requests with a large header

Cause: a header may have 32 KB, and its parsed form takes many times that if its fields are short. Nothing bounded the headers of all connections.

The bytes and fields of a header are counted as they are read, 150 bytes for each field. Bytes of a body that were read with a header don't count once it has been parsed. A caller sends some ten fields.

--- a/drain/conn.go
+++ b/drain/conn.go
@@ -54,6 +54,8 @@
 type conn struct {
 	net.Conn
 	draining *atomic.Bool
+	// onLargeHeader is called when the header of a request has become a large one.
+	onLargeHeader func(*conn)
 	// stopped is whether no more bytes are read from the peer.
 	stopped atomic.Bool
 	mu      sync.Mutex
@@ -63,10 +65,13 @@
 	awaiting    bool
 	silentSince time.Time
 	wait        wait
+	// headerCost estimates the memory of the header of the next request, and headerRead is whether it has been parsed.
+	headerCost int
+	headerRead bool
 }
 
 func (l *listener) newConn(inner net.Conn) *conn {
-	return &conn{Conn: inner, draining: l.draining, awaiting: true, silentSince: time.Now()}
+	return &conn{Conn: inner, draining: l.draining, onLargeHeader: l.onLargeHeader, awaiting: true, silentSince: time.Now()}
 }
 
 // SetReadDeadline sets the deadline of reads outside of a drain.
@@ -87,6 +92,9 @@
 		n, err := c.Conn.Read(data)
 		if n > 0 {
 			c.setReceived()
+			if c.addHeader(data[:n]) {
+				c.onLargeHeader(c)
+			}
 			return n, err
 		}
 		if !isTimeout(err) || !c.mustRepeat(time.Now()) {
@@ -124,6 +132,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.awaiting, c.silentSince = true, time.Now()
+	c.headerCost, c.headerRead = 0, false
 }
 
 // setReceived notes that bytes of a request have been read.
@@ -170,6 +179,8 @@
 	*accept.Listener
 	traffic  *wire.Counter
 	draining *atomic.Bool
+	// onLargeHeader is passed to each connection.
+	onLargeHeader func(*conn)
 	// acceptUntil is set when the drain begins.
 	mu          sync.Mutex
 	acceptUntil time.Time
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -33,6 +33,9 @@
 	// been idle longest is closed for a new one. If none is idle, it is the one whose request has been arriving
 	// longest, and the new one if none has had some time for that.
 	MaxConns int
+	// MaxLargeHeaders bounds the requests whose header takes much memory; 0 means without bound. Beyond it the connection
+	// of the oldest one is closed.
+	MaxLargeHeaders int
 }
 
 // Server is an HTTP server with a drain of its own.
@@ -45,10 +48,13 @@
 	mu                sync.Mutex
 	conns             map[*conn]struct{}
 	maxConns          int
+	maxLargeHeaders   int
 	bodyTime          time.Duration
-	// idle holds the connections between two requests, and arriving those whose request has not been read.
-	idle, arriving                      *queue
-	closedIdle, closedArriving, refused int64
+	// idle holds the connections between two requests, arriving those whose request has not been read, and largeHeaders
+	// those of which it has a large header.
+	idle, arriving, largeHeaders *queue
+	closedIdle, closedArriving   int64
+	closedHeaders, refused       int64
 	// allAccepted is whether no connection will be added to conns.
 	allAccepted bool
 	// drained is closed once all connections have ended and none will be accepted.
@@ -59,11 +65,11 @@
 func New(config Config) *Server {
 	s := &Server{
 		handler: config.Handler, conns: make(map[*conn]struct{}), drained: make(chan struct{}),
-		maxConns: config.MaxConns, bodyTime: config.BodyTime,
-		idle: newQueue(), arriving: newQueue(),
+		maxConns: config.MaxConns, maxLargeHeaders: config.MaxLargeHeaders, bodyTime: config.BodyTime,
+		idle: newQueue(), arriving: newQueue(), largeHeaders: newQueue(),
 	}
 	s.listener = &listener{
-		Listener: accept.New(config.Listener), traffic: config.Traffic, draining: &s.draining,
+		Listener: accept.New(config.Listener), traffic: config.Traffic, draining: &s.draining, onLargeHeader: s.boundHeaders,
 	}
 	s.server = &http.Server{
 		Handler: s, ConnState: s.track, ConnContext: withConn,
@@ -144,10 +150,12 @@
 		s.arriving.add(c)
 	case http.StateIdle:
 		s.arriving.remove(c)
+		s.largeHeaders.remove(c)
 		c.setAwaiting()
 		s.idle.add(c)
 	case http.StateClosed, http.StateHijacked:
 		s.arriving.remove(c)
+		s.largeHeaders.remove(c)
 		delete(s.conns, c)
 		s.signalDrained()
 	}
@@ -160,6 +168,13 @@
 	s.arriving.remove(c)
 }
 
+// setSmall notes that the header of a request is not a large one.
+func (s *Server) setSmall(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.largeHeaders.remove(c)
+}
+
 // minArrival is how long a request may arrive before its connection can be closed for a new one.
 const minArrival = 300 * time.Millisecond
 
@@ -181,10 +196,22 @@
 	s.end(last)
 }
 
+// boundHeaders adds a large header, and closes the connection of the oldest one if there are too many.
+func (s *Server) boundHeaders(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.largeHeaders.add(c)
+	if s.maxLargeHeaders > 0 && s.largeHeaders.len() > s.maxLargeHeaders {
+		s.closedHeaders++
+		s.end(s.largeHeaders.first(0))
+	}
+}
+
 // end closes a connection at once. The HTTP server reports its end later. The caller holds the lock.
 func (s *Server) end(c *conn) {
 	s.idle.remove(c)
 	s.arriving.remove(c)
+	s.largeHeaders.remove(c)
 	_ = c.Conn.Close() // fails only on a connection that is closed
 }
 
@@ -194,9 +221,11 @@
 	Idle int `json:"idle"`
 	Most int `json:"most"`
 	// ClosedIdle, ClosedArriving and Refused count the connections that were closed because there were too many: idle ones,
-	// ones whose request had been arriving for some time, and new ones. Failed counts those that could not be accepted.
+	// ones whose request had been arriving for some time, and new ones. ClosedHeaders counts those that were closed because
+	// there were too many large headers, and Failed those that could not be accepted.
 	ClosedIdle     int64 `json:"closed"`
 	ClosedArriving int64 `json:"slow"`
+	ClosedHeaders  int64 `json:"headers"`
 	Refused        int64 `json:"refused"`
 	Failed         int64 `json:"failed"`
 }
@@ -207,7 +236,7 @@
 	defer s.mu.Unlock()
 	return Connections{
 		Open: len(s.conns), Idle: s.idle.len(), Most: s.maxConns, ClosedIdle: s.closedIdle, ClosedArriving: s.closedArriving,
-		Refused: s.refused, Failed: s.listener.Failures(),
+		ClosedHeaders: s.closedHeaders, Refused: s.refused, Failed: s.listener.Failures(),
 	}
 }
 
--- a/drain/request.go
+++ b/drain/request.go
@@ -1,6 +1,7 @@
 package drain
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"io"
@@ -49,6 +50,9 @@
 	if !ok {
 		return r
 	}
+	if c.endHeader(r) {
+		s.setSmall(c)
+	}
 	if r.ContentLength == 0 {
 		s.setRead(c)
 		return r
@@ -104,3 +108,44 @@
 	}
 	return p.conn
 }
+
+// The memory that a header takes is estimated, as its fields may be short: some bytes for each field, and those of its text.
+const (
+	fieldBytes = 150
+	// smallHeaderBytes is the estimate up to which the number of headers has no bound of its own. A request of the callers'
+	// interface has some ten fields, and the first read may bring 4 KB of its body.
+	smallHeaderBytes = 8 << 10
+)
+
+func headerCost(data []byte) int { return len(data) + fieldBytes*bytes.Count(data, []byte{'\n'}) }
+
+// addHeader notes bytes that were read while the header of a request had not been parsed. It returns true once when the
+// header has become a large one.
+func (c *conn) addHeader(data []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headerRead {
+		return false
+	}
+	wasSmall := c.headerCost <= smallHeaderBytes
+	c.headerCost += headerCost(data)
+	return wasSmall && c.headerCost > smallHeaderBytes
+}
+
+// endHeader notes that a header has been parsed. It returns true if it was considered large for the sake of the body that
+// was read with it.
+func (c *conn) endHeader(r *http.Request) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headerRead = true
+	if c.headerCost <= smallHeaderBytes {
+		return false
+	}
+	cost := len(r.RequestURI)
+	for name, values := range r.Header {
+		for _, value := range values {
+			cost += len(name) + len(value) + fieldBytes
+		}
+	}
+	return cost <= smallHeaderBytes
+}
--- a/drain/request_test.go
+++ b/drain/request_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"os"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,7 +50,7 @@
 			c := &crowded{queue: make(chan net.Conn, 3), errs: make(chan error, 1000)}
 			c.server = drain.New(drain.Config{
 				Listener: conns{queue: c.queue}, Handler: c, HeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxConns: mostConns,
-				BodyTime: bodyTime,
+				BodyTime: bodyTime, MaxLargeHeaders: 2,
 			})
 			go func() { _ = c.server.Serve() }()
 			test(t, c)
@@ -173,3 +174,36 @@
 		expectClosed(t, c, 0, 1)
 	})
 }
+
+// TestLargeHeaders guards against headers of many short fields: their parsed form takes many times their size.
+func TestLargeHeaders(t *testing.T) {
+	fields := func(n, size int) string {
+		return "GET /5s HTTP/1.1\r\nHost: a.example\r\n" + strings.Repeat("a: "+strings.Repeat("b", size)+"\r\n", n)
+	}
+	expect := func(name, text string, closed int64) {
+		runCrowded(t, name, func(t *testing.T, c *crowded) {
+			var open []net.Conn
+			for range mostConns {
+				open = append(open, c.send(text))
+			}
+			qt.Assert(t, c.server.Connections().ClosedHeaders, qt.Equals, closed)
+			for _, conn := range open {
+				conn.Close()
+			}
+			time.Sleep(6 * time.Second) // the handlers return
+		})
+	}
+	expect("many short fields", fields(100, 1), 1)
+	expect("many short fields, complete", fields(100, 1)+"\r\n", 1)
+	expect("a long field", fields(1, 10000), 1)
+	expect("a usual header", fields(10, 30), 0)
+	expect("a usual header, complete", fields(10, 30)+"\r\n", 0)
+	expect("a body of many lines", fmt.Sprintf(header, "/5s", 10000)+strings.Repeat("\n", 10000), 0)
+	runCrowded(t, "headers of earlier requests do not count", func(t *testing.T, c *crowded) {
+		client := c.send("")
+		for range 200 {
+			expectResponse(t, client, "/", false)
+		}
+		qt.Assert(t, c.server.Connections().ClosedHeaders, qt.Equals, int64(0))
+	})
+}
