drain: Limit the time of each write to a client

Cause: an answer that the client does not take blocks the goroutine that writes it, with its connection and what it holds, for as long as the client stays.

TestArrival has a client that takes nothing; without the limit its connection stays open and the test fails.

--- a/drain/conn.go
+++ b/drain/conn.go
@@ -54,6 +54,8 @@
 type conn struct {
 	net.Conn
 	draining *atomic.Bool
+	// writeTime limits each write; 0 means without limit.
+	writeTime time.Duration
 	// onLargeHeader is called when the header of a request has become a large one.
 	onLargeHeader func(*conn)
 	// stopped is whether no more bytes are read from the peer.
@@ -71,7 +73,7 @@
 }
 
 func (l *listener) newConn(inner net.Conn) *conn {
-	return &conn{Conn: inner, draining: l.draining, onLargeHeader: l.onLargeHeader, awaiting: true, silentSince: time.Now()}
+	return &conn{Conn: inner, draining: l.draining, writeTime: l.writeTime, onLargeHeader: l.onLargeHeader, awaiting: true, silentSince: time.Now()}
 }
 
 // SetReadDeadline sets the deadline of reads outside of a drain.
@@ -103,6 +105,16 @@
 	}
 }
 
+// Write writes. It fails if the peer does not read.
+func (c *conn) Write(data []byte) (int, error) {
+	if c.writeTime > 0 {
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.writeTime)); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(data)
+}
+
 // stopReading ends the read in progress and all later ones.
 func (c *conn) stopReading() {
 	c.stopped.Store(true)
@@ -177,8 +189,9 @@
 // system resets those that are left.
 type listener struct {
 	*accept.Listener
-	traffic  *wire.Counter
-	draining *atomic.Bool
+	traffic   *wire.Counter
+	draining  *atomic.Bool
+	writeTime time.Duration
 	// onLargeHeader is passed to each connection.
 	onLargeHeader func(*conn)
 	// acceptUntil is set when the drain begins.
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -25,8 +25,9 @@
 	// time between two requests of a connection.
 	HeaderTimeout, IdleTimeout time.Duration
 	MaxHeaderBytes             int
-	// BodyTime limits the time for reading the body of a request; 0 means without limit.
-	BodyTime time.Duration
+	// BodyTime limits the time for reading the body of a request, and WriteTime that of each write of a response; 0 means
+	// without limit.
+	BodyTime, WriteTime time.Duration
 	// Traffic counts the bytes of all connections; nil counts nothing.
 	Traffic *wire.Counter
 	// MaxConns bounds the open connections; 0 means without bound. Beyond it the connection that has
@@ -69,7 +70,7 @@
 		idle: newQueue(), arriving: newQueue(), largeHeaders: newQueue(),
 	}
 	s.listener = &listener{
-		Listener: accept.New(config.Listener), traffic: config.Traffic, draining: &s.draining, onLargeHeader: s.boundHeaders,
+		Listener: accept.New(config.Listener), traffic: config.Traffic, draining: &s.draining, writeTime: config.WriteTime, onLargeHeader: s.boundHeaders,
 	}
 	s.server = &http.Server{
 		Handler: s, ConnState: s.track, ConnContext: withConn,
--- a/drain/request_test.go
+++ b/drain/request_test.go
@@ -31,6 +31,7 @@
 const (
 	mostConns = 3
 	bodyTime  = 10 * time.Second
+	writeTime = 5 * time.Second
 )
 
 // ServeHTTP reads the body, or stops it, and takes as long as the path says.
@@ -42,6 +43,9 @@
 	_, err := io.Copy(io.Discard, r.Body)
 	c.errs <- err
 	handle(w, r)
+	if r.URL.Path == "/large" {
+		_, _ = io.WriteString(w, strings.Repeat("a", 1<<20))
+	}
 }
 
 func runCrowded(t *testing.T, name string, test func(t *testing.T, c *crowded)) {
@@ -50,7 +54,7 @@
 			c := &crowded{queue: make(chan net.Conn, 3), errs: make(chan error, 1000)}
 			c.server = drain.New(drain.Config{
 				Listener: conns{queue: c.queue}, Handler: c, HeaderTimeout: time.Minute, IdleTimeout: time.Minute, MaxConns: mostConns,
-				BodyTime: bodyTime, MaxLargeHeaders: 2,
+				BodyTime: bodyTime, WriteTime: writeTime, MaxLargeHeaders: 2,
 			})
 			go func() { _ = c.server.Serve() }()
 			test(t, c)
@@ -118,6 +122,13 @@
 		synctest.Wait()
 		qt.Assert(t, c.server.Connections().Open, qt.Equals, 0)
 	})
+	runCrowded(t, "a response that nobody takes has a time", func(t *testing.T, c *crowded) {
+		client := c.send("GET /large HTTP/1.1\r\nHost: a.example\r\n\r\n")
+		time.Sleep(writeTime)
+		synctest.Wait()
+		qt.Assert(t, c.server.Connections().Open, qt.Equals, 0)
+		client.Close()
+	})
 }
 
 // TestMaxArriving guards against connections with unfinished requests that keep all new ones out.
