lead: Bound the batches that wait for the answer of their leader

Cause: a decoded batch is kept twice until its leader answers, itself and the message to or from another host. Each is bounded by the row (57 KB), all together weren't: 1,000 pending batches of 57,000 bytes took 135 MB at the host of their callers, so its 2,900 connections could bring 390 MB to a host of 284. A leader that other hosts bring them has the same on its side. Change: a limit of 32 MB for each process on what pending batches take, with 8 KB for each. Batches that take more than 24 KB (bodies beyond 5 KB) leave half of it to smaller ones. Beyond it a submission is refused with 503 and Retry-After 1, unless an earlier attempt may have been accepted. A leader refuses a call of another host before it decodes it, and is not asked again. Counter `pending`.

--- a/jrpc/jrpc.go
+++ b/jrpc/jrpc.go
@@ -41,7 +41,25 @@
 
 // Handle registers fn for a method. It must be called before the mux serves.
 func Handle[In, Out any](m *Mux, method string, fn func(ctx context.Context, in In) (Out, error)) {
+	m.handlers[method] = handler(fn)
+}
+
+// HandleLimited is Handle for a method whose calls take memory of a limit while they are under way: their cost, which is
+// called with the size of a call's parameters in bytes of JSON. A call that finds none is refused before it is decoded.
+func HandleLimited[In, Out any](m *Mux, method string, limit *Limit, cost func(size int) int64, fn func(ctx context.Context, in In) (Out, error)) {
+	handle := handler(fn)
 	m.handlers[method] = func(ctx context.Context, params json.RawMessage) (any, error) {
+		bytes := cost(len(params))
+		if !limit.Take(bytes) {
+			return nil, &jsonrpc2.Error{Code: codeBusy, Message: ErrBusy.Error()}
+		}
+		defer limit.Give(bytes)
+		return handle(ctx, params)
+	}
+}
+
+func handler[In, Out any](fn func(ctx context.Context, in In) (Out, error)) rawHandler {
+	return func(ctx context.Context, params json.RawMessage) (any, error) {
 		var in In
 		if err := json.Unmarshal(params, &in); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
@@ -180,6 +198,9 @@
 	sent := time.Now()
 	if err := conn.call(ctx, method, in, &out); err != nil {
 		var rpcErr *jsonrpc2.Error
+		if errors.As(err, &rpcErr) && rpcErr.Code == codeBusy {
+			return out, errors.Wrapf(ErrBusy, "call %s of %s", method, c.config.Address)
+		}
 		// If the caller gave up, that tells nothing about the connection, which
 		// other calls share, unless a message was written in part.
 		if !errors.As(err, &rpcErr) && (parent.Err() == nil || conn.stream.failed.Load()) {
@@ -195,7 +216,7 @@
 // IsAnswered reports whether the peer has answered a call with this error.
 func IsAnswered(err error) bool {
 	var rpcErr *jsonrpc2.Error
-	return errors.As(err, &rpcErr)
+	return errors.As(err, &rpcErr) || errors.Is(err, ErrBusy)
 }
 
 // clientConn is a connection that the client has opened.
--- a/jrpc/jrpc_test.go
+++ b/jrpc/jrpc_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/pkg/errors"
 
 	"indigoglade/jrpc"
 )
@@ -350,3 +351,71 @@
 	cancel()
 	<-run.done
 }
+
+// TestLimit guards against calls of which each is bounded and that take the memory of a process together.
+func TestLimit(t *testing.T) {
+	limit := jrpc.NewLimit(jrpc.LimitConfig{MaxBytes: 100, SmallBytes: 10})
+	expectTake := func(name string, bytes int64, want bool) {
+		t.Run(name, func(t *testing.T) { qt.Assert(t, limit.Take(bytes), qt.Equals, want) })
+	}
+	expectUse := func(wantBytes, wantRefused int64) {
+		t.Run("use", func(t *testing.T) {
+			bytes, refused := limit.Use()
+			qt.Assert(t, bytes, qt.Equals, wantBytes)
+			qt.Assert(t, refused, qt.Equals, wantRefused)
+		})
+	}
+	expectTake("a call beyond the limit while there is no other", 150, true)
+	expectTake("one beside it", 1, false)
+	limit.Give(150)
+	expectTake("a large call", 40, true)
+	expectTake("a second one, which leaves too little to small ones", 11, false)
+	for range 6 {
+		expectTake("a small one", 10, true)
+	}
+	expectUse(100, 2)
+	expectTake("one too many", 1, false)
+	limit.Give(40)
+	expectTake("a small one in the place of a large one", 10, true)
+	expectUse(70, 3)
+}
+
+// TestBusyPeer guards against calls that are decoded and carried out, or that are said to have been, when there is no
+// room for them.
+func TestBusyPeer(t *testing.T) {
+	client, mux, _ := newPeer(t)
+	limit := jrpc.NewLimit(jrpc.LimitConfig{MaxBytes: 30, SmallBytes: 30})
+	began, leave := make(chan struct{}), make(chan struct{})
+	calls := 0
+	jrpc.HandleLimited(mux, "wait", limit, func(size int) int64 { return int64(size) }, func(_ context.Context, in echo) (echo, error) {
+		calls++
+		began <- struct{}{}
+		<-leave
+		return in, nil
+	})
+	first := &waitingCall{client: client, done: make(chan error)}
+	go first.run()
+	<-began
+	_, err := jrpc.Call[echo, echo](context.Background(), client, "wait", echo{Text: "a second"})
+	qt.Assert(t, errors.Is(err, jrpc.ErrBusy), qt.IsTrue, qt.Commentf("%v", err))
+	qt.Assert(t, errors.Is(err, jrpc.ErrNotSent), qt.IsFalse)
+	qt.Assert(t, jrpc.IsAnswered(err), qt.IsTrue)
+	expectEcho(t, client, "not limited")
+	close(leave)
+	qt.Assert(t, <-first.done, qt.IsNil)
+	qt.Assert(t, calls, qt.Equals, 1)
+	bytes, refused := limit.Use()
+	qt.Assert(t, bytes, qt.Equals, int64(0))
+	qt.Assert(t, refused, qt.Equals, int64(1))
+}
+
+// waitingCall is a call of the method "wait".
+type waitingCall struct {
+	client *jrpc.Client
+	done   chan error
+}
+
+func (c *waitingCall) run() {
+	_, err := jrpc.Call[echo, echo](context.Background(), c.client, "wait", echo{Text: "the first"})
+	c.done <- err
+}
--- a/lead/explain.go
+++ b/lead/explain.go
@@ -58,7 +58,7 @@
 
 // handleExplain registers the method for operators.
 func (m *Manager) handleExplain(mux *jrpc.Mux) {
-	jrpc.Handle(mux, MethodExplain, func(ctx context.Context, in ExplainArgs) (ExplainReply, error) {
+	jrpc.HandleLimited(mux, MethodExplain, m.pending, callCost, func(ctx context.Context, in ExplainArgs) (ExplainReply, error) {
 		if in.Forwarded {
 			return m.explainLocal(in), nil
 		}
--- a/lead/manager.go
+++ b/lead/manager.go
@@ -9,6 +9,7 @@
 	"github.com/go-logr/logr"
 
 	glade "indigoglade"
+	"indigoglade/jrpc"
 	"indigoglade/sched"
 	"indigoglade/wire"
 )
@@ -91,11 +92,13 @@
 	pages     *pageSize
 	// takeovers holds how this process has last taken over each service.
 	takeovers map[glade.Service]TakeoverStats
+	// pending bounds the batches that wait for the answer of their leader.
+	pending *jrpc.Limit
 }
 
 // New returns a manager that leads no service until Run is called.
 func New(config Config) *Manager {
-	m := &Manager{config: config, leaders: make(map[glade.Service]*ServiceLeader), claimSlot: make(chan struct{}, 1), claiming: make(map[glade.Service]bool), takeovers: make(map[glade.Service]TakeoverStats), pages: newPageSize()}
+	m := &Manager{config: config, leaders: make(map[glade.Service]*ServiceLeader), claimSlot: make(chan struct{}, 1), claiming: make(map[glade.Service]bool), takeovers: make(map[glade.Service]TakeoverStats), pages: newPageSize(), pending: newPendingLimit()}
 	m.router = newRouter(m)
 	m.isolation = newIsolationMonitor(m)
 	return m
--- a/lead/overload_test.go
+++ b/lead/overload_test.go
@@ -27,6 +27,8 @@
 	// received counts the bytes at the leader's peer port.
 	received *wire.Counter
 	batch    glade.Batch
+	// address is that of the leader's host.
+	address string
 }
 
 const overloadedQueue glade.Queue = "fast"
@@ -59,6 +61,7 @@
 
 	directory := NewDirectory(DirectoryConfig{Self: "h2", Clock: clock.System{}, Log: logr.Discard(), PartitionedTable: memory.NewPartitionedTable()})
 	directory.RecordTerm(testService, Term{Node: "h1", Address: listener.Addr().String(), Epoch: 1}, 1)
+	s.address = listener.Addr().String()
 	s.router = New(Config{Self: "h2", Clock: clock.System{}, Log: logr.Discard(), Directory: directory}).Router()
 	return s
 }
--- a/lead/router.go
+++ b/lead/router.go
@@ -120,10 +120,10 @@
 	m.handleYield(mux)
 	m.handleExplain(mux)
 	m.handleHeld(mux)
-	jrpc.Handle(mux, methodSubmit, func(ctx context.Context, in SubmitArgs) (SubmitReply, error) {
+	jrpc.HandleLimited(mux, methodSubmit, m.pending, callCost, func(ctx context.Context, in SubmitArgs) (SubmitReply, error) {
 		return m.submitLocal(ctx, in), nil
 	})
-	jrpc.Handle(mux, methodOffer, func(ctx context.Context, in OfferArgs) (SubmitReply, error) {
+	jrpc.HandleLimited(mux, methodOffer, m.pending, callCost, func(ctx context.Context, in OfferArgs) (SubmitReply, error) {
 		return m.offerLocal(ctx, in), nil
 	})
 	jrpc.Handle(mux, methodCancel, func(ctx context.Context, in BatchArgs) (BatchReply, error) {
@@ -259,11 +259,21 @@
 // capacity, the batch is offered to it first.
 func (r *Router) Submit(ctx context.Context, in SubmitArgs, timeout time.Duration) SubmitReply {
 	a := r.doubts.begin(in.ID, r.clock.Now())
-	reply := r.submit(ctx, in, timeout, a)
+	reply := r.submitWithin(ctx, in, timeout, a)
 	a.end(reply.Code, r.clock.Now())
 	return reply
 }
 
+// submitWithin submits a batch if there is room for it among those that wait for the answer of their leader.
+func (r *Router) submitWithin(ctx context.Context, in SubmitArgs, timeout time.Duration, a *attempt) SubmitReply {
+	cost := batchCost(in.Batch)
+	if !r.manager.pending.Take(cost) {
+		return crowdedReply(a.isOpen(0, r.clock.Now()))
+	}
+	defer r.manager.pending.Give(cost)
+	return r.submit(ctx, in, timeout, a)
+}
+
 func (r *Router) submit(ctx context.Context, in SubmitArgs, timeout time.Duration, a *attempt) SubmitReply {
 	deadline := r.clock.Now().Add(timeout)
 	searchEnd := r.clock.Now().Add(searchTimeout)
@@ -280,6 +290,8 @@
 		reply, found, err := r.submitOnce(ctx, in, offer)
 		r.learn(in.Service, reply.Known)
 		switch {
+		case errors.Is(err, jrpc.ErrBusy):
+			return crowdedReply(inDoubt || a.isOpen(0, r.clock.Now())) // the leader has not looked whether it knows the batch
 		case err != nil:
 			notSent := offer || errors.Is(err, jrpc.ErrNotSent)
 			if !notSent {
