sched: Bound the bytes of the batches that a service has accepted

Cause: a leader bounds the tasks of batches that have not ended, not their bytes. A work takes up to 57 KB, and long-running and repeated ones are not refused for lack of capacity: some thousands of legal submissions end each process that leads the service, one after the other, because every leader reads all of them. Submissions that are cancelled at once count for 15 s too. 100,000 batches of one task, which the bound of tasks allows, took 131 MB, 1.3 KB each. Change: the batches of a service take 24 MB at most, by their works and 1 KB for each, counted until their tasks are released. Beyond it a batch is refused as for too many tasks (503, `size`); `indigo explain` says so. Counter HeldBytes. A host may lead five services, which makes 120 MB.

--- a/sched/admit.go
+++ b/sched/admit.go
@@ -37,7 +37,7 @@
 	maxLiveTasks = 100_000
 )
 
-// refusedSize means that the service has as many tasks as the memory of any host holds that may
+// refusedSize means that the service has as many tasks, or works as large, as the memory of any host holds that may
 // have to lead it.
 const refusedSize = "size"
 
@@ -49,11 +49,8 @@
 	}
 	summary := Summarize(work)
 	t := s.tenant(work.Tenant)
-	reason, wait := "", time.Duration(0)
 	expected := s.isExpected(id, queue, now)
-	if !expected {
-		reason, wait = s.refusal(queue, summary, t, now)
-	}
+	reason, wait := s.workRefusal(queue, &work, summary, t, expected, now)
 	if !s.refused[id] && !isLimitReason(reason) {
 		s.recordArrival(queue, summary, t, now)
 	}
@@ -71,6 +68,7 @@
 	s.hasGangs = s.hasGangs || hasGang(work)
 	b.workUnwritten = true
 	s.takeID(b)
+	s.hold(b)
 	s.addLive(b)
 	s.markChanged(b)
 	return Admission{Accepted: true, Gen: b.gen}
@@ -128,6 +126,19 @@
 	s.refused[id] = true
 }
 
+// workRefusal is refusal for a batch whose work is known. An expected batch is refused for the size of its work only.
+func (s *Scheduler) workRefusal(queue glade.Queue, work *glade.Batch, summary Summary, t *tenant, expected bool, now time.Time) (string, time.Duration) {
+	if !expected {
+		if reason, wait := s.refusal(queue, summary, t, now); reason != "" {
+			return reason, wait
+		}
+	}
+	if !s.hasRoom(work) {
+		return refusedSize, maxRetryAfter
+	}
+	return "", 0
+}
+
 // refusal returns why a batch must be refused, and how long until it could be
 // accepted. The reason is empty if the batch is to be accepted.
 func (s *Scheduler) refusal(queue glade.Queue, batch Summary, t *tenant, now time.Time) (string, time.Duration) {
--- a/sched/batch.go
+++ b/sched/batch.go
@@ -16,6 +16,8 @@
 	// was in the service. The contract may have sent the path elsewhere since then.
 	path string
 	rule glade.QueueRule
+	// heldBytes is what the batch counts in the bytes of all works.
+	heldBytes int
 	// owner is the tenant that submitted the batch. It is kept when the work of an ended batch is released.
 	owner glade.Tenant
 	// cancelledBy is not empty if the batch has not arrived and holds the tenants that have cancelled its
--- a/sched/expiry.go
+++ b/sched/expiry.go
@@ -42,6 +42,7 @@
 				return
 			}
 			b.work, b.occurrences = glade.Batch{}, nil
+			s.drop(b)
 			if b.hasWorkRow && b.isStateComplete {
 				s.drops.works = append(s.drops.works, b)
 			}
@@ -127,6 +128,7 @@
 		b.hasWorkRow, b.isExpired = false, false
 		if !b.writeQueued && s.batches[b.id] == b {
 			delete(s.batches, b.id)
+			s.drop(b)
 		}
 	}
 }
--- a/sched/explain.go
+++ b/sched/explain.go
@@ -121,12 +121,9 @@
 		e.Known, e.Accepted, e.Reason, e.AfterMs = true, admission.Accepted, admission.Reason, admission.After.Milliseconds()
 		return e
 	}
-	e.Accepted = true
-	if !s.isExpected(id, queue, now) {
-		reason, wait := s.refusal(queue, summary, t, now)
-		if e.Accepted = reason == ""; !e.Accepted {
-			e.Reason, e.AfterMs = reason, retryAfter(wait).Milliseconds()
-		}
+	reason, wait := s.workRefusal(queue, &work, summary, t, s.isExpected(id, queue, now), now)
+	if e.Accepted = reason == ""; !e.Accepted {
+		e.Reason, e.AfterMs = reason, retryAfter(wait).Milliseconds()
 	}
 	if _, ok := s.rules[queue]; !ok {
 		return e
--- a/sched/load.go
+++ b/sched/load.go
@@ -31,6 +31,7 @@
 	s.updateRule(b)
 	s.setTenant(b)
 	s.batches[id] = b
+	s.hold(b)
 	if progress != nil && progress.State.IsFinal() {
 		b.started = progress.Started
 		b.state, b.writtenState, b.endedAt = progress.State, progress.State, progress.endedAt(now)
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -72,6 +72,8 @@
 	// live holds the batches that have not ended, liveTasks is the number of their tasks.
 	live      map[*batch]bool
 	liveTasks int
+	// heldBytes is what the works of all batches take, until they are released.
+	heldBytes int
 	runners   map[glade.RunnerID]*runner
 	// ordered holds the runners by id.
 	ordered []*runner
@@ -215,6 +217,8 @@
 	Waited, WaitsGained, WaitsGivenUp, WaitsGainMs int64
 	// Ranked counts the ready steps that were put in the order of placement, once for each time.
 	Ranked int64
+	// HeldBytes is what the works of all batches take now, at most maxHeldBytes.
+	HeldBytes int64
 }
 
 // New returns the scheduler of a leader that took over now. It has no batches
@@ -258,7 +262,11 @@
 }
 
 // Stats returns the counters since the takeover.
-func (s *Scheduler) Stats() Stats { return s.stats }
+func (s *Scheduler) Stats() Stats {
+	stats := s.stats
+	stats.HeldBytes = int64(s.heldBytes)
+	return stats
+}
 
 // Events returns the events since the last call, at most maxEvents of them,
 // and how many more there were.
--- a/sched/write.go
+++ b/sched/write.go
@@ -357,6 +357,7 @@
 	s.writes.list = slices.DeleteFunc(s.writes.list, func(other *batch) bool { return other == b })
 	s.writes.rejects.remove(b)
 	delete(s.batches, id)
+	s.drop(b)
 	if b.replaced != nil {
 		s.batches[id] = b.replaced
 	}
