Makefile: tests of crowds run after the others

Cause: go test runs packages beside each other, and the tests of platform/crowd are to run apart from other load. Change: make race and make unit test that package after all others.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,9 @@
 PROGRAMS = entry keeper node indigo stand bench
 MODULES = . $(addprefix ./,$(PROGRAMS))
 PACKAGES = ./... $(addsuffix /...,$(addprefix ./,$(PROGRAMS)))
+# The tests of crowds measure the memory of a process and run apart from others.
+CROWD = ./platform/crowd
+OTHERS = $$(go list $(PACKAGES) | grep -v '/platform/crowd$$')
 DEPLOY ?= gunescati
 FAULTS ?= faults
 SEED ?= 1
@@ -42,10 +45,12 @@
 	go tool gofumpt -w .
 
 unit:
-	go test $(SKIP) $(PACKAGES)
+	go test $(SKIP) $(OTHERS)
+	go test $(SKIP) $(CROWD)
 
 race:
-	go test -race $(SKIP) $(PACKAGES)
+	go test -race $(SKIP) $(OTHERS)
+	go test -race $(SKIP) $(CROWD)
 	@if [ -n "$(RED)" ]; then echo "known failures, not run:"; cat KNOWN-RED.txt; fi
 
 # Runs real processes under injected faults; logs of failed seeds are kept in bin/soak.
