A test that reports of earlier fleet leaders on gone runners are ignored

Cause: the report has a new name on the wire, so that those of earlier versions, which take the state of a host for the end of its runner, have no effect in a rolling update. No test in lead/ failed with the former name (planted; those on Load, Gone, Replaced, Fleet and Inventory were run). Change: TestRunnersOfEarlierFleetLeaders. No change of the product. Measured: fails with the former name, holds with the present one.

--- a/lead/load_test.go
+++ b/lead/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -130,3 +131,11 @@
 	expectLeads(t, "is given by a leader that was confirmed a moment ago", args, time.Second, true)
 	expectLeads(t, "is not given by one that another host may have replaced", args, heartbeatTimeout+time.Second, false)
 }
+
+// TestRunnersOfEarlierFleetLeaders guards against runs that are given up while they go on: fleet leaders of earlier versions
+// report runners whose hosts are listed as down.
+func TestRunnersOfEarlierFleetLeaders(t *testing.T) {
+	var args LoadArgs
+	qt.Assert(t, json.Unmarshal([]byte(`{"service":"a","epoch":1,"gone":["r1"],"age":100}`), &args), qt.IsNil)
+	qt.Assert(t, args.RunnersGone, qt.HasLen, 0)
+}
