A host that can't be drained does not keep the others of its wave waiting

What callers would see: a wave that is late, or never ends. Cause: candidates sorts by load and long-running tasks alone, so that a host whose drain took too long is chosen again at once, and with MaxDown 1 no other one is. Since a host that is listed as up without a runner is such a host when its runner is not known, and sorts first, as no long-running task is known there. Change: hosts of a wave whose drain took too long come after the others. Measured: TestWaveBesideHostWithoutRunner failed before: no order within 30 s. The tests of moves pass.

--- a/moves/plan.go
+++ b/moves/plan.go
@@ -99,7 +99,9 @@
 	started map[glade.Host]time.Time
 	// absences counts, for each host that the last reading of the inventory lacked, the readings in a row that did.
 	absences map[glade.Host]int
-	done     bool // the end was reported
+	// undrained counts, for each host, the drains that took too long.
+	undrained map[glade.Host]int
+	done      bool // the end was reported
 }
 
 // New returns a planner without hosts, loads and waves.
@@ -166,7 +168,7 @@
 	if _, ok := p.waves[spec.Wave]; ok {
 		return
 	}
-	w := &wave{spec: spec, since: since, started: make(map[glade.Host]time.Time), absences: make(map[glade.Host]int)}
+	w := &wave{spec: spec, since: since, started: make(map[glade.Host]time.Time), absences: make(map[glade.Host]int), undrained: make(map[glade.Host]int)}
 	for _, host := range started {
 		w.started[host] = now
 	}
@@ -308,6 +310,9 @@
 			delete(p.pending, host)
 		case a.sentAt.IsZero() && now.Sub(a.since) > drainTimeout:
 			p.event("unemptied", "host", host, "kind", string(a.spec.Kind))
+			if w := p.waves[a.spec.Wave]; w != nil && a.spec.Kind == KindMaintain {
+				w.undrained[host]++
+			}
 			delete(p.pending, host)
 		}
 	}
--- a/moves/waves.go
+++ b/moves/waves.go
@@ -57,8 +57,9 @@
 }
 
 // candidates returns the hosts of a wave that are up, not maintained yet and have
-// no pending action. Hosts of the least loaded pools come first, then those with the
-// fewest long-running tasks.
+// no pending action. Hosts that could not be drained come last, else they would keep the
+// others waiting. Hosts of the least loaded pools come first, then those with the fewest
+// long-running tasks.
 func (p *Planner) candidates(w *wave) []glade.Host {
 	var list []glade.Host
 	for _, host := range w.spec.Hosts {
@@ -70,7 +71,7 @@
 		list = append(list, host)
 	}
 	slices.SortFunc(list, func(a, b glade.Host) int {
-		return cmp.Or(cmp.Compare(p.poolLoad(a), p.poolLoad(b)), cmp.Compare(p.longRunningTasks(a), p.longRunningTasks(b)), cmp.Compare(a, b))
+		return cmp.Or(cmp.Compare(w.undrained[a], w.undrained[b]), cmp.Compare(p.poolLoad(a), p.poolLoad(b)), cmp.Compare(p.longRunningTasks(a), p.longRunningTasks(b)), cmp.Compare(a, b))
 	})
 	return list
 }
