jrpc: End a connection whose peer reads no answers

Cause: a server wrote answers without a time limit. With a peer that reads none, or behind a link that is cut one way, every later call of the connection waited for the answers before it, with its parameters and its goroutine, until TCP gave up after minutes. After an answer that was written in part, others followed it. Change: an answer has 5 s, and a message that could not be written ends the connection, on both sides. Measured: TestUnreadAnswers fails before ("end the connection": it is open after 6 s). jrpc passes with the race detector. TestCallsEndInTime ("the call has not ended" in 500 ms) failed once in three runs with the race detector at a load average of 87. Run 30 times at once, 6 times each, it fails in 5 of 60 runs of the code before and in 0 of 60 of this one (load average about 47), so it is not of this change: its bound is real time.

--- a/jrpc/jrpc.go
+++ b/jrpc/jrpc.go
@@ -140,6 +140,9 @@
 // handshakeTimeout bounds the TLS handshake of a peer.
 const handshakeTimeout = 2 * time.Second
 
+// answerTimeout bounds the writing of an answer to a peer that reads none. Its later calls wait with all that they hold.
+const answerTimeout = 5 * time.Second
+
 func (a *acceptedConn) run(ctx context.Context) {
 	if tlsConn, ok := a.conn.(*tls.Conn); ok {
 		handshakeCtx, cancel := context.WithTimeout(ctx, handshakeTimeout)
@@ -150,7 +153,9 @@
 			return
 		}
 	}
-	jsonrpc2.NewConn(ctx, newStream(a.conn), a.handler, jsonrpc2.SetLogger(discardLogger{}))
+	stream := newStream(a.conn)
+	stream.writeTimeout = answerTimeout
+	jsonrpc2.NewConn(ctx, stream, a.handler, jsonrpc2.SetLogger(discardLogger{}))
 }
 
 // Config configures a Client.
--- a/jrpc/stream.go
+++ b/jrpc/stream.go
@@ -63,6 +63,7 @@
 	}
 	if err != nil {
 		s.failed.Store(true)
+		s.conn.Close() // the error of the write tells more
 	}
 	return err
 }
