serve: Bound the bodies of all requests in flight

Cause: an entry host bounds the requests in flight (2,048) and each body (1 MB), not their product. 200 callers with all but the last byte of 1 MB took 237 MB, so 2,048 of them take some 2.4 GB, until the deadlines of their requests. A request without room is refused with 429 (`queue`), and has not run.

--- a/serve/serve.go
+++ b/serve/serve.go
@@ -22,6 +22,7 @@
 	"indigoglade/daemon"
 	"indigoglade/demand"
 	"indigoglade/intake"
+	"indigoglade/jrpc"
 	"indigoglade/loans"
 	"indigoglade/quorum"
 	"indigoglade/send"
@@ -81,6 +82,8 @@
 	peerPauses   peerPauses
 	// inFlight is a semaphore with one place for each request in flight.
 	inFlight chan struct{}
+	// bodies bounds the bodies of requests in flight.
+	bodies *jrpc.Limit
 	// relays counts the requests of peers in flight, and attempts the endpoint
 	// slots in use.
 	relays   atomic.Int64
@@ -95,7 +98,7 @@
 	if config.EndpointLeaving == nil {
 		config.EndpointLeaving = func(glade.Endpoint) {}
 	}
-	return &Server{config: config, outcomes: config.Counters, inFlight: make(chan struct{}, maxInFlight)}
+	return &Server{config: config, outcomes: config.Counters, inFlight: make(chan struct{}, maxInFlight), bodies: newBodyLimit()}
 }
 
 // Handler returns the handler of the callers' routes.
@@ -155,7 +158,9 @@
 	default:
 		return s.reply(c, requestInfo{id: uuid.NewString(), start: start}, refused(glade.ReasonQueueFull))
 	}
-	w, reason := s.parse(c, start)
+	body := s.bodyOf(c)
+	defer body.giveBack()
+	w, reason := s.parse(c, start, body)
 	if reason != glade.ReasonNone {
 		return s.reply(c, w, refused(reason))
 	}
@@ -167,7 +172,7 @@
 // InFlight returns the number of requests in flight.
 func (s *Server) InFlight() int { return len(s.inFlight) }
 
-func (s *Server) parse(c echo.Context, start time.Time) (requestInfo, glade.Reason) {
+func (s *Server) parse(c echo.Context, start time.Time, content io.Reader) (requestInfo, glade.Reason) {
 	w := requestInfo{id: c.Request().Header.Get(IDHeader), start: start}
 	w.key = c.Request().Header.Get(KeyHeader)
 	if w.key == "" {
@@ -198,7 +203,7 @@
 	}
 	w.deadline = start.Add(left)
 	setDeadlines(c, w.deadline)
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
+	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), io.NopCloser(content), maxBodyBytes))
 	if err != nil {
 		return w, BodyReason(err)
 	}
@@ -283,6 +288,9 @@
 	if errors.Is(err, os.ErrDeadlineExceeded) {
 		return glade.ReasonDeadline
 	}
+	if errors.Is(err, errNoRoom) {
+		return glade.ReasonQueueFull
+	}
 	var large *http.MaxBytesError
 	if errors.As(err, &large) {
 		return glade.ReasonBodyTooLarge
