jobapi: Bound how many job descriptions are received, and for how long

Cause: a description may have 64 KB, and takes twice that while it is decoded. Neither the number of those that are received at a time nor their time had a bound, only the queue of the writer behind them: callers who never end a body hold it for good. Change: 512 at a time, others are refused with 429 (`queue`); each has 5 s, then the caller gets the reason `deadline`. The counters are part of the configuration, because a process can publish a name once only and a second test needs a server.

--- a/entry/internal/jobapi/jobapi.go
+++ b/entry/internal/jobapi/jobapi.go
@@ -23,6 +23,10 @@
 const (
 	// maxBodyBytes is the maximum size of a job description with its payload.
 	maxBodyBytes = 64 << 10
+	// maxReading is the maximum number of job descriptions that are received at a time. Each takes up to twice its size.
+	maxReading = 512
+	// defaultBodyTimeout is the time that each of them may take.
+	defaultBodyTimeout = 5 * time.Second
 	// maxCachedJobs is the number of jobs whose last known status is cached.
 	maxCachedJobs = 4096
 	// retryAfterSeconds is sent in Retry-After headers.
@@ -39,6 +43,10 @@
 	Objects  glade.ObjectStore
 	Registry *adopt.Registry
 	Clock    glade.Clock
+	// BodyTimeout bounds the time in which a job description arrives; 0 means defaultBodyTimeout.
+	BodyTimeout time.Duration
+	// Counters receives the counts of requests; nil means a map of its own.
+	Counters *expvar.Map
 }
 
 // Server accepts, looks up and cancels jobs.
@@ -47,6 +55,8 @@
 	writer   *writer
 	cache    *lru.Cache[glade.Ticket, cachedStatus]
 	counters *expvar.Map
+	// reading is a semaphore with one place for each description that is received.
+	reading chan struct{}
 }
 
 // cachedStatus is the last known status of a job.
@@ -55,13 +65,19 @@
 	readAt time.Time
 }
 
-// New returns a server that counts in the expvar map "jobs".
+// New returns a server that is ready to answer requests.
 func New(config Config) *Server {
 	cache, err := lru.New[glade.Ticket, cachedStatus](maxCachedJobs)
 	if err != nil {
 		panic(err)
 	}
-	return &Server{config: config, writer: newWriter(config), cache: cache, counters: expvar.NewMap("jobs")}
+	if config.Counters == nil {
+		config.Counters = new(expvar.Map).Init()
+	}
+	if config.BodyTimeout == 0 {
+		config.BodyTimeout = defaultBodyTimeout
+	}
+	return &Server{config: config, writer: newWriter(config), cache: cache, counters: config.Counters, reading: make(chan struct{}, maxReading)}
 }
 
 // Routes adds the callers' routes to e.
@@ -102,7 +118,7 @@
 }
 
 func (s *Server) accept(c echo.Context) error {
-	row, reason := s.parse(c)
+	row, reason := s.receive(c)
 	if reason != glade.ReasonNone {
 		return s.refuse(c, reason)
 	}
@@ -124,6 +140,24 @@
 	return c.JSON(http.StatusGatewayTimeout, Status{Ticket: row.Ticket})
 }
 
+// receive parses a description, if not too many others are received.
+func (s *Server) receive(c echo.Context) (glade.JobRow, glade.Reason) {
+	select {
+	case s.reading <- struct{}{}:
+		defer func() { <-s.reading }()
+	default:
+		return glade.JobRow{}, glade.ReasonQueueFull
+	}
+	// Connections that support no deadlines, as in tests, have none.
+	control := http.NewResponseController(c.Response())
+	_ = control.SetReadDeadline(time.Now().Add(s.config.BodyTimeout))
+	row, reason := s.parse(c)
+	if reason == glade.ReasonNone {
+		_ = control.SetReadDeadline(time.Time{}) // the server reads on, to notice that the caller disconnects
+	}
+	return row, reason
+}
+
 func (s *Server) parse(c echo.Context) (glade.JobRow, glade.Reason) {
 	customer := glade.Customer(c.Param("customer"))
 	kind := glade.Service(c.Param("kind"))
--- a/entry/main.go
+++ b/entry/main.go
@@ -90,7 +90,7 @@
 	peers := peer.New(peer.Config{
 		Spec: spec, Keys: keys, Registry: registry, Table: platform, Clock: sysClock, Log: group.Log(), EndpointLeaving: dispatcher.Leave,
 	})
-	tickets := jobapi.New(jobapi.Config{Table: platform, Objects: remote.NewObjectStore(platform), Registry: registry, Clock: sysClock})
+	tickets := jobapi.New(jobapi.Config{Table: platform, Objects: remote.NewObjectStore(platform), Registry: registry, Clock: sysClock, Counters: expvar.NewMap("jobs")})
 	claimer := newClaimer(spec, keys, sysClock)
 	loanExchange := loans.New(loans.Config{
 		Peers: peers, Registry: registry, Table: platform, Clock: sysClock, Counters: expvar.NewMap("loans"),
