--- a/lead/manager.go
+++ b/lead/manager.go
@@ -58,6 +58,10 @@
 	// the orders of two leaders for one host.
 	HostsCheckFences bool
 	HostLease        time.Duration
+	// PendingBytes bounds the memory of batches that wait for the answer of their leader, and HeldBytes that of the
+	// accepted batches of each service; 0 means the default.
+	PendingBytes int64
+	HeldBytes    int
 	// RemoteFactor is how many times as long a task takes away from the rack that holds its
 	// data; 0 or 1 means that no task waits for a place there.
 	RemoteFactor float64
@@ -98,7 +102,7 @@
 
 // New returns a manager that leads no service until Run is called.
 func New(config Config) *Manager {
-	m := &Manager{config: config, leaders: make(map[glade.Service]*ServiceLeader), claimSlot: make(chan struct{}, 1), claiming: make(map[glade.Service]bool), takeovers: make(map[glade.Service]TakeoverStats), pages: newPageSize(), pending: newPendingLimit()}
+	m := &Manager{config: config, leaders: make(map[glade.Service]*ServiceLeader), claimSlot: make(chan struct{}, 1), claiming: make(map[glade.Service]bool), takeovers: make(map[glade.Service]TakeoverStats), pages: newPageSize(), pending: newPendingLimit(config.Limits.PendingBytes)}
 	m.router = newRouter(m)
 	m.isolation = newIsolationMonitor(m)
 	return m
@@ -433,6 +437,6 @@
 		Service: l.service, Epoch: l.term.Epoch, LeaseTime: runLease, RenewalTTL: renewalTTL, InheritedLeases: l.inheritedLeases,
 		MaxLease: m.config.Limits.MaxLease, RestoreTime: m.config.Limits.RestoreTime,
 		Retention: m.config.Limits.Retention * 3 / 2, HeartbeatWait: heartbeatWait, StopTimeout: m.config.Limits.StopTimeout,
-		RemoteFactor: m.config.Limits.RemoteFactor, StartRepeats: startRepeats,
+		RemoteFactor: m.config.Limits.RemoteFactor, StartRepeats: startRepeats, MaxHeldBytes: m.config.Limits.HeldBytes,
 	}
 }
--- a/lead/pending.go
+++ b/lead/pending.go
@@ -1,6 +1,7 @@
 package lead
 
 import (
+	"cmp"
 	"time"
 	"unsafe"
 
@@ -11,7 +12,7 @@
 // Bounds of the batches that are on their way to an answer of their leader, in this process: from its own callers and from
 // other hosts.
 const (
-	// maxPendingBytes is about a ninth of the memory of the smallest host. That is room for 3,000 batches of the
+	// maxPendingBytes is the default. It is about a ninth of the memory of the smallest host. That is room for 3,000 batches of the
 	// usual size at the same time, as many as a host has connections of callers.
 	maxPendingBytes = 32 << 20
 	// smallPendingBytes is what a batch takes whose body has 5 KB or less. Larger ones leave half of the room to
@@ -28,8 +29,8 @@
 // reasonMemory is the reason of a refusal because other batches take all the memory that there is for pending ones.
 const reasonMemory = "memory"
 
-func newPendingLimit() *jrpc.Limit {
-	return jrpc.NewLimit(jrpc.LimitConfig{MaxBytes: maxPendingBytes, SmallBytes: smallPendingBytes})
+func newPendingLimit(bytes int64) *jrpc.Limit {
+	return jrpc.NewLimit(jrpc.LimitConfig{MaxBytes: cmp.Or(bytes, maxPendingBytes), SmallBytes: smallPendingBytes})
 }
 
 // batchCost returns how many bytes a batch takes while it waits for the answer of its leader.
--- a/sched/held.go
+++ b/sched/held.go
@@ -1,15 +1,16 @@
 package sched
 
 import (
+	"cmp"
 	"unsafe"
 
 	glade "indigoglade"
 )
 
-// maxHeldBytes bounds what the works of all batches of a service take that have not ended, or whose tasks are still
+// defaultHeldBytes bounds what the works of all batches of a service take that have not ended, or whose tasks are still
 // kept. A work takes up to 57 KB, long-running and repeated ones are not refused for lack of capacity, and each leader
 // of the service reads all of them. It is room for some 4,000 works of 5 KB.
-const maxHeldBytes = 24 << 20
+const defaultHeldBytes = 24 << 20
 
 // batchBytes is what a batch of one task takes beside its work.
 const batchBytes = 1 << 10
@@ -26,7 +27,7 @@
 
 // hasRoom reports whether the memory of any host that may have to lead the service holds another work.
 func (s *Scheduler) hasRoom(work *glade.Batch) bool {
-	return s.heldBytes+workBytes(work) <= maxHeldBytes
+	return s.heldBytes+workBytes(work) <= cmp.Or(s.config.MaxHeldBytes, defaultHeldBytes)
 }
 
 // hold counts the work of a batch, until drop.
--- a/sched/held_test.go
+++ b/sched/held_test.go
@@ -9,6 +9,7 @@
 	qt "github.com/frankban/quicktest"
 
 	glade "indigoglade"
+	"indigoglade/sched"
 )
 
 // TestHeldWorks guards against batches that no leader's memory holds: each fits into a row, and long-running ones are
@@ -82,3 +83,20 @@
 	qt.Assert(t, accepted <= bound, qt.IsTrue, qt.Commentf("%d batches", accepted))
 	qt.Assert(t, accepted > bound/2, qt.IsTrue, qt.Commentf("%d batches", accepted))
 }
+
+// TestHeldBytesSetting guards against a setting for the memory of accepted batches that has no effect.
+func TestHeldBytesSetting(t *testing.T) {
+	config := testConfig(1)
+	config.MaxHeldBytes = 1 << 20
+	now := time.Unix(1_000_000, 0)
+	s := sched.New(config, now)
+	s.SetRules(glade.Rules{Version: 1, Queues: []glade.QueueRule{{Queue: queue, Service: service}}})
+	accepted := 0
+	for i := range 2000 {
+		batch := batchOf(glade.Step{Count: 1, Need: core, Estimate: 500, LongRunning: true})
+		if s.Submit(glade.BatchID(fmt.Sprint(i)), queue, batch, now).Accepted {
+			accepted++
+		}
+	}
+	qt.Assert(t, accepted > 500 && accepted < 1024, qt.IsTrue, qt.Commentf("%d batches of 1 KB and more in 1 MB", accepted))
+}
--- a/sched/sched.go
+++ b/sched/sched.go
@@ -53,6 +53,8 @@
 	// RemoteFactor is how many times as long a task takes away from the rack that its step
 	// names, or a gang that is slow when spread; 0 or 1 means that nothing waits for a rack.
 	RemoteFactor float64
+	// MaxHeldBytes bounds the memory of the batches that the service has accepted; 0 means defaultHeldBytes.
+	MaxHeldBytes int
 	// StartRepeats is how many times a start without an answer is sent again.
 	StartRepeats int
 }
@@ -217,7 +219,7 @@
 	Waited, WaitsGained, WaitsGivenUp, WaitsGainMs int64
 	// Ranked counts the ready steps that were put in the order of placement, once for each time.
 	Ranked int64
-	// HeldBytes is what the works of all batches take now, at most maxHeldBytes.
+	// HeldBytes is what the works of all batches take now, at most MaxHeldBytes of the configuration.
 	HeldBytes int64
 }
 
