A host that takes back its own term waits for its own leases only

Cause: a new leader takes leases of earlier ones for 9 s from its takeover, so that inherited work waits 9.3 s beside each dead runner. After a process was killed, or all machines lost power, a host takes back the terms of its earlier process within a second; that process has granted 4.5 s at most before it ended. Change: the term says that the leases of the leaders before its own are over. A host that claims its own term, at its own address, then waits for 4.5 s. Measured: TestInheritedLeases, TestSettledTerm. A term of another host counts as before: its process may work on, cut off from the store.

--- a/lead/directory.go
+++ b/lead/directory.go
@@ -42,6 +42,8 @@
 	// LeasesMs is how long leases on runners may last after the release of the service, in milliseconds; 0 if that
 	// is not known.
 	LeasesMs int64 `json:"leases,omitempty"`
+	// IsSettled means that the leases on runners that earlier leaders have granted are over.
+	IsSettled bool `json:"settled,omitempty"`
 	// Ended means that the service had left the contract and has no batches any more.
 	Ended bool `json:"over,omitempty"`
 }
--- a/lead/manager.go
+++ b/lead/manager.go
@@ -373,15 +373,25 @@
 		manager: m, service: service, term: term, version: next, confirmedAt: sent, heartbeatAt: sent,
 		predecessorSeen: at.Add(-idle), clock: m.config.Clock, stepWake: make(chan struct{}, 1),
 	}
-	if old.Node == "" {
-		l.inheritedLeases = time.Duration(old.LeasesMs) * time.Millisecond
-	}
+	l.inheritedLeases = m.inheritedLeases(old)
 	if !m.startLeader(ctx, l) {
 		l.release(ctx) // this host was asked to stop meanwhile
 	}
 	return glade.Committed
 }
 
+// inheritedLeases returns how long leases may last after this host has claimed a term over an old one; 0 if that is not
+// known.
+func (m *Manager) inheritedLeases(old Term) time.Duration {
+	switch {
+	case old.Node == "":
+		return time.Duration(old.LeasesMs) * time.Millisecond
+	case old.Node == m.config.Self && old.Address == m.config.Address && old.IsSettled:
+		return runLease // the earlier process of this host has ended, and grants none any more
+	}
+	return 0
+}
+
 // startLeader starts the leader of a service whose term this host has just committed. It
 // returns false if this host steps down.
 func (m *Manager) startLeader(ctx context.Context, l *leadership) bool {
--- a/lead/stepdown_test.go
+++ b/lead/stepdown_test.go
@@ -96,3 +96,17 @@
 		c.Assert(s.term().LeasesMs > 3000 && s.term().LeasesMs < 5000, qt.IsTrue, qt.Commentf("%d ms", s.term().LeasesMs))
 	})
 }
+
+// TestSettledTerm guards against a term that says too early, or never, that leases of earlier leaders are over.
+func TestSettledTerm(t *testing.T) {
+	bubble.Test(t, func(t *testing.T) {
+		c := qt.New(t)
+		s := newCluster(c, "h1")
+		defer s.shutdown()
+		s.leader()
+		s.sleep(8 * time.Second)
+		c.Assert(s.term().IsSettled, qt.IsFalse)
+		s.sleep(4 * time.Second)
+		c.Assert(s.term().IsSettled, qt.IsTrue)
+	})
+}
--- a/lead/writer.go
+++ b/lead/writer.go
@@ -97,6 +97,7 @@
 	s.mu.Lock()
 	var w sched.Write
 	renew := s.sched.NeedsRenewal() || s.clock.Now().Sub(s.heartbeatAt) >= heartbeatPeriod-writeInterval
+	s.term.IsSettled = s.sched.IsSettled(s.clock.Now())
 	hasChanges := s.sched.HasWrites() || renew && s.sched.HasDeletions()
 	if hasChanges {
 		w = s.sched.BeginWrite()
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -268,6 +268,9 @@
 	return now.After(over) && s.confirmedSince(over)
 }
 
+// IsSettled reports whether no lease of an earlier leader counts any more.
+func (s *Scheduler) IsSettled(now time.Time) bool { return s.inheritedLeasesOver(now) }
+
 // inheritedLeaseEnd returns when the leases end that earlier leaders have granted.
 func (s *Scheduler) inheritedLeaseEnd() time.Time {
 	longest := s.config.RenewalTTL
