A host that comes back is no progress for a gang without room

Cause: a pool gives up the hosts that it asks for in vain 10 s after the last one has come. Change: only more hosts than at any time before are progress. Measured: TestHostsThatComeBack failed before (asked for after 15 s).

--- a/moves/unplaced.go
+++ b/moves/unplaced.go
@@ -13,10 +13,10 @@
 	reachedAt time.Time
 	// isVain means that those hosts did not help, or that no more could be had.
 	isVain bool
-	// ready is the last number of hosts, progressAt when it rose, fewer tasks were without room or
-	// hosts were on the way.
-	ready, unplaced int
-	progressAt      time.Time
+	// mostReady is the highest number of hosts so far, progressAt when it rose, fewer tasks were without room
+	// than the last time or hosts were on the way. A host that is lost and comes back is no progress.
+	mostReady, unplaced int
+	progressAt          time.Time
 }
 
 // placementWait is the time after which hosts that have joined a pool would have taken the
@@ -38,10 +38,10 @@
 	if t.most == 0 || (t.isVain && unplaced > t.most) {
 		*t = unplacedTracker{from: ready, progressAt: now}
 	}
-	if ready > t.ready || unplaced < t.unplaced || joining > 0 {
+	if ready > t.mostReady || unplaced < t.unplaced || joining > 0 {
 		t.progressAt = now
 	}
-	t.ready, t.unplaced = ready, unplaced
+	t.mostReady, t.unplaced = max(t.mostReady, ready), unplaced
 	t.most = max(t.most, unplaced)
 	hosts := t.from + t.most
 	switch {
