sched: Bound the batches that a service knows, and cancelled IDs that no batch has

Cause: a DELETE of an ID that has not arrived is kept for two minutes, so that the batch doesn't run if it comes. Its number had no bound: 100,000 of them take 87 MB at the leader and a row each, which every later leader reads. Ended batches are kept as long. From 24,000 on no ID is cancelled that has not arrived: the leader answers that it has no room (jrpc.ErrBusy), the caller gets 503 at once. A known batch can always be cancelled.

--- a/jrpc/jrpc.go
+++ b/jrpc/jrpc.go
@@ -64,7 +64,11 @@
 		if err := json.Unmarshal(params, &in); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
-		return fn(ctx, in)
+		out, err := fn(ctx, in)
+		if errors.Is(err, ErrBusy) {
+			return out, &jsonrpc2.Error{Code: codeBusy, Message: err.Error()}
+		}
+		return out, err
 	}
 }
 
--- a/lead/pending_test.go
+++ b/lead/pending_test.go
@@ -182,3 +182,20 @@
 	runtime.ReadMemStats(&stats)
 	return int(stats.HeapAlloc + stats.StackInuse)
 }
+
+// TestCancelledIDsAreBounded guards against callers who cancel IDs that no batch has, and against an answer that says that
+// such an ID is cancelled when it isn't.
+func TestCancelledIDsAreBounded(t *testing.T) {
+	s := newOverloadedService(t, (*Manager).Register)
+	cancel := func(id glade.BatchID) error {
+		_, err := s.router.Cancel(t.Context(), BatchArgs{Service: testService, ID: id}, 10*time.Second)
+		return err
+	}
+	for i := 0; s.scheduler.MayCancel("new"); i++ {
+		s.scheduler.Cancel(glade.BatchID(fmt.Sprint(i)), time.Now())
+	}
+	began := time.Now()
+	qt.Assert(t, cancel("new"), qt.ErrorIs, jrpc.ErrBusy)
+	qt.Assert(t, time.Since(began) < 5*time.Second, qt.IsTrue, qt.Commentf("it is asked again"))
+	qt.Assert(t, s.scheduler.IsKnown("new"), qt.IsFalse)
+}
--- a/lead/query.go
+++ b/lead/query.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	glade "indigoglade"
+	"indigoglade/jrpc"
 	"indigoglade/sched"
 )
 
@@ -49,7 +50,7 @@
 	if !ok || leader.hasEnded() {
 		return BatchReply{KnownTerm: m.knownTerm(in.Service)}, nil
 	}
-	known, gen, absent := false, int64(0), false
+	known, gen, absent, full := false, int64(0), false, false
 	former, version, hasPath := leader.paths.formers(in.Path)
 	decided := hasPath
 	if in.FormerOnly {
@@ -58,12 +59,15 @@
 	if !leader.withSched(func(scheduler *sched.Scheduler) {
 		// An ID that has not arrived is cancelled only where it would arrive.
 		absent = !scheduler.IsKnown(in.ID) && (in.FormerOnly || !hasPath || len(former) > 0 && !in.Cleared)
-		if !absent {
+		if full = !absent && !scheduler.MayCancel(in.ID); !absent && !full {
 			known, gen = scheduler.CancelAt(in.Path, in.Tenant, in.ID, leader.clock.Now())
 		}
 	}) {
 		return BatchReply{}, nil
 	}
+	if full {
+		return BatchReply{}, errors.Wrapf(jrpc.ErrBusy, "cancel batch %s, which has not arrived", in.ID)
+	}
 	if absent {
 		return BatchReply{IsLeader: decided && !leader.mayBeReplaced(), Former: former, Version: version}, nil
 	}
@@ -176,6 +180,9 @@
 		if err == nil && isLeader {
 			return reply, nil
 		}
+		if errors.Is(err, jrpc.ErrBusy) {
+			return reply, err
+		}
 		if r.isUnreachable(service) {
 			return reply, ErrNoLeader
 		}
--- a/sched/held_test.go
+++ b/sched/held_test.go
@@ -100,3 +100,28 @@
 	}
 	qt.Assert(t, accepted > 500 && accepted < 1024, qt.IsTrue, qt.Commentf("%d batches of 1 KB and more in 1 MB", accepted))
 }
+
+// TestCancelledIDs guards against callers who cancel IDs that no batch has: each is kept like an ended batch, and each
+// leader of the service reads all of them.
+func TestCancelledIDs(t *testing.T) {
+	const ids, bound = 60_000, 30_000 // half of what the tasks of a service may take, at 0.9 KB each
+	r := newHarness(qt.New(t), 1, twoCores)
+	r.advance(time.Second)
+	r.submit("a", oneTask(60_000))
+	cancelled := 0
+	for i := range ids {
+		if id := glade.BatchID(fmt.Sprint(i)); r.sched.MayCancel(id) {
+			r.sched.Cancel(id, r.now)
+			cancelled++
+		}
+	}
+	qt.Assert(t, cancelled <= bound, qt.IsTrue, qt.Commentf("%d IDs", cancelled))
+	qt.Assert(t, cancelled > bound/2, qt.IsTrue, qt.Commentf("%d IDs", cancelled))
+	t.Run("a batch that is known can be cancelled", func(t *testing.T) { qt.Assert(t, r.sched.MayCancel("a"), qt.IsTrue) })
+	t.Run("one that is cancelled can be so again", func(t *testing.T) { qt.Assert(t, r.sched.MayCancel("0"), qt.IsTrue) })
+	t.Run("batches are accepted", func(t *testing.T) {
+		for i := range bound / 2 {
+			qt.Assert(t, r.submit(glade.BatchID(fmt.Sprint("b", i)), batchOf(glade.Step{Count: 1, Need: core, LongRunning: true})).Accepted, qt.IsTrue)
+		}
+	})
+}
