sched: Explain no batch that has more tasks than a leader holds

Cause: an explanation expands the first occurrence of a batch that no front has checked, with as many tasks as the message says. Change: beyond the tasks that a leader holds, it ends with the reason `size`. Measured: TestExplainOfManyTasks fails before (a step is explained).

--- a/sched/explain.go
+++ b/sched/explain.go
@@ -143,6 +143,9 @@
 			InUse: t.inUse(), Weight: t.weight, Excess: max(t.excess, 1), Part: int(t.part), AgeMs: now.Sub(s.sharedAt).Milliseconds(), Beyond: t.isBeyond(),
 		}
 	}
+	if summary.Tasks > maxLiveTasks {
+		return e // no leader holds as many, and the batch of an explanation comes unchecked
+	}
 	work.Times = min(work.Times, 1) // only the first occurrence is explained
 	b := newBatch(id, queue, work, now)
 	s.updateRule(b)
--- a/sched/held_test.go
+++ b/sched/held_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -125,3 +126,19 @@
 		}
 	})
 }
+
+// TestExplainOfManyTasks guards against an explanation that expands more tasks than a leader holds.
+func TestExplainOfManyTasks(t *testing.T) {
+	r := newHarness(qt.New(t), 1, twoCores)
+	r.advance(time.Second)
+	work := batchOf(glade.Step{Count: 1_000_000, Need: core, Estimate: 500})
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	e := r.sched.Explain("a", queue, work, r.now)
+	runtime.ReadMemStats(&after)
+	qt.Assert(t, e.Accepted, qt.IsFalse)
+	qt.Assert(t, e.Reason, qt.Equals, "size")
+	qt.Assert(t, e.Steps, qt.HasLen, 0)
+	bytes := after.TotalAlloc - before.TotalAlloc
+	qt.Assert(t, bytes < 1<<20, qt.IsTrue, qt.Commentf("%d bytes", bytes))
+}
