accept: Count what the system adds to the size of a buffer

Cause: Linux doubles the size of a socket's buffer that is asked for, and on loopback the unread bytes alone may take all of it. With 16 KB asked for, 2,925 connections held 88 MB unread, 30 KB each, while the bound on connections counts 16 KB for each.

Half of the setting is asked for, so that `buffer` is what a connection takes.

--- a/accept/accept.go
+++ b/accept/accept.go
@@ -27,6 +27,10 @@
 	syscall.ENETDOWN, syscall.EPROTO, syscall.ENOPROTOOPT, syscall.EHOSTDOWN, syscall.EHOSTUNREACH, syscall.EOPNOTSUPP, syscall.ENETUNREACH,
 }
 
+// systemFactor is by how much the system multiplies the size of a buffer that it is asked for, to allow for what it keeps
+// beside the bytes. On loopback the bytes alone may take all of it.
+const systemFactor = 2
+
 // Listen listens on a TCP address. The system's buffers of its connections have some bytes each; 0 leaves them to the
 // system. What a connection has received and nothing has read counts toward the memory of the machine.
 func Listen(ctx context.Context, address string, bufferBytes int) (net.Listener, error) {
@@ -36,8 +40,8 @@
 		}
 		// Connections inherit the sizes. Where the system refuses them, connections work with its own.
 		return conn.Control(func(file uintptr) {
-			_ = syscall.SetsockoptInt(int(file), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes)
-			_ = syscall.SetsockoptInt(int(file), syscall.SOL_SOCKET, syscall.SO_SNDBUF, bufferBytes)
+			_ = syscall.SetsockoptInt(int(file), syscall.SOL_SOCKET, syscall.SO_RCVBUF, bufferBytes/systemFactor)
+			_ = syscall.SetsockoptInt(int(file), syscall.SOL_SOCKET, syscall.SO_SNDBUF, bufferBytes/systemFactor)
 		})
 	}}
 	listener, err := config.Listen(ctx, "tcp", address)
--- a/accept/accept_test.go
+++ b/accept/accept_test.go
@@ -45,7 +45,7 @@
 // TestListen guards against what clients have sent and nobody reads, which fills the memory of the machine: the system's
 // buffers grow to megabytes for each connection.
 func TestListen(t *testing.T) {
-	const size, most = 16 << 10, 64 << 10
+	const size = 16 << 10
 	listener, err := accept.Listen(t.Context(), "127.0.0.1:0", size)
 	qt.Assert(t, err, qt.IsNil)
 	defer listener.Close()
@@ -61,7 +61,7 @@
 		qt.Assert(t, raw.Control(func(file uintptr) {
 			got, err := syscall.GetsockoptInt(int(file), syscall.SOL_SOCKET, option)
 			qt.Check(t, err, qt.IsNil)
-			qt.Check(t, got >= size && got <= most, qt.IsTrue, qt.Commentf("%d", got))
+			qt.Check(t, got, qt.Equals, size)
 		}), qt.IsNil)
 	}
 	_, err = accept.Listen(t.Context(), listener.Addr().String(), 0)
