A list that was overtaken within a millisecond brings no ended run back

What callers saw: nothing yet; a task waits up to a heartbeat longer for its next start, and one that lasts counts as at work while it is away. Cause: of two answers of a runner the later one is told by the runner's clock, in milliseconds. After a cut, heartbeats, probes and stops arrive at once: a list of before the end of a run can be read after the one with it, with the same clock, and the run was taken over as active (`relisted`, then `lost`). Change: at the same clock, an answer that lacks an end which was applied and can't be acknowledged is the older one.

--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -110,7 +110,7 @@
 	s.takeBackLoss(r.info.ID, answer.Born)
 	s.compareIncarnation(r, answer.Born)
 	r.incarnation = answer.Born
-	r.processed, r.written, r.acked, r.unwrittenEnds = 0, 0, 0, nil
+	r.processed, r.written, r.acked, r.mostAcked, r.unwrittenEnds = 0, 0, 0, 0, nil
 	r.isIncomplete, r.hidesEnds = false, false // the ends of before are lost
 	for n := range r.runs {
 		if n.doubtStart(now) {
--- a/sched/orders.go
+++ b/sched/orders.go
@@ -300,7 +300,7 @@
 		if due := now.Add(order.Wait + heartbeatSlack); due.After(r.answerDue) && !r.isUnasked {
 			r.answerDue = due
 		}
-		r.acked = order.AckedSeq
+		r.acked, r.mostAcked = order.AckedSeq, max(r.mostAcked, order.AckedSeq)
 		r.leaseEnd = max(r.leaseEnd, order.LeaseUntil)
 		heartbeats = append(heartbeats, Heartbeat{To: r.info, Order: order})
 	}
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -60,9 +60,9 @@
 	missed int
 	// processed is the number of the newest end report that was applied, written
 	// that of the newest whose effects are stored, acked the one that the last
-	// heartbeat acknowledged.
-	processed, written, acked int64
-	unwrittenEnds             []unwrittenEnd
+	// heartbeat acknowledged, and mostAcked the newest that any has.
+	processed, written, acked, mostAcked int64
+	unwrittenEnds                        []unwrittenEnd
 	// restartedAt is when the current incarnation was first seen. A restarted runner
 	// knows no fencing token, so that it accepts orders of a deposed leader that
 	// does not know of its successor.
@@ -383,8 +383,8 @@
 // applyAnswer processes an accepted heartbeat.
 func (s *Scheduler) applyAnswer(r *runner, sent time.Time, order glade.HeartbeatOrder, answer glade.HeartbeatAnswer, now time.Time) {
 	// A time of day that was set back makes a later incarnation look older, but not to heartbeats that were sent since.
-	if answer.Born < r.incarnation && !sent.After(r.lastAnswerAt) || answer.Born == r.incarnation && answer.Clock < r.clock {
-		return // overtaken by a later answer on another connection
+	if answer.Born < r.incarnation && !sent.After(r.lastAnswerAt) || answer.Born == r.incarnation && r.isOvertaken(answer) {
+		return // by a later answer on another connection
 	}
 	if r.missed > 0 {
 		s.addEvent("heard", "runner", r.info.ID, "missed", r.missed, "probe", order.Probe, "lease", r.leaseEnd-answer.Clock)
@@ -433,6 +433,15 @@
 	r.advanceWritten()
 }
 
+// isOvertaken reports whether an answer of the present incarnation is older than one that was applied. In the same
+// millisecond, only a later one lists an end that was applied and is not acknowledged.
+func (r *runner) isOvertaken(answer glade.HeartbeatAnswer) bool {
+	if answer.Clock != r.clock || r.processed <= r.mostAcked || answer.Incomplete {
+		return answer.Clock < r.clock
+	}
+	return !slices.ContainsFunc(answer.Ended, func(end glade.EndedRun) bool { return end.Seq == r.processed })
+}
+
 // Pauses before the next heartbeat after one that has reported ends. Runners whose tasks
 // end some times a second are then asked less often and report several ends at once.
 const (
