A crash on a host that is listed as down is certain once the leases are over

Cause: since the state of a host does not end its runner, a crashed runner whose host gets no other one is given up with its leases, and such a loss counted as uncertain: it may be a cut. No crash of the task was one of a runner alone, so that it was given up after five, not two. Change: the leader of the fleet duty also reports the runners whose hosts are not listed as up. That ends nothing; a loss at the end of the leases counts as a crash if it was reported within 2 s. If the same incarnation answers later, the entry is dropped, as before.

--- a/lead/load.go
+++ b/lead/load.go
@@ -23,6 +23,8 @@
 	// RunnersGone lists unresponsive runners whose hosts had another runner when the
 	// inventory was last read. Earlier versions sent runners that may work on, as "gone".
 	RunnersGone []glade.RunnerID `json:"replaced,omitempty"`
+	// RunnersDown lists unresponsive runners whose hosts were not listed as up under them. They may work on.
+	RunnersDown []glade.RunnerID `json:"down,omitempty"`
 	// InventoryAgeMs is the time since the inventory was last read, in milliseconds.
 	InventoryAgeMs int64 `json:"age,omitempty"`
 }
@@ -45,7 +47,7 @@
 	f.mu.Lock()
 	evacuating := f.planner.Evacuating()
 	lendable := f.planner.Lendable()
-	gone := f.planner.RunnersGone()
+	gone, down := f.planner.RunnersGone(), f.planner.RunnersDown()
 	age := f.clock.Now().Sub(f.inventoryAt).Milliseconds()
 	f.mu.Unlock()
 	collected := &loadReplies{loads: make(map[glade.Service]sched.Load)}
@@ -62,7 +64,7 @@
 			fleet: f, group: &group, replies: collected,
 			args: LoadArgs{
 				Service: service, Epoch: f.term.Epoch, EvacuateRunners: evacuating[service],
-				Lendable: lendable[service], RunnersGone: gone[service], InventoryAgeMs: age,
+				Lendable: lendable[service], RunnersGone: gone[service], RunnersDown: down[service], InventoryAgeMs: age,
 			},
 		}
 		group.Add(1)
@@ -131,6 +133,7 @@
 		now := leader.clock.Now()
 		scheduler.Evacuate(in.EvacuateRunners, now)
 		scheduler.Lendable(in.Lendable, now)
+		scheduler.RunnersDown(in.RunnersDown, now)
 		scheduler.RunnersGone(in.RunnersGone, now.Add(-time.Duration(in.InventoryAgeMs)*time.Millisecond), now)
 		reply.Load = scheduler.Demand(now)
 	}) || leader.mayBeReplaced() { // a successor may have started tasks on runners that are idle here
--- a/moves/lives.go
+++ b/moves/lives.go
@@ -98,6 +98,29 @@
 	return "", ""
 }
 
+// RunnersDown returns, for each service, its unresponsive runners whose hosts the inventory does not list as up under them.
+// They may work on all the same.
+func (p *Planner) RunnersDown() map[glade.Service][]glade.RunnerID {
+	if len(p.hosts) == 0 {
+		return nil
+	}
+	up := make(map[glade.RunnerID]bool, len(p.hosts))
+	for _, info := range p.hosts {
+		if info.State == glade.HostUp || info.State == glade.HostUnknown {
+			up[info.Runner] = true
+		}
+	}
+	down := make(map[glade.Service][]glade.RunnerID)
+	for service, load := range p.loads {
+		for _, id := range load.Unresponsive {
+			if !up[id] {
+				down[service] = append(down[service], id)
+			}
+		}
+	}
+	return down
+}
+
 // reportMissing logs how the inventory lists the host of each unresponsive runner that is not up under this runner: once,
 // and again when the runner counts as gone.
 func (p *Planner) reportMissing(ended map[glade.RunnerID]bool) {
--- a/moves/lives_test.go
+++ b/moves/lives_test.go
@@ -53,6 +53,7 @@
 			s := newLivesRig()
 			s.read(c.host...)
 			expectGone(t, s)
+			qt.Assert(t, s.planner.RunnersDown()["a"], qt.DeepEquals, []glade.RunnerID{"r1"})
 		})
 	}
 	t.Run("a runner whose host has another one is gone", func(t *testing.T) {
--- a/sched/giveup.go
+++ b/sched/giveup.go
@@ -42,6 +42,19 @@
 	}
 }
 
+// downTTL is how long a report counts that the host of a runner is not up. The fleet leader repeats it.
+const downTTL = 2 * time.Second
+
+// RunnersDown reports that the platform believes that runners are down. That does not end their leases: it only tells a
+// crash from a connection that is cut, once the leases are over.
+func (s *Scheduler) RunnersDown(ids []glade.RunnerID, now time.Time) {
+	for _, id := range ids {
+		if r, ok := s.runners[id]; ok {
+			r.downAt = now
+		}
+	}
+}
+
 // giveUpMissing gives up the runs that the runner should list and does not. While ends are missing
 // from its list, a run that is not listed may have ended as done.
 func (s *Scheduler) giveUpMissing(r *runner, sent time.Time, answer glade.HeartbeatAnswer, now time.Time) {
@@ -233,7 +246,8 @@
 		if len(r.runs) == 0 {
 			continue
 		}
-		s.recordCrash(r, "lapsed", false, now)
+		// If the runner was only cut off, the entries are dropped when it answers.
+		s.recordCrash(r, "lapsed", !r.downAt.IsZero() && now.Sub(r.downAt) <= downTTL, now)
 		unknown := r.unknownStarts()
 		dropped, inFlight := s.giveUpRuns(r, now)
 		s.stats.Lapsed += int64(len(dropped))
--- a/sched/runner.go
+++ b/sched/runner.go
@@ -51,6 +51,8 @@
 	probedAt time.Time
 	// silentAt is when the runner went silent after its last answer, zero while it answers.
 	silentAt time.Time
+	// downAt is when the host was last reported as not up under this runner.
+	downAt time.Time
 	// aliveAt is the latest time at which an answer has shown that the runner was alive.
 	aliveAt time.Time
 	// heartbeatSentAt and heartbeatWait are those of the last heartbeat.
