A wave waits for a host that the inventory lacks for some seconds

Cause: a host counted as having left after three readings that lack it, 1.8 s from the first to the last. Change: eight readings. A wave that waits for a host which has really left is reported up to 6 s later. The test asks for waves that are not finished over five readings, where it asked for one, and for nine that lack the host for good, where it had four. Measured: TestWaveWithUnlistedHost fails with three readings.

--- a/moves/plan.go
+++ b/moves/plan.go
@@ -137,9 +137,9 @@
 	}
 }
 
-// leftAfter is the number of readings of the inventory in a row that lack a host which has left. A single one may lack
-// the entry of a host that stays.
-const leftAfter = 3
+// leftAfter is the number of readings of the inventory in a row, some 6 s from the first to the last, that lack a host which
+// has left. One that stays may be missing for as long as it is cut off; that a wave is complete can't be taken back.
+const leftAfter = 8
 
 func (w *wave) countAbsences(hosts map[glade.Host]glade.HostInfo) {
 	for _, host := range w.spec.Hosts {
--- a/moves/unlisted_test.go
+++ b/moves/unlisted_test.go
@@ -21,18 +21,20 @@
 		p.AddWave(wave(1, "a0"), nil, nil, now, now)
 		return p
 	}
-	t.Run("is not finished while single readings lack the host", func(t *testing.T) {
+	t.Run("is not finished while readings of some seconds lack the host", func(t *testing.T) {
 		p := newPlanner()
 		for range 3 {
-			p.SetHosts([]glade.HostInfo{other})
-			qt.Assert(t, p.FinishedWaves(), qt.HasLen, 0)
+			for range 5 { // 3.6 s
+				p.SetHosts([]glade.HostInfo{other})
+				qt.Assert(t, p.FinishedWaves(), qt.HasLen, 0)
+			}
 			p.SetHosts([]glade.HostInfo{other, host})
 			qt.Assert(t, p.FinishedWaves(), qt.HasLen, 0)
 		}
 	})
 	t.Run("is finished once the host has left", func(t *testing.T) {
 		p := newPlanner()
-		for range 4 {
+		for range 9 {
 			p.SetHosts([]glade.HostInfo{other})
 		}
 		qt.Assert(t, p.FinishedWaves(), qt.DeepEquals, []int64{1})
