--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -38,6 +39,8 @@
 	runners     = 9
 	zones       = 3
 	beat        = 1500 * time.Millisecond
+	contact     = 3 * time.Second // contactMs
+	drains      = 2 * time.Second // drainMs
 )
 
 // Exit codes of a scene.
@@ -74,7 +77,85 @@
 	failed  map[int]int // ends "failed" that were acknowledged
 	last    map[int]time.Time
 	late    []string // starts beyond the budget
-	quiet   bool     // single starts and ends are not recorded
+	quiet   bool     // single starts and ends are not recorded, but those of the task traced
+	traced  int
+	links   links
+}
+
+// links forwards the connections to the store.
+type links struct {
+	mu   sync.Mutex
+	open []*link
+}
+
+// link is one connection. A hushed one stays open and delivers nothing any more.
+type link struct {
+	near, far net.Conn
+	hushed    atomic.Bool
+}
+
+func (l *links) listen(address, target string) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	go func() {
+		for {
+			near, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			far, err := net.Dial("tcp", target)
+			if err != nil {
+				near.Close()
+				continue
+			}
+			k := &link{near: near, far: far}
+			l.mu.Lock()
+			l.open = append(l.open, k)
+			l.mu.Unlock()
+			go k.pass(far, near)
+			go k.pass(near, far)
+		}
+	}()
+	return listener.Addr().String(), nil
+}
+
+// pass copies until one side closes.
+func (k *link) pass(to, from net.Conn) {
+	buffer := make([]byte, 64<<10)
+	for {
+		n, err := from.Read(buffer)
+		if k.hushed.Load() {
+			if err != nil && from == k.near { // the node has given it up
+				k.near.Close()
+				k.far.Close()
+				return
+			}
+			if err != nil {
+				return
+			}
+			continue
+		}
+		if n > 0 {
+			_, _ = to.Write(buffer[:n]) // a failure shows in the next read
+		}
+		if err != nil {
+			to.Close()
+			from.Close()
+			return
+		}
+	}
+}
+
+// hush makes all present connections silent for good. New ones work.
+func (l *links) hush() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.open {
+		k.hushed.Store(true)
+	}
+	return len(l.open)
 }
 
 func (w *world) note(format string, args ...any) {
@@ -111,10 +192,13 @@
 	fence   int64
 	runs    map[string]*run
 	lastRun map[string]int64
-	ends    []*run
-	seq     int64
-	lease   time.Time
-	wake    chan struct{}
+	// drainsFrom is when the store has accepted that the runner is draining, begun when runs have begun since then.
+	drainsFrom time.Time
+	begun      []time.Time
+	ends       []*run
+	seq        int64
+	lease      time.Time
+	wake       chan struct{}
 }
 
 func (r *runner) clock() int64 { return time.Since(r.started).Milliseconds() }
@@ -135,20 +219,34 @@
 	r.wake = make(chan struct{})
 }
 
+// report writes the runner's entry. One that drains reports nothing else any more. The caller holds the lock.
+func (r *runner) report(state string) {
+	entry := map[string]any{
+		"service": "alpha", "address": r.address, "zone": r.zone, "version": "1", "slots": 8, "state": state, "sequence": r.clock(),
+		"born": r.started.UnixMilli(), "capacity": map[string]int{"cpu": room, "memMb": 32768}, "labels": []string{"a", "r1"},
+	}
+	if state == "draining" || !r.drainsFrom.IsZero() {
+		entry["state"], entry["remainingMs"] = "draining", drains.Milliseconds()
+	}
+	data, err := json.Marshal(entry)
+	if err != nil {
+		panic(err)
+	}
+	r.w.table.Put(glade.PartitionRow{Table: "servers", Key: r.id, Value: data})
+}
+
 // listed keeps the entry of a runner: it is removed after three check-ins of silence.
 func (r *runner) listed(ctx context.Context) {
 	silent := 0
 	for ctx.Err() == nil {
 		r.w.mu.Lock()
 		up := r.up
-		entry, _ := json.Marshal(map[string]any{
-			"service": "alpha", "address": r.address, "zone": r.zone, "version": "1", "slots": 8, "state": "ready", "sequence": r.clock(),
-			"born": r.started.UnixMilli(), "capacity": map[string]int{"cpu": room, "memMb": 32768}, "labels": []string{"a", "r1"},
-		})
+		if up {
+			r.report("ready")
+		}
 		r.w.mu.Unlock()
 		if up {
 			silent = 0
-			r.w.table.Put(glade.PartitionRow{Table: "servers", Key: r.id, Value: entry})
 		} else if silent++; silent == 3 {
 			r.w.table.Put(glade.PartitionRow{Table: "servers", Key: r.id, Deleted: true})
 		}
@@ -316,7 +414,11 @@
 	x := &run{task: o.Task, index: index, n: o.Run, began: time.Now()}
 	r.runs[o.Task] = x
 	w.starts[index]++
-	if !w.quiet || w.starts[index] > 2 {
+	if !r.drainsFrom.IsZero() {
+		r.begun = append(r.begun, time.Now())
+		w.note("runner %s: run %d of %s has begun, %.2f s after the store has accepted that the runner drains", r.id, o.Run, o.Task, time.Since(r.drainsFrom).Seconds())
+	}
+	if !w.quiet || index == w.traced {
 		w.note("runner %s: run %d of task %d has begun, its start %d", r.id, o.Run, index, w.starts[index])
 	}
 	if most := w.failed[index]; most >= maxAttempts {
@@ -509,7 +611,11 @@
 		return errors.New("no free loopback addresses")
 	}
 	view := fake.NewStore(fake.StoreConfig{PartitionedTable: w.table, Clock: clock.System{}}).NewView(nil)
-	store, err := w.serve(w.prefix+"200:0", view)
+	behind, err := w.serve(w.prefix+"200:0", view)
+	if err != nil {
+		return err
+	}
+	store, err := w.links.listen(w.prefix+"201:0", behind)
 	if err != nil {
 		return err
 	}
@@ -543,7 +649,7 @@
 }
 
 func main() {
-	scene := flag.String("scene", "", "orphan or budget")
+	scene := flag.String("scene", "", "orphan, budget or drain")
 	program := flag.String("node", "target/node", "the product's program")
 	recordPath := flag.String("record", "record.txt", "file that gets what was sent, answered and run")
 	flag.Parse()
@@ -572,7 +678,7 @@
 		last: make(map[int]time.Time), outcome: func(int, int) (string, time.Duration) { return "", 0 },
 		program: program,
 	}
-	play, ok := map[string]func(*world, bool) int{"orphan": (*world).orphan, "budget": (*world).budget}[scene]
+	play, ok := map[string]func(*world, bool) int{"orphan": (*world).orphan, "budget": (*world).budget, "drain": (*world).drain}[scene]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such scene")
 		return cannotRun
@@ -655,7 +761,7 @@
 		hopeful = 12 * time.Second // the second run of a task that can be done
 		watched = 40 * time.Second
 	)
-	w.quiet = true
+	w.quiet, w.traced = true, tasks-1
 	w.outcome = func(index, n int) (string, time.Duration) {
 		switch {
 		case index == tasks-1:
@@ -710,3 +816,64 @@
 	}
 	return held
 }
+
+// drain has a stream of short jobs with a task on each runner. A runner drains as planned, just after the open channels to
+// the store have gone silent for good. A machine in touch may start nothing there from drainMs on.
+func (w *world) drain(trouble bool) int {
+	const (
+		warm   = 8 * time.Second
+		before = 300 * time.Millisecond
+		little = 1400 * time.Millisecond // that the runner serves on beyond drainMs
+		every  = 80 * time.Millisecond
+	)
+	w.quiet, w.traced = true, -1
+	w.outcome = func(int, int) (string, time.Duration) { return "done", 300 * time.Millisecond }
+	w.step = step{Count: runners, CPU: 100, EstimatedMs: 300, Spread: 1}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	answers := make(map[int]int)
+	go func() {
+		body, err := json.Marshal(map[string]any{"spec": "review", "steps": []step{w.step}})
+		if err != nil {
+			panic(err)
+		}
+		for n := 0; ctx.Err() == nil; n++ {
+			go func() {
+				status, _ := w.call(http.MethodPost, fmt.Sprintf("/quotes/%016x", n+1), body)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				answers[status]++
+			}()
+			time.Sleep(every)
+		}
+	}()
+	time.Sleep(warm)
+	if trouble {
+		w.note("trouble: %d open channels to the store go silent for good", w.links.hush())
+	}
+	silentFrom := time.Now()
+	time.Sleep(before)
+	r := w.runners[runners-1]
+	w.mu.Lock()
+	r.report("draining")
+	r.drainsFrom = time.Now()
+	w.note("runner %s drains; the store has accepted that", r.id)
+	w.mu.Unlock()
+	time.Sleep(drains + little)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	late := 0
+	for _, at := range r.begun {
+		if at.Sub(r.drainsFrom) > drains && (!trouble || at.Sub(silentFrom) > contact) {
+			late++
+		}
+	}
+	w.note("runner %s leaves; %d runs end with it", r.id, len(r.runs))
+	r.crash()
+	w.note("answers to callers by status: %v", answers)
+	w.note("%d starts after the runner's report, %d of them more than %s later by a machine whose channels were sound for %s", len(r.begun), late, drains, contact)
+	if late > 0 {
+		return broken
+	}
+	return held
+}
