Add review case 14: a cancelled job runs on after channels to runners have gone silent

Each runner has up to four idle connections for orders. When they have gone silent for good, a time-out closes one of them and the repetition of a stop takes the next. The tasks of a job that is cancelled 10 s after the silence run on for more than 4 s.

Ruled out: the time around the silence; the job is cancelled after more than three times contactMs without any trouble.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -79,10 +79,11 @@
 	late    []string // starts beyond the budget
 	quiet   bool     // single starts and ends are not recorded, but those of the task traced
 	traced  int
-	links   links
+	// toStore and toRunners forward the connections of the processes.
+	toStore, toRunners links
 }
 
-// links forwards the connections to the store.
+// links forwards connections.
 type links struct {
 	mu   sync.Mutex
 	open []*link
@@ -615,14 +616,18 @@
 	if err != nil {
 		return err
 	}
-	store, err := w.links.listen(w.prefix+"201:0", behind)
+	store, err := w.toStore.listen(w.prefix+"201:0", behind)
 	if err != nil {
 		return err
 	}
 	for i := range runners {
 		r := &runner{w: w, id: fmt.Sprintf("i-%d", i+1), zone: fmt.Sprintf("z%d", i%zones)}
 		r.start()
-		if r.address, err = w.serve(fmt.Sprintf("%s%d:0", w.prefix, 20+i), r); err != nil {
+		behind, err := w.serve(fmt.Sprintf("%s%d:0", w.prefix, 20+i), r)
+		if err != nil {
+			return err
+		}
+		if r.address, err = w.toRunners.listen(fmt.Sprintf("%s%d:0", w.prefix, 20+i), behind); err != nil {
 			return err
 		}
 		w.runners = append(w.runners, r)
@@ -649,7 +654,7 @@
 }
 
 func main() {
-	scene := flag.String("scene", "", "orphan, budget or drain")
+	scene := flag.String("scene", "", "orphan, budget, drain or cancel")
 	program := flag.String("node", "target/node", "the product's program")
 	recordPath := flag.String("record", "record.txt", "file that gets what was sent, answered and run")
 	flag.Parse()
@@ -678,7 +683,7 @@
 		last: make(map[int]time.Time), outcome: func(int, int) (string, time.Duration) { return "", 0 },
 		program: program,
 	}
-	play, ok := map[string]func(*world, bool) int{"orphan": (*world).orphan, "budget": (*world).budget, "drain": (*world).drain}[scene]
+	play, ok := map[string]func(*world, bool) int{"orphan": (*world).orphan, "budget": (*world).budget, "drain": (*world).drain, "cancel": (*world).cancel}[scene]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such scene")
 		return cannotRun
@@ -849,7 +854,7 @@
 	}()
 	time.Sleep(warm)
 	if trouble {
-		w.note("trouble: %d open channels to the store go silent for good", w.links.hush())
+		w.note("trouble: %d open channels to the store go silent for good", w.toStore.hush())
 	}
 	silentFrom := time.Now()
 	time.Sleep(before)
@@ -877,3 +882,59 @@
 	}
 	return held
 }
+
+// cancel has a job whose tasks last, and a job of short tasks on all runners. The open channels to the runners go silent for
+// good. After some seconds without any trouble the job is cancelled: its tasks have to be gone in time.
+func (w *world) cancel(trouble bool) int {
+	const (
+		tasks    = 6
+		perEach  = 8 // short tasks on each runner
+		calm     = 10 * time.Second
+		watched  = 12 * time.Second
+		stopTime = 200 * time.Millisecond // stopTimeoutMs
+		cancels  = 3 * time.Second        // cancel_ms
+	)
+	if !w.submit(step{Count: tasks, CPU: 600, EstimatedMs: 1000, LongRunning: true, MayMiss: 1, Spread: 1}) {
+		return cannotRun
+	}
+	time.Sleep(8 * time.Second)
+	body, err := json.Marshal(map[string]any{"spec": "review", "steps": []step{{Count: perEach * runners, CPU: 100, EstimatedMs: 300, Spread: perEach}}})
+	if err != nil {
+		panic(err)
+	}
+	w.mu.Lock()
+	w.quiet, w.traced = true, -1
+	w.outcome = func(int, int) (string, time.Duration) { return "done", 300 * time.Millisecond }
+	w.mu.Unlock()
+	status, text := w.call(http.MethodPost, "/quotes/5c0e7a21d94b36f9", body)
+	w.note("caller: POST %s -> %d %s", body, status, text)
+	time.Sleep(3 * time.Second)
+	if trouble {
+		w.note("trouble: %d open channels to runners go silent for good", w.toRunners.hush())
+	}
+	time.Sleep(calm)
+	w.mu.Lock()
+	w.quiet = false
+	w.mu.Unlock()
+	status, text = w.call(http.MethodDelete, jobPath, nil)
+	acknowledged := time.Now()
+	w.note("caller: DELETE -> %d %s", status, text)
+	if status != http.StatusOK {
+		return cannotRun
+	}
+	last := time.Duration(0)
+	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		w.mu.Lock()
+		for i := range tasks {
+			if w.isRunning(i) != nil {
+				last = time.Since(acknowledged)
+			}
+		}
+		w.mu.Unlock()
+	}
+	w.note("the last task of the cancelled job ran until %.2f s after the acknowledgement; %s are allowed", last.Seconds(), cancels+stopTime)
+	if last > cancels+stopTime {
+		return broken
+	}
+	return held
+}
