Add review case 15: a task that crashes its runners starts a sixth time

Cause: late crashes make a task a suspect only when its own row has three of them. Losses that no leader saw count for it, but only a suspect is checked before a start. Three leaders that are killed just after a crash leave two crashes in the row and three unseen losses, and the task starts once more.

Added a scene to the stand-in and the case.

--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -77,6 +77,7 @@
 	failed  map[int]int // ends "failed" that were acknowledged
 	last    map[int]time.Time
 	late    []string // starts beyond the budget
+	crashes int      // of runners under the task that crashes them
 	quiet   bool     // single starts and ends are not recorded, but those of the task traced
 	traced  int
 	// toStore and toRunners forward the connections of the processes.
@@ -431,12 +432,35 @@
 		time.AfterFunc(after, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
+			if how == "crash" {
+				w.crash(r, x)
+				return
+			}
 			r.end(x, how)
 		})
 	}
 	return ""
 }
 
+const backAfter = 4 * time.Second // a crashed runner's time away
+
+// crash lets a run crash its runner, which is back after some seconds. The caller holds the lock.
+func (w *world) crash(r *runner, x *run) {
+	if r.runs[x.task] != x {
+		return
+	}
+	r.crash()
+	w.crashes++
+	w.note("runner %s has crashed under run %d of task %d: crash %d", r.id, x.n, x.index, w.crashes)
+	time.AfterFunc(backAfter, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		r.start()
+		r.report("ready")
+		w.note("runner %s is back", r.id)
+	})
+}
+
 // isRunning reports whether a task is at work on a runner that is up. The caller holds the lock.
 func (w *world) isRunning(index int) *runner {
 	for _, r := range w.runners {
@@ -654,7 +678,7 @@
 }
 
 func main() {
-	scene := flag.String("scene", "", "orphan, budget, drain or cancel")
+	scene := flag.String("scene", "", "orphan, budget, drain, cancel or deadly")
 	program := flag.String("node", "target/node", "the product's program")
 	recordPath := flag.String("record", "record.txt", "file that gets what was sent, answered and run")
 	flag.Parse()
@@ -683,7 +707,7 @@
 		last: make(map[int]time.Time), outcome: func(int, int) (string, time.Duration) { return "", 0 },
 		program: program,
 	}
-	play, ok := map[string]func(*world, bool) int{"orphan": (*world).orphan, "budget": (*world).budget, "drain": (*world).drain, "cancel": (*world).cancel}[scene]
+	play, ok := map[string]func(*world, bool) int{"orphan": (*world).orphan, "budget": (*world).budget, "drain": (*world).drain, "cancel": (*world).cancel, "deadly": (*world).deadly}[scene]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such scene")
 		return cannotRun
@@ -938,3 +962,76 @@
 	}
 	return held
 }
+
+// deadly has a job of one task that crashes each runner that starts it. The process that leads the service is killed after
+// the third, the fourth and the fifth crash. The task may not be started three times more after three crashes.
+func (w *world) deadly(trouble bool) int {
+	const (
+		lives    = 2 * time.Second // the task's time until it crashes its runner
+		lag      = 300 * time.Millisecond
+		away     = 2 * time.Second // a killed process's time until it is started again
+		allowed  = 3               // crashes, after which fewer than tooMany starts may follow
+		tooMany  = 3
+		lastKill = 5 // crashes
+		watched  = 80 * time.Second
+	)
+	after := 0
+	disturbed := make(map[*proc]time.Time) // killed or started again
+	w.outcome = func(int, int) (string, time.Duration) {
+		p := w.leader()
+		if w.crashes >= allowed && p != nil && time.Since(disturbed[p]) > contact {
+			after++
+			w.note("process %s, in touch, starts the task after %d crashes", p.name, w.crashes)
+		}
+		return "crash", lives
+	}
+	if !w.submit(step{Count: 1, CPU: 600, EstimatedMs: 4000}) {
+		return cannotRun
+	}
+	var killed *proc
+	killedAt, seen, asked := time.Time{}, 0, time.Now()
+	for end := time.Now().Add(watched); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		w.mu.Lock()
+		crashes := w.crashes
+		w.mu.Unlock()
+		if trouble && crashes > seen && crashes >= allowed && crashes <= lastKill {
+			time.Sleep(lag)
+			if killed = w.leader(); killed == nil {
+				return cannotRun
+			}
+			killed.kill()
+			killedAt = time.Now()
+			w.mu.Lock()
+			disturbed[killed] = killedAt
+			w.mu.Unlock()
+			w.note("trouble: process %s, which led the service, is killed", killed.name)
+		}
+		seen = crashes
+		if killed != nil && time.Since(killedAt) > away {
+			if err := killed.start(w.program); err != nil {
+				return cannotRun
+			}
+			w.mu.Lock()
+			disturbed[killed] = time.Now()
+			w.mu.Unlock()
+			w.note("process %s is started again", killed.name)
+			killed = nil
+		}
+		if time.Since(asked) < time.Second {
+			continue
+		}
+		asked = time.Now()
+		status, state := w.call(http.MethodGet, jobPath, nil)
+		w.note("caller: GET -> %d %s", status, state)
+		if strings.Contains(state, "failed") {
+			break
+		}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.note("%d runners have crashed under the task; %d starts after %d crashes, fewer than %d are allowed", w.crashes, after, allowed, tooMany)
+	if after >= tooMany {
+		return broken
+	}
+	return held
+}
