--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -40,7 +41,6 @@
 	zones       = 3
 	beat        = 1500 * time.Millisecond
 	contact     = 3 * time.Second // contactMs
-	drains      = 2 * time.Second // drainMs
 )
 
 // Exit codes of a scene.
@@ -82,6 +82,30 @@
 	traced  int
 	// toStore and toRunners forward the connections of the processes.
 	toStore, toRunners links
+	inventory          string // its address
+	ended              bool   // guarded by processes
+}
+
+// listMachines answers as the inventory, with one pool of sound machines but for those whose runner is down.
+func (w *world) listMachines(out http.ResponseWriter, in *http.Request) {
+	if in.Method != http.MethodGet || in.URL.Path != "/machines" {
+		out.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	machines := []map[string]any{}
+	for i, r := range w.runners {
+		state := "up"
+		if !r.up {
+			state = "down"
+		}
+		machines = append(machines, map[string]any{
+			"machine": fmt.Sprintf("m-%d", i+1), "pool": "alpha", "state": state, "zone": r.zone, "labels": []string{"a", "r1"},
+			"capacity": map[string]int{"cpu": room, "memMb": 32768}, "id": r.id,
+		})
+	}
+	answer(out, http.StatusOK, map[string]any{"machines": machines, "nextPageToken": ""})
 }
 
 // links forwards connections.
@@ -194,13 +218,10 @@
 	fence   int64
 	runs    map[string]*run
 	lastRun map[string]int64
-	// drainsFrom is when the store has accepted that the runner is draining, begun when runs have begun since then.
-	drainsFrom time.Time
-	begun      []time.Time
-	ends       []*run
-	seq        int64
-	lease      time.Time
-	wake       chan struct{}
+	ends    []*run
+	seq     int64
+	lease   time.Time
+	wake    chan struct{}
 }
 
 func (r *runner) clock() int64 { return time.Since(r.started).Milliseconds() }
@@ -221,15 +242,12 @@
 	r.wake = make(chan struct{})
 }
 
-// report writes the runner's entry. One that drains reports nothing else any more. The caller holds the lock.
-func (r *runner) report(state string) {
+// report writes the runner's entry. The caller holds the lock.
+func (r *runner) report() {
 	entry := map[string]any{
-		"service": "alpha", "address": r.address, "zone": r.zone, "version": "1", "slots": 8, "state": state, "sequence": r.clock(),
+		"service": "alpha", "address": r.address, "zone": r.zone, "version": "1", "slots": 8, "state": "ready", "sequence": r.clock(),
 		"born": r.started.UnixMilli(), "capacity": map[string]int{"cpu": room, "memMb": 32768}, "labels": []string{"a", "r1"},
 	}
-	if state == "draining" || !r.drainsFrom.IsZero() {
-		entry["state"], entry["remainingMs"] = "draining", drains.Milliseconds()
-	}
 	data, err := json.Marshal(entry)
 	if err != nil {
 		panic(err)
@@ -244,7 +262,7 @@
 		r.w.mu.Lock()
 		up := r.up
 		if up {
-			r.report("ready")
+			r.report()
 		}
 		r.w.mu.Unlock()
 		if up {
@@ -416,10 +434,6 @@
 	x := &run{task: o.Task, index: index, n: o.Run, began: time.Now()}
 	r.runs[o.Task] = x
 	w.starts[index]++
-	if !r.drainsFrom.IsZero() {
-		r.begun = append(r.begun, time.Now())
-		w.note("runner %s: run %d of %s has begun, %.2f s after the store has accepted that the runner drains", r.id, o.Run, o.Task, time.Since(r.drainsFrom).Seconds())
-	}
 	if !w.quiet || index == w.traced {
 		w.note("runner %s: run %d of task %d has begun, its start %d", r.id, o.Run, index, w.starts[index])
 	}
@@ -456,7 +470,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		r.start()
-		r.report("ready")
+		r.report()
 		w.note("runner %s is back", r.id)
 	})
 }
@@ -473,6 +487,9 @@
 	return nil
 }
 
+// processes guards the start and the end of all processes.
+var processes sync.Mutex
+
 // proc is a process of the product.
 type proc struct {
 	name, ip, zone string
@@ -481,13 +498,18 @@
 }
 
 // start starts the process with the command of the deploy file.
-func (p *proc) start(program string) error {
+func (p *proc) start(w *world) error {
+	processes.Lock()
+	defer processes.Unlock()
+	if w.ended {
+		return errors.New("the scene has ended")
+	}
 	out, err := os.OpenFile(p.log, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
 	defer out.Close()
-	command := exec.Command(program)
+	command := exec.Command(w.program)
 	command.Env = append(os.Environ(), "INDIGOGLADE_SETTINGS="+p.settings)
 	command.Stdout, command.Stderr = out, out
 	if err := command.Start(); err != nil {
@@ -499,6 +521,13 @@
 
 // kill ends the process, which is not started again.
 func (p *proc) kill() {
+	processes.Lock()
+	defer processes.Unlock()
+	p.killLocked()
+}
+
+// killLocked is kill for a caller that holds processes.
+func (p *proc) killLocked() {
 	if p.command != nil {
 		_ = p.command.Process.Signal(syscall.SIGKILL) // it may have ended
 		_ = p.command.Wait()
@@ -515,7 +544,7 @@
 	}
 	settings, err := json.Marshal(map[string]any{
 		"name": p.name, "zone": p.zone, "ip": p.ip, "front": p.ip + ":8624", "ready": p.ip + ":8622", "ports": []int{7060, 7075},
-		"store": store, "memory": 284, "files": 4100, "share": 0.4, "cores": 1, "link": 1000,
+		"store": store, "cloud": w.inventory, "memory": 284, "files": 4100, "share": 0.4, "cores": 1, "link": 1000,
 		"bounds": map[string]any{
 			"graceS": 6, "holdMaxMs": holdMax.Milliseconds(), "status_s": 120, "stopTimeoutMs": 200, "restoreMs": 250, "moveS": 1.5, "maintenanceS": 2,
 			"fencingEnabled": true, "leaseMs": 3000, "remoteFactor": 3,
@@ -527,8 +556,10 @@
 	if err := os.WriteFile(p.settings, settings, 0o600); err != nil {
 		return err
 	}
+	processes.Lock()
 	w.procs = append(w.procs, p)
-	return p.start(w.program)
+	processes.Unlock()
+	return p.start(w)
 }
 
 // leader returns the process that leads the service, by the row of its term.
@@ -644,6 +675,9 @@
 	if err != nil {
 		return err
 	}
+	if w.inventory, err = w.serve(w.prefix+"202:0", http.HandlerFunc(w.listMachines)); err != nil {
+		return err
+	}
 	for i := range runners {
 		r := &runner{w: w, id: fmt.Sprintf("i-%d", i+1), zone: fmt.Sprintf("z%d", i%zones)}
 		r.start()
@@ -677,8 +711,18 @@
 	return nil
 }
 
+// end kills all processes, and lets none start any more.
+func (w *world) end() {
+	processes.Lock()
+	defer processes.Unlock()
+	w.ended = true
+	for _, p := range w.procs {
+		p.killLocked()
+	}
+}
+
 func main() {
-	scene := flag.String("scene", "", "orphan, budget, drain, cancel or deadly")
+	scene := flag.String("scene", "", "orphan, budget, cancel or deadly")
 	program := flag.String("node", "target/node", "the product's program")
 	recordPath := flag.String("record", "record.txt", "file that gets what was sent, answered and run")
 	flag.Parse()
@@ -707,17 +751,21 @@
 		last: make(map[int]time.Time), outcome: func(int, int) (string, time.Duration) { return "", 0 },
 		program: program,
 	}
-	play, ok := map[string]func(*world, bool) int{"orphan": (*world).orphan, "budget": (*world).budget, "drain": (*world).drain, "cancel": (*world).cancel, "deadly": (*world).deadly}[scene]
+	play, ok := map[string]func(*world, bool) int{"orphan": (*world).orphan, "budget": (*world).budget, "cancel": (*world).cancel, "deadly": (*world).deadly}[scene]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "no such scene")
 		return cannotRun
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	defer func() {
-		for _, p := range w.procs {
-			p.kill()
-		}
+	defer w.end()
+	go func() {
+		signals := make(chan os.Signal, 1)
+		signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+		<-signals
+		w.end()
+		os.RemoveAll(dir)
+		os.Exit(cannotRun)
 	}()
 	if err := w.open(ctx, dir); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -827,7 +875,7 @@
 		p.kill()
 		w.note("trouble: process %s, which led the service, is killed", p.name)
 		time.Sleep(time.Second)
-		if err := p.start(w.program); err != nil {
+		if err := p.start(w); err != nil {
 			return cannotRun
 		}
 		w.note("process %s is started again", p.name)
@@ -846,67 +894,6 @@
 	return held
 }
 
-// drain has a stream of short jobs with a task on each runner. A runner drains as planned, just after the open channels to
-// the store have gone silent for good. A machine in touch may start nothing there from drainMs on.
-func (w *world) drain(trouble bool) int {
-	const (
-		warm   = 8 * time.Second
-		before = 300 * time.Millisecond
-		little = 1400 * time.Millisecond // that the runner serves on beyond drainMs
-		every  = 80 * time.Millisecond
-	)
-	w.quiet, w.traced = true, -1
-	w.outcome = func(int, int) (string, time.Duration) { return "done", 300 * time.Millisecond }
-	w.step = step{Count: runners, CPU: 100, EstimatedMs: 300, Spread: 1}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	answers := make(map[int]int)
-	go func() {
-		body, err := json.Marshal(map[string]any{"spec": "review", "steps": []step{w.step}})
-		if err != nil {
-			panic(err)
-		}
-		for n := 0; ctx.Err() == nil; n++ {
-			go func() {
-				status, _ := w.call(http.MethodPost, fmt.Sprintf("/quotes/%016x", n+1), body)
-				w.mu.Lock()
-				defer w.mu.Unlock()
-				answers[status]++
-			}()
-			time.Sleep(every)
-		}
-	}()
-	time.Sleep(warm)
-	if trouble {
-		w.note("trouble: %d open channels to the store go silent for good", w.toStore.hush())
-	}
-	silentFrom := time.Now()
-	time.Sleep(before)
-	r := w.runners[runners-1]
-	w.mu.Lock()
-	r.report("draining")
-	r.drainsFrom = time.Now()
-	w.note("runner %s drains; the store has accepted that", r.id)
-	w.mu.Unlock()
-	time.Sleep(drains + little)
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	late := 0
-	for _, at := range r.begun {
-		if at.Sub(r.drainsFrom) > drains && (!trouble || at.Sub(silentFrom) > contact) {
-			late++
-		}
-	}
-	w.note("runner %s leaves; %d runs end with it", r.id, len(r.runs))
-	r.crash()
-	w.note("answers to callers by status: %v", answers)
-	w.note("%d starts after the runner's report, %d of them more than %s later by a machine whose channels were sound for %s", len(r.begun), late, drains, contact)
-	if late > 0 {
-		return broken
-	}
-	return held
-}
-
 // cancel has a job whose tasks last, and a job of short tasks on all runners. The open channels to the runners go silent for
 // good. After some seconds without any trouble the job is cancelled: its tasks have to be gone in time.
 func (w *world) cancel(trouble bool) int {
@@ -1008,7 +995,7 @@
 		}
 		seen = crashes
 		if killed != nil && time.Since(killedAt) > away {
-			if err := killed.start(w.program); err != nil {
+			if err := killed.start(w); err != nil {
 				return cannotRun
 			}
 			w.mu.Lock()
