Replace connections between hosts that were not heard for 2.5 s

Seen (by a test only): the first call to another host after their connection has gone silent waits for its whole time, 1.5 s for a request that is forwarded to a leader, and is lost; the caller gets 503 or 504 although the hosts reach each other.

A jrpc.Client learns of a silent connection only from the calls that are lost on it, however long nothing was heard before.

Change: a call on a connection of which nothing was heard for 2.5 s opens a new one. Calls in flight on the old one may still be answered.

--- a/jrpc/jrpc.go
+++ b/jrpc/jrpc.go
@@ -288,11 +288,24 @@
 	return c.conn
 }
 
+// trustTime is how long a connection may have been without a byte from the peer when a call is sent on it. One that
+// goes silent while nothing is sent would cost the next call its whole time, and 3 s after
+// connections have gone silent calls have to work again as before.
+const trustTime = 2500 * time.Millisecond
+
+// isUnheard reports whether nothing was received for longer than trustTime.
+func (c *clientConn) isUnheard(now time.Time) bool {
+	return now.Sub(time.Unix(0, c.stream.receivedAt.Load())) > trustTime
+}
+
 // connect returns the open connection, or opens one. While another call does that, it waits for
 // it, but not beyond the end of ctx.
 func (c *Client) connect(ctx context.Context) (*clientConn, error) {
 	if conn := c.current(); conn != nil {
-		return conn, nil
+		if !conn.isUnheard(time.Now()) {
+			return conn, nil
+		}
+		c.retire(conn)
 	}
 	select {
 	case c.connecting <- struct{}{}:
@@ -310,6 +323,7 @@
 	// The connection outlives the call that opened it.
 	background := context.WithoutCancel(ctx)
 	stream := newStream(raw)
+	stream.receivedAt.Store(time.Now().UnixNano()) // the peer has accepted
 	// A call whose message takes longer to write has timed out.
 	stream.writeTimeout = c.config.Timeout
 	conn := &clientConn{stream: stream, dispatching: make(chan struct{}, 1), Conn: jsonrpc2.NewConn(background, stream, jsonrpc2.HandlerWithError(rejectCall),
--- a/jrpc/jrpc_test.go
+++ b/jrpc/jrpc_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -13,6 +14,8 @@
 	qt "github.com/frankban/quicktest"
 	"github.com/pkg/errors"
 
+	"indigoglade/bubble"
+	"indigoglade/clock"
 	"indigoglade/jrpc"
 )
 
@@ -317,6 +320,85 @@
 	})
 }
 
+// pipeListener accepts one end of each pipe that dial makes.
+type pipeListener struct {
+	conns  chan net.Conn
+	closed chan struct{}
+}
+
+func (l *pipeListener) dial(context.Context, string, string) (net.Conn, error) {
+	near, far := net.Pipe()
+	l.conns <- far
+	return near, nil
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case conn := <-l.conns:
+		return conn, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	close(l.closed)
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
+
+// hushedConn loses what is sent once it is silent.
+type hushedConn struct {
+	net.Conn
+	silent *atomic.Bool
+}
+
+func (c hushedConn) Write(data []byte) (int, error) {
+	if c.silent.Load() {
+		return len(data), nil
+	}
+	return c.Conn.Write(data)
+}
+
+// TestUnheardConnection guards against a call, such as a forwarded request, that is lost on a connection which has
+// gone silent while nothing was sent on it.
+func TestUnheardConnection(t *testing.T) {
+	expectDials := func(name string, pause time.Duration, silent bool, want int) {
+		t.Run(name, func(t *testing.T) {
+			bubble.Test(t, func(t *testing.T) {
+				mux := jrpc.NewMux()
+				jrpc.Handle(mux, "echo", func(_ context.Context, in echo) (echo, error) { return in, nil })
+				listener := &pipeListener{conns: make(chan net.Conn, 1), closed: make(chan struct{})}
+				ctx, cancel := context.WithCancel(context.Background())
+				server := &background{ctx: ctx, task: jrpc.NewServer(listener, mux).Run, done: make(chan struct{})}
+				go server.run()
+				dials, first := 0, atomic.Bool{}
+				client := jrpc.NewClient(jrpc.Config{Timeout: time.Second, Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+					conn, err := listener.dial(ctx, network, address)
+					if dials++; dials == 1 {
+						conn = hushedConn{Conn: conn, silent: &first}
+					}
+					return conn, err
+				}})
+				for range 3 {
+					expectEcho(t, client, "a")
+					qt.Assert(t, clock.System{}.Sleep(t.Context(), pause), qt.IsNil)
+				}
+				first.Store(silent)
+				expectEcho(t, client, "a")
+				qt.Assert(t, dials, qt.Equals, want)
+				client.Close()
+				qt.Assert(t, clock.System{}.Sleep(t.Context(), 2*time.Second), qt.IsNil) // a retired connection is closed later
+				cancel()
+				<-server.done
+			})
+		})
+	}
+	expectDials("is not used", 3*time.Second, true, 4)
+	expectDials("is used while it is heard", 2*time.Second, false, 1)
+}
+
 // flakyListener has no free descriptor for its first connections.
 type flakyListener struct {
 	net.Listener
